--- a/anvilford/model/_answers.py
+++ b/anvilford/model/_answers.py
@@ -104,7 +104,13 @@
 
 @attrs.frozen
 class Pending:
-    """The job is queued or running."""
+    """There is no final answer yet.
+
+    Attributes:
+        submitted: False when the id is valid but no job came under it.
+    """
+
+    submitted: bool = True
 
 
 @attrs.frozen
