--- /dev/null
+++ b/anvilford/settings/_load.py
@@ -0,0 +1,123 @@
+"""Reads, checks and converts a settings file."""
+
+import json
+import os
+import pathlib
+from typing import Any
+
+import cattrs
+import jsonschema
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from anvilford.settings import _checks
+from anvilford.settings._failures import DuplicateKey
+from anvilford.settings._failures import InvalidValue
+from anvilford.settings._failures import MissingKey
+from anvilford.settings._failures import SettingsFailure
+from anvilford.settings._failures import UnknownKey
+from anvilford.settings._failures import UnreadableFile
+from anvilford.settings._schema import allowed_text
+from anvilford.settings._schema import make_validator
+from anvilford.settings._settings import Settings
+
+
+def load_settings(
+    path: str | os.PathLike[str],
+) -> Result[Settings, list[SettingsFailure]]:
+    """Loads the settings of one daemon.
+
+    Args:
+        path: JSON file.
+
+    Returns:
+        The settings, or every failure found in the file.
+    """
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        return Error([UnreadableFile(str(path), str(error), "UTF-8 text")])
+    duplicates: list[SettingsFailure] = []
+
+    def collect(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+        values: dict[str, Any] = {}
+        for key, value in pairs:
+            if key in values:
+                found = _masked(key, value)
+                duplicates.append(DuplicateKey(key, found, "each key once"))
+            values[key] = value
+        return values
+
+    try:
+        document = json.loads(
+            text, object_pairs_hook=collect, parse_constant=_refuse_constant
+        )
+    except (ValueError, RecursionError) as error:
+        return Error([UnreadableFile(str(path), str(error), "JSON")])
+    if duplicates:
+        return Error(duplicates)
+    return parse_settings(document)
+
+
+def parse_settings(
+    document: Any,
+) -> Result[Settings, list[SettingsFailure]]:
+    """Checks a decoded settings document and converts it.
+
+    Args:
+        document: JSON value.
+
+    Returns:
+        The settings, or every failure found. Rules between keys are checked
+        only once each key is valid by itself.
+    """
+    # A value may break several rules and is reported once.
+    by_path = {
+        (failure.path, type(failure)): failure
+        for error in make_validator().iter_errors(document)
+        for failure in _convert(error)
+    }
+    if by_path:
+        return Error(sorted(by_path.values(), key=lambda f: f.path))
+    settings = cattrs.structure(document, Settings)
+    failures = list(_checks.check_combinations(settings))
+    return Error(failures) if failures else Ok(settings)
+
+
+def _convert(error: jsonschema.ValidationError) -> list[SettingsFailure]:
+    path = [str(part) for part in error.absolute_path]
+    properties = error.schema.get("properties", {})
+    match error.validator:
+        case "additionalProperties":
+            allowed = "one of " + ", ".join(properties)
+            return [
+                UnknownKey("/".join([*path, key]), _masked(key, value), allowed)
+                for key, value in error.instance.items()
+                if key not in properties
+            ]
+        case "required":
+            return [
+                MissingKey(
+                    "/".join([*path, key]), None, allowed_text(properties[key])
+                )
+                for key in error.validator_value
+                if key not in error.instance
+            ]
+    found = _masked(path[-1] if path else "", error.instance)
+    return [InvalidValue("/".join(path), found, allowed_text(error.schema))]
+
+
+def _masked(key: str, value: Any) -> Any:
+    """Hides secrets, since failures are logged and printed."""
+    if "token" in key:
+        return _checks.MASK
+    if isinstance(value, dict):
+        return {k: _masked(k, v) for k, v in value.items()}
+    if isinstance(value, list):
+        return [_masked(key, v) for v in value]
+    return value
+
+
+def _refuse_constant(name: str) -> float:
+    raise ValueError(f"{name} is not JSON")
