Add the thrift codec of the inner protocol

Message classes are read and written directly by thrift's C extension, by way of specifications derived from the generated ones.

--- a/anvilford/protocol/__init__.py
+++ b/anvilford/protocol/__init__.py
@@ -1,5 +1,13 @@
 """The inner protocol between entry daemons: messages and their encoding."""
 
+from anvilford.protocol._codec import AccelerationMissingError
+from anvilford.protocol._codec import decode
+from anvilford.protocol._codec import encode
+from anvilford.protocol._codec import Envelope
+from anvilford.protocol._codec import FrameFault
+from anvilford.protocol._codec import MalformedFrame
+from anvilford.protocol._codec import MAX_ELEMENTS
+from anvilford.protocol._codec import require_acceleration
 from anvilford.protocol._messages import ConfigurationReply
 from anvilford.protocol._messages import ConfigurationRequest
 from anvilford.protocol._messages import EntryInfo
@@ -21,11 +29,14 @@
 from anvilford.protocol._messages import VmState
 
 __all__ = [
+    "AccelerationMissingError",
     "ConfigurationReply",
     "ConfigurationRequest",
     "EntryInfo",
+    "Envelope",
     "ForwardReply",
     "ForwardSubmission",
+    "FrameFault",
     "Gossip",
     "HandoverAck",
     "HandoverChunk",
@@ -33,6 +44,8 @@
     "HandoverSeal",
     "Hello",
     "LoadReport",
+    "MAX_ELEMENTS",
+    "MalformedFrame",
     "Mark",
     "Message",
     "RequestKind",
@@ -40,4 +53,7 @@
     "VmInfo",
     "VmRole",
     "VmState",
+    "decode",
+    "encode",
+    "require_acceleration",
 ]
--- /dev/null
+++ b/anvilford/protocol/_specs.py
@@ -0,0 +1,123 @@
+"""Reads and writes the message classes with thrift's C extension.
+
+The extension handles any class for which it gets a specification. The
+generated specifications in `wire` name the generated classes; those built here
+name the message classes instead. That spares a copy of every struct, which
+matters for lists of thousands of VMs.
+"""
+
+import enum
+import math
+import typing
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+from thrift.protocol.TBase import TFrozenBase
+from thrift.Thrift import TType
+
+from anvilford.model import EncodedAnswer
+from anvilford.model import Incarnation
+from anvilford.protocol import _messages
+from anvilford.protocol.wire import ttypes
+
+# Attributes whose name is a keyword of the IDL.
+_RENAMED = {"service_name": "service"}
+_SHARED = {"Incarnation": Incarnation, "EncodedAnswer": EncodedAnswer}
+
+
+class MissingFieldError(Exception):
+    """A struct in a frame lacks a field."""
+
+
+class UnknownValueError(Exception):
+    """A field holds a value outside its range."""
+
+
+def thrift_spec(struct: type, name: str | None = None) -> list:
+    """Makes the specification of a message class and of all it contains.
+
+    Args:
+        struct: Generated class.
+        name: Name of the message class, if it is not that of `struct`.
+
+    Returns:
+        What the C extension expects: a class to build and the fields by id.
+    """
+    message_class = _message_class(name or struct.__name__)
+    return [_builder(message_class), field_specs(struct)]
+
+
+def field_specs(struct: type) -> tuple:
+    """Makes the field specifications of a generated class, by field id."""
+    return tuple(
+        None if field is None else _field_spec(*field)
+        for field in struct.thrift_spec
+    )
+
+
+def message_names() -> dict[type, str]:
+    """Name of the field in `Envelope` for each message class."""
+    return {
+        _message_class(field[3][0].__name__): field[2]
+        for field in ttypes.Envelope.thrift_spec
+        if field is not None and field[1] == TType.STRUCT
+    }
+
+
+def _field_spec(
+    field_id: int, kind: int, name: str, arguments: Any, default: Any
+) -> tuple:
+    return (
+        field_id,
+        kind,
+        _RENAMED.get(name, name),
+        _arguments(kind, arguments),
+        default,
+    )
+
+
+def _arguments(kind: int, arguments: Any) -> Any:
+    if kind == TType.STRUCT:
+        return thrift_spec(arguments[0])
+    if kind == TType.LIST:
+        element, element_arguments, _ = arguments
+        # True makes the extension build a tuple instead of a list.
+        return (element, _arguments(element, element_arguments), True)
+    return arguments
+
+
+def _message_class(name: str) -> type:
+    return _SHARED.get(name) or getattr(_messages, name)
+
+
+def _builder(message_class: type) -> type:
+    """Makes a class whose constructor checks fields and returns a message.
+
+    The extension skips fields of an unexpected wire type, so that they are
+    missing here, and it guarantees the Python type of the others. It passes
+    all fields to the constructor only for subclasses of `TFrozenBase`.
+    """
+    checks: list[tuple[str, Callable[[Any], Any]]] = []
+    for name, hint in typing.get_type_hints(message_class).items():
+        if isinstance(hint, enum.EnumType):
+            checks.append((name, {m.value: m for m in hint}.get))
+        elif hint is float:
+            checks.append((name, _finite))
+    count = len(attrs.fields(message_class))
+
+    def build(_: type, **fields: Any) -> Any:
+        if len(fields) != count:
+            raise MissingFieldError
+        for name, check in checks:
+            value = check(fields[name])
+            if value is None:
+                raise UnknownValueError
+            fields[name] = value
+        return message_class(**fields)
+
+    return type(message_class.__name__, (TFrozenBase,), {"__new__": build})
+
+
+def _finite(value: float) -> float | None:
+    return value if math.isfinite(value) else None
--- /dev/null
+++ b/anvilford/protocol/tests/test_codec.py
@@ -0,0 +1,162 @@
+"""Tests of the message encoding."""
+
+import enum
+import tracemalloc
+import typing
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from anvilford import protocol
+from anvilford.model import Incarnation
+from anvilford.protocol.wire import ttypes
+from testkit import function_tests
+
+load_tests = function_tests(__name__)
+
+HERE = Incarnation("vannes-a", "10.0.0.1:7100", "a1")
+MEMORY_BYTES = 16 * 1024 * 1024
+BASIC = {
+    str: st.text(st.characters(codec="utf-8"), max_size=12),
+    int: st.integers(-(2**31), 2**31 - 1),
+    float: st.floats(allow_nan=False, allow_infinity=False),
+    bool: st.booleans(),
+    bytes: st.binary(max_size=12),
+    dict[str, int]: st.dictionaries(st.text("ab"), st.integers(0, 2**62)),
+}
+
+
+def values(hint):
+    """Strategy for any type used in messages."""
+    if hint in BASIC:
+        return BASIC[hint]
+    if isinstance(hint, enum.EnumType):
+        return st.sampled_from(hint)
+    if typing.get_origin(hint) is tuple:
+        return st.lists(values(typing.get_args(hint)[0]), max_size=3).map(tuple)
+    hints = typing.get_type_hints(hint)
+    return st.builds(hint, **{k: values(v) for k, v in hints.items()})
+
+
+envelopes = st.builds(
+    protocol.Envelope,
+    request_id=st.integers(0, 2**63 - 1),
+    is_reply=st.booleans(),
+    message=st.one_of(map(values, typing.get_args(protocol.Message))),
+)
+examples = settings(derandomize=True, max_examples=300, deadline=None)
+
+
+def decode_within_memory(frame):
+    """Decodes and checks the memory that it took."""
+    tracemalloc.start()
+    try:
+        result = protocol.decode(frame)
+        peak = tracemalloc.get_traced_memory()[1]
+    finally:
+        tracemalloc.stop()
+    assert peak < MEMORY_BYTES, peak
+    assert result.is_ok() or isinstance(result.error, protocol.MalformedFrame)
+    return result
+
+
+def test_round_trip(case):
+    """Guards against enums, bytes, numbers or lists changed on the way."""
+
+    @examples
+    @given(envelopes)
+    def check(envelope):
+        case.assertEqual(
+            protocol.decode(protocol.encode(envelope)).ok, envelope
+        )
+
+    check()
+
+
+def test_wire_enums_match(case):
+    """Guards against an enum value that differs between IDL and messages."""
+    for cls in (protocol.VmRole, protocol.VmState, protocol.RequestKind):
+        wire = getattr(ttypes, cls.__name__)
+        case.assertEqual(wire._NAMES_TO_VALUES, {m.name: m.value for m in cls})
+
+
+def test_hostile_frames_are_typed_failures():
+    """Guards against exceptions or memory use caused by damaged frames."""
+
+    @examples
+    @given(st.data())
+    def check(data):
+        frame = bytearray(protocol.encode(data.draw(envelopes)))
+        for _ in range(data.draw(st.integers(1, 4))):
+            start = data.draw(st.integers(0, len(frame)))
+            stop = start + data.draw(st.integers(0, 3))
+            frame[start:stop] = data.draw(st.binary(max_size=8))
+        decode_within_memory(bytes(frame))
+
+    check()
+
+
+def test_every_truncation_is_malformed(case):
+    """Guards against a cut-off frame taken for a whole message."""
+    vms = [
+        protocol.VmInfo(
+            "v", protocol.VmRole.TARGET, "z", "a", "s", protocol.VmState.GONE
+        )
+    ] * 3
+    gossip = protocol.Gossip("a", (), b"f", tuple(vms), full=True)
+    frame = protocol.encode(protocol.Envelope(1, False, gossip))
+    for length in range(len(frame)):
+        case.assertTrue(protocol.decode(frame[:length]).is_error(), length)
+
+
+def test_crafted_frames(case):
+    """Guards against limits that hold for random damage only."""
+    fault = protocol.FrameFault
+    head = b"\x16\x02\x12"  # request_id 1, is_reply false
+    forward = protocol.ForwardSubmission(
+        "i", "c", protocol.RequestKind.SUBMIT, b"", 1, 0
+    )
+    good = protocol.encode(protocol.Envelope(1, False, forward))
+    gossip = head + b"\xbc"
+    huge = b"\xff\xff\xff\xff\x07"
+    for name, frame, expected in (
+        ("no message", head + b"\0", fault.NOT_ONE_MESSAGE),
+        ("no request id", b"\x22\x8c\0\0", fault.MISSING_FIELD),
+        ("empty hello", head + b"\x8c\0\0", fault.MISSING_FIELD),
+        ("two messages", head + b"\xdc\0\x4c\x11\0\0", fault.NOT_ONE_MESSAGE),
+        ("enum", good.replace(b"\x15\x02", b"\x15\x0e"), fault.UNKNOWN_VALUE),
+        ("wire type", good.replace(b"\x18\x01i", b"\x16\x02"), None),
+        ("trailing", good + b"\0", fault.TRAILING_BYTES),
+        ("huge list", gossip + b"\x29\xfc" + huge, fault.ENCODING),
+        ("huge string", gossip + b"\x18" + huge, fault.ENCODING),
+        ("huge map", head + b"\xcc\x4b" + huge + b"\x86", fault.ENCODING),
+        ("huge skipped", head + b"\x59\xf0" + huge, fault.ENCODING),
+        ("negative", gossip + b"\x18\xff\xff\xff\xff\x0f", fault.ENCODING),
+        ("nesting", head + b"\x9c" * 1_000_000, fault.ENCODING),
+        ("nested lists", head + b"\x59" + b"\x19" * 1_000_000, fault.ENCODING),
+        # Every field id of an element is unknown, so elements stay empty.
+        ("empty VMs", gossip + b"\x49\xfc\xff\xff\x01" + bytes(10**6), None),
+    ):
+        result = decode_within_memory(frame)
+        case.assertTrue(result.is_error(), name)
+        if expected is not None:
+            case.assertEqual(result.error.fault, expected, name)
+
+
+def test_unknown_fields_are_skipped(case):
+    """Guards against a peer of a newer version that cannot be understood."""
+    hello = protocol.Hello("secret", HERE)
+    frame = protocol.encode(protocol.Envelope(7, False, hello))
+    extended = frame[:-2] + b"\x58\x02ab\0\0"
+    case.assertEqual(protocol.decode(extended), protocol.decode(frame))
+
+
+def test_missing_extension_is_typed(case):
+    """Guards against a start-up without acceleration."""
+    module = protocol._codec
+    protocol.require_acceleration()
+    present, module.fastbinary = module.fastbinary, None
+    case.addCleanup(setattr, module, "fastbinary", present)
+    with case.assertRaises(protocol.AccelerationMissingError):
+        protocol.require_acceleration()
--- /dev/null
+++ b/anvilford/protocol/wire/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
