--- /dev/null
+++ b/anvilford/scheduling/_attempts.py
@@ -0,0 +1,149 @@
+"""Running attempts: their slots, and what is learned when they end."""
+
+import itertools
+from collections.abc import Callable
+
+from anvilford.model import AttemptFailed
+from anvilford.model import AttemptNotStarted
+from anvilford.model import AttemptOutcome
+from anvilford.model import AttemptSucceeded
+from anvilford.model import AttemptUnknown
+from anvilford.model import NotStartedReason
+from anvilford.model import TaskState
+from anvilford.scheduling._estimates import RunTimes
+from anvilford.scheduling._health import HealthMonitor
+from anvilford.scheduling._jobs import Attempt
+from anvilford.scheduling._jobs import Job
+from anvilford.scheduling._placement import Target
+
+# A target that refused a task gets no work for this long, so that a refusal
+# is not answered by the same request at once.
+REFUSAL_PAUSE = 0.02
+
+
+class RunningAttempts:
+    """Attempts that occupy a slot, including those of answered jobs.
+
+    Attributes:
+        attempt_prefix: Start of every attempt id.
+        targets: Targets by id, shared with the dispatcher.
+        run_times: Learns from attempts that ran to their end.
+        health: Learns from every end.
+        wake_at: Asks for a call of `Dispatcher.advance`.
+        by_id: Attempts by id.
+        long_running: Number of attempts that count as long work.
+    """
+
+    def __init__(
+        self,
+        attempt_prefix: str,
+        targets: dict[str, Target],
+        run_times: RunTimes,
+        health: HealthMonitor,
+        wake_at: Callable[[float], None],
+    ):
+        self.attempt_prefix = attempt_prefix
+        self.targets = targets
+        self.run_times = run_times
+        self.health = health
+        self.wake_at = wake_at
+        self.by_id: dict[str, Attempt] = {}
+        self.long_running = 0
+        # Kept for the life of the process: a VM that leaves never returns
+        # under the same id, but an outdated view may list it again.
+        self.left: set[str] = set()
+        self._numbers = itertools.count()
+
+    def start(
+        self,
+        job: Job,
+        index: int,
+        target: Target,
+        long: bool,
+        probe: bool,
+        now: float,
+    ) -> Attempt:
+        """Records an attempt and occupies its slot."""
+        attempt = Attempt(
+            attempt_id=f"{self.attempt_prefix}-{next(self._numbers)}",
+            job=job,
+            index=index,
+            target_id=target.view.target_id,
+            address=target.view.address,
+            started=now,
+            long=long,
+            probe=probe,
+            previous_state=job.states[index],
+        )
+        self.by_id[attempt.attempt_id] = attempt
+        job.attempts[attempt.attempt_id] = attempt
+        job.states[index] = TaskState.UNKNOWN
+        target.in_use += 1
+        target.probing = target.probing or probe
+        self.long_running += long
+        return attempt
+
+    def mark_long(self, attempt_id: str) -> None:
+        """Counts an attempt that exceeded the limit of short work as long."""
+        attempt = self.by_id.get(attempt_id)
+        if attempt is not None and not attempt.long:
+            attempt.long = True
+            self.long_running += 1
+
+    def finish(
+        self, attempt_id: str, outcome: AttemptOutcome, now: float
+    ) -> Attempt | None:
+        """Frees the slot of an attempt and learns from its outcome.
+
+        Returns:
+            The attempt, or None when it is unknown or already over.
+        """
+        attempt = self.by_id.pop(attempt_id, None)
+        if attempt is None:
+            return None
+        attempt.job.attempts.pop(attempt_id, None)
+        self.long_running -= attempt.long
+        target = self.targets[attempt.target_id]
+        target.in_use -= 1
+        if attempt.probe:
+            target.probing = False
+        match outcome:
+            case AttemptSucceeded():
+                self._observe_success(attempt, target, now)
+            case AttemptNotStarted(reason):
+                self._observe_refusal(target, reason, attempt.probe, now)
+            case AttemptFailed() | AttemptUnknown():
+                # A cancelled attempt ends like this without any fault.
+                if not attempt.job.finished:
+                    self.health.observe_failure(target, attempt.probe, now)
+        return attempt
+
+    def _observe_success(
+        self, attempt: Attempt, target: Target, now: float
+    ) -> None:
+        spec = attempt.job.spec
+        self.run_times.observe(
+            spec.service,
+            spec.tasks[attempt.index].operation,
+            attempt.target_id,
+            now - attempt.started,
+        )
+        target.slowness = self.run_times.slowness(attempt.target_id)
+        target.observations += 1
+        self.health.observe_success(target, attempt.probe, now)
+
+    def _observe_refusal(
+        self,
+        target: Target,
+        reason: NotStartedReason,
+        probe: bool,
+        now: float,
+    ) -> None:
+        if reason == NotStartedReason.LEAVING:
+            target.left = True
+            self.left.add(target.view.target_id)
+            return
+        if reason == NotStartedReason.CONNECTION_REFUSED:
+            self.health.observe_failure(target, probe, now)
+        target.paused_until = now + REFUSAL_PAUSE
+        self.wake_at(target.paused_until)
--- /dev/null
+++ b/anvilford/scheduling/_dispatcher.py
@@ -0,0 +1,407 @@
+"""The dispatcher of one entry: from submitted jobs to attempts and answers."""
+
+import random
+from collections.abc import Sequence
+
+import attrs
+
+from anvilford.model import AttemptFailed
+from anvilford.model import AttemptNotStarted
+from anvilford.model import AttemptOutcome
+from anvilford.model import AttemptSucceeded
+from anvilford.model import AttemptUnknown
+from anvilford.model import Complete
+from anvilford.model import Failed
+from anvilford.model import FailureReason
+from anvilford.model import JobSpec
+from anvilford.model import NotRun
+from anvilford.model import TaskState
+from anvilford.scheduling import _admission
+from anvilford.scheduling._attempts import RunningAttempts
+from anvilford.scheduling._counters import DispatchCounters
+from anvilford.scheduling._effects import CancelAttempt
+from anvilford.scheduling._effects import DispatcherStats
+from anvilford.scheduling._effects import Effect
+from anvilford.scheduling._effects import JobFinished
+from anvilford.scheduling._effects import StartAttempt
+from anvilford.scheduling._estimates import RunTimes
+from anvilford.scheduling._health import HealthMonitor
+from anvilford.scheduling._jobs import Attempt
+from anvilford.scheduling._jobs import Job
+from anvilford.scheduling._jobs import LONG
+from anvilford.scheduling._jobs import SHORT
+from anvilford.scheduling._placement import Placement
+from anvilford.scheduling._placement import Target
+from anvilford.scheduling._policy import Policy
+from anvilford.scheduling._policy import ServicePolicy
+from anvilford.scheduling._policy import TargetView
+from anvilford.scheduling._queue import JobQueue
+from anvilford.scheduling._retries import RetryBudget
+from anvilford.scheduling._timers import Timer
+from anvilford.scheduling._timers import Timers
+
+
+class Dispatcher:
+    """Decides which task starts where and when; does no I/O.
+
+    Attributes:
+        zone: Availability zone of the entry.
+        attempt_prefix: Start of every attempt id; unique per process.
+        policy: The policy in force.
+        rng: Source of all randomness.
+    """
+
+    def __init__(
+        self,
+        zone: str,
+        attempt_prefix: str,
+        policy: Policy,
+        rng: random.Random,
+    ):
+        self.zone = zone
+        self.attempt_prefix = attempt_prefix
+        self.policy = policy
+        self.rng = rng
+        self.run_times = RunTimes()
+        self.queue = JobQueue()
+        self.timers = Timers()
+        self.targets: dict[str, Target] = {}
+        self.placement = Placement(zone, self.targets, rng)
+        self.health = HealthMonitor(self.targets, self._wake_at)
+        self.retry_budget = RetryBudget(policy.retry_ratio)
+        self.counters = DispatchCounters()
+        self.attempts = RunningAttempts(
+            attempt_prefix,
+            self.targets,
+            self.run_times,
+            self.health,
+            self._wake_at,
+        )
+        self._jobs: dict[int, Job] = {}
+        self._apply_policy_values()
+
+    def submit(
+        self, job_key: int, job: JobSpec, caller: str, now: float
+    ) -> list[Effect]:
+        """Admits or refuses a job and starts what it can.
+
+        Args:
+            job_key: Names the job in effects; not used before.
+            job: The job.
+            caller: Name of the caller.
+            now: Loop time in seconds.
+
+        Returns:
+            Effects in the order in which they are to be carried out.
+        """
+        effects: list[Effect] = []
+        self._handle_due(now, effects)
+        forecast, estimates = self._forecast(job, caller)
+        refusal = _admission.refuse(
+            forecast,
+            self.policy,
+            self.queue,
+            self.placement.slots(),
+            self.placement.capacity(),
+        )
+        if refusal is not None:
+            self.counters.refused += 1
+            effects.append(JobFinished(job_key, refusal))
+            return effects
+        self._enqueue(job_key, job, caller, estimates, now)
+        self._start_tasks(now, effects)
+        return effects
+
+    def cancel(self, job_key: int, now: float) -> list[Effect]:
+        """Ends a job for its caller; unknown keys change nothing."""
+        effects: list[Effect] = []
+        self._handle_due(now, effects)
+        job = self._jobs.get(job_key)
+        if job is not None:
+            self._fail(job, FailureReason.CANCELLED, "", effects)
+        self._start_tasks(now, effects)
+        return effects
+
+    def finish(
+        self, attempt_id: str, outcome: AttemptOutcome, now: float
+    ) -> list[Effect]:
+        """Handles the end of an attempt and frees its slot.
+
+        Attempts that are unknown or already over change nothing.
+        """
+        effects: list[Effect] = []
+        self._handle_due(now, effects)
+        attempt = self.attempts.finish(attempt_id, outcome, now)
+        if attempt is None:
+            self.counters.late_finishes += 1
+            return effects
+        if isinstance(outcome, AttemptNotStarted):
+            self.counters.not_started += 1
+        if not attempt.job.finished:
+            self._resolve(attempt, outcome, effects)
+        self._start_tasks(now, effects)
+        return effects
+
+    def advance(self, now: float) -> list[Effect]:
+        """Handles deadlines and other timers and starts what it can."""
+        effects: list[Effect] = []
+        self._handle_due(now, effects)
+        self._start_tasks(now, effects)
+        return effects
+
+    def apply_targets(self, targets: Sequence[TargetView], now: float) -> None:
+        """Replaces the set of targets; running attempts keep their slots."""
+        views = {view.target_id: view for view in targets}
+        for target_id in list(self.targets):
+            target = self.targets[target_id]
+            if target_id in views:
+                target.view = views[target_id]
+            elif target.in_use:
+                target.view = attrs.evolve(
+                    target.view, slots=0, accepting=False
+                )
+            else:
+                del self.targets[target_id]
+        for target_id, view in views.items():
+            if target_id not in self.targets:
+                self.targets[target_id] = Target(
+                    view, left=target_id in self.attempts.left
+                )
+        self.run_times.forget_targets(set(self.targets))
+        self.health.enforce_cap()
+        self.queue.slots = max(1, self.placement.slots())
+        self._wake_at(now)
+
+    def apply_policy(self, policy: Policy, now: float) -> None:
+        """Puts a policy in force; admitted jobs stay admitted."""
+        self.policy = policy
+        self._apply_policy_values()
+        self._wake_at(now)
+
+    def next_wakeup(self) -> float | None:
+        """Returns the loop time at which `advance` must be called, if any."""
+        return self.timers.next_time()
+
+    def stats(self) -> DispatcherStats:
+        """Returns the current state and the counters."""
+        return DispatcherStats(
+            queued=self.queue.tasks,
+            running=len(self.attempts.by_id),
+            jobs=len(self._jobs),
+            ejected=self.health.ejected(),
+            slots_in_use={i: t.in_use for i, t in self.targets.items()},
+            **attrs.asdict(self.counters),
+        )
+
+    def _apply_policy_values(self) -> None:
+        self.retry_budget.ratio = self.policy.retry_ratio
+        self.placement.remote_delay = self.policy.remote_delay
+
+    def _wake_at(self, when: float) -> None:
+        self.timers.add(when, Timer.WAKE)
+
+    def _handle_due(self, now: float, effects: list[Effect]) -> None:
+        for kind, key in self.timers.due(now):
+            match kind:
+                case Timer.DEADLINE:
+                    if job := self._jobs.get(key):
+                        self._fail(job, FailureReason.DEADLINE, "", effects)
+                case Timer.OVERSTAY:
+                    self.attempts.mark_long(key)
+
+    def _forecast(
+        self, job: JobSpec, caller: str
+    ) -> tuple[_admission.JobForecast, list[float]]:
+        known: dict[tuple[str, float | None], float] = {}
+        estimates = []
+        for task in job.tasks:
+            kind = (task.operation, task.declared_ms)
+            if kind not in known:
+                known[kind] = self.run_times.estimate(job.service, *kind)
+            estimates.append(known[kind])
+        operations = {operation for operation, _ in known}
+        medians = [self.run_times.median(job.service, o) for o in operations]
+        forecast = _admission.JobForecast(
+            service=job.service,
+            caller=caller,
+            tasks=len(job.tasks),
+            work=sum(estimates),
+            longest=max((m for m in medians if m is not None), default=0.0),
+            learned=None not in medians,
+            budget=job.deadline_ms / 1000,
+        )
+        return forecast, estimates
+
+    def _enqueue(
+        self,
+        job_key: int,
+        spec: JobSpec,
+        caller: str,
+        estimates: list[float],
+        now: float,
+    ) -> None:
+        count = len(spec.tasks)
+        deadline = now + spec.deadline_ms / 1000
+        job = Job(
+            key=job_key,
+            spec=spec,
+            caller=caller,
+            service=self.policy.services[spec.service],
+            submitted=now,
+            deadline=deadline,
+            estimates=estimates,
+            states=[TaskState.NOT_RUN] * count,
+            results=[None] * count,
+            unfinished=count,
+        )
+        self._jobs[job_key] = job
+        self.timers.add(deadline, Timer.DEADLINE, job_key)
+        for index in range(count):
+            self.queue.add(job, index, self._lane(job, index))
+        self.queue.enter(job)
+
+    def _lane(self, job: Job, index: int) -> int:
+        long = self.run_times.is_long(
+            job.spec.service,
+            job.spec.tasks[index].operation,
+            self.policy.long_factor,
+        )
+        return LONG if long else SHORT
+
+    def _start_tasks(self, now: float, effects: list[Effect]) -> None:
+        if not self.queue.tasks:
+            return
+        long_slots = max(
+            1, int(self.policy.long_share * self.placement.slots())
+        )
+        while True:
+            lanes = (
+                (SHORT, LONG)
+                if self.attempts.long_running < long_slots
+                else (SHORT,)
+            )
+            lane = self.queue.first_lane(lanes)
+            if lane is None:
+                return
+            job = self.queue.head(lane)
+            index = job.pending[lane][0]
+            target = self.placement.probe(now) if lane == SHORT else None
+            probe = target is not None
+            if target is None:
+                target = self.placement.choose(
+                    job.estimates[index], job.avoid.get(index, ""), now
+                )
+            if target is None:
+                return
+            self.queue.take(lane)
+            if lane == SHORT and self._lane(job, index) == LONG:
+                # Its operation was learned to run long while it was queued.
+                self.queue.add(job, index, LONG)
+                self.queue.enter(job)
+                continue
+            effects.append(
+                self._start(job, index, target, lane == LONG, probe, now)
+            )
+
+    def _start(
+        self,
+        job: Job,
+        index: int,
+        target: Target,
+        long: bool,
+        probe: bool,
+        now: float,
+    ) -> StartAttempt:
+        attempt = self.attempts.start(job, index, target, long, probe, now)
+        self.counters.started += 1
+        self.retry_budget.observe_start()
+        typical = self.run_times.typical(job.spec.service)
+        if typical is not None and not long:
+            limit = self.policy.long_factor * typical * target.slowness
+            self.timers.add(now + limit, Timer.OVERSTAY, attempt.attempt_id)
+        return StartAttempt(
+            attempt_id=attempt.attempt_id,
+            target_id=attempt.target_id,
+            address=attempt.address,
+            job_key=job.key,
+            task_index=index,
+            task=job.spec.tasks[index],
+            deadline=job.deadline,
+        )
+
+    def _resolve(
+        self, attempt: Attempt, outcome: AttemptOutcome, effects: list[Effect]
+    ) -> None:
+        job, index = attempt.job, attempt.index
+        match outcome:
+            case AttemptSucceeded(result):
+                job.may_have_run = True
+                job.states[index] = TaskState.SUCCEEDED
+                job.results[index] = result
+                job.unfinished -= 1
+                if not job.unfinished:
+                    self._close(job, Complete(tuple(job.results)), effects)
+            case AttemptNotStarted():
+                job.states[index] = attempt.previous_state
+                self._queue_again(attempt)
+            case AttemptFailed(message):
+                job.may_have_run = True
+                job.states[index] = TaskState.FAILED
+                if self._may_retry(job):
+                    self.counters.retried += 1
+                    self._queue_again(attempt)
+                else:
+                    self._fail(job, FailureReason.TASK_FAILED, message, effects)
+            case AttemptUnknown():
+                job.may_have_run = True
+                self._fail(job, FailureReason.TASK_UNKNOWN, "", effects)
+
+    def _may_retry(self, job: Job) -> bool:
+        service: ServicePolicy = job.service
+        return (
+            service.restart_failed
+            and job.spec.repeatable
+            and self.retry_budget.spend()
+        )
+
+    def _queue_again(self, attempt: Attempt) -> None:
+        job, index = attempt.job, attempt.index
+        job.avoid[index] = attempt.target_id
+        self.queue.add(job, index, self._lane(job, index), first=True)
+        self.queue.enter(job)
+
+    def _fail(
+        self,
+        job: Job,
+        reason: FailureReason,
+        message: str,
+        effects: list[Effect],
+    ) -> None:
+        """Answers a job that does not complete and cancels what it runs."""
+        answer = job.answer_unfinished(reason, message)
+        self.queue.drop(job)
+        self._close(job, answer, effects)
+        for attempt in job.attempts.values():
+            self.counters.cancelled += 1
+            effects.append(
+                CancelAttempt(
+                    attempt.attempt_id, attempt.target_id, attempt.address
+                )
+            )
+
+    def _close(
+        self,
+        job: Job,
+        answer: Complete | Failed | NotRun,
+        effects: list[Effect],
+    ) -> None:
+        job.finished = True
+        del self._jobs[job.key]
+        match answer:
+            case Complete():
+                self.counters.completed += 1
+            case Failed():
+                self.counters.failed += 1
+            case NotRun():
+                self.counters.refused += 1
+        effects.append(JobFinished(job.key, answer))
--- /dev/null
+++ b/anvilford/scheduling/_placement.py
@@ -0,0 +1,120 @@
+"""Which target a task runs at."""
+
+import random
+
+import attrs
+
+from anvilford.scheduling._policy import TargetView
+
+
+@attrs.define(eq=False)
+class Target:
+    """A target and what this dispatcher knows about it.
+
+    Attributes:
+        view: The target as membership and shares describe it.
+        in_use: Slots occupied by attempts of this dispatcher.
+        left: Whether the target itself said that it is leaving.
+        paused_until: Loop time until which it gets no work after a refusal.
+        slowness: Run time here divided by the ordinary run time.
+        observations: Number of runs behind `slowness`.
+        failures: Ends in a row without a success.
+        ejected: Whether it gets no work except probes.
+        probe_at: Loop time of the next probe of an ejected target.
+        probing: Whether a probe is running.
+        backoff: Time from the last ejection to its probe, in seconds.
+    """
+
+    view: TargetView
+    in_use: int = 0
+    left: bool = False
+    paused_until: float = 0.0
+    slowness: float = 1.0
+    observations: int = 0
+    failures: int = 0
+    ejected: bool = False
+    probe_at: float = 0.0
+    probing: bool = False
+    backoff: float = 0.0
+
+    def usable(self) -> bool:
+        """Tells whether new work may go here at all."""
+        return self.view.accepting and not self.left and self.view.slots > 0
+
+
+class Placement:
+    """Chooses the free target with the earliest expected finish."""
+
+    def __init__(
+        self, zone: str, targets: dict[str, Target], rng: random.Random
+    ):
+        self.zone = zone
+        self.targets = targets
+        self.rng = rng
+        self.remote_delay = 0.001
+
+    def slots(self) -> int:
+        """Returns how many slots take ordinary work."""
+        return sum(
+            target.view.slots
+            for target in self.targets.values()
+            if target.usable() and not target.ejected
+        )
+
+    def capacity(self) -> float:
+        """Returns seconds of ordinary work done per second at full use."""
+        return sum(
+            target.view.slots / target.slowness
+            for target in self.targets.values()
+            if target.usable() and not target.ejected
+        )
+
+    def probe(self, now: float) -> Target | None:
+        """Returns an ejected target that is due for a probe."""
+        for target in self.targets.values():
+            if (
+                target.ejected
+                and not target.probing
+                and target.probe_at <= now
+                and target.usable()
+                and target.in_use < target.view.slots
+            ):
+                return target
+        return None
+
+    def choose(self, expected: float, avoid: str, now: float) -> Target | None:
+        """Chooses a target for a task.
+
+        Args:
+            expected: Run time at a target of ordinary speed, in seconds.
+            avoid: Target to use only when no other is free; may be empty.
+            now: Loop time in seconds.
+
+        Returns:
+            The target, or None when no slot is free.
+        """
+        best = fallback = None
+        best_cost = 0.0
+        for target in self.targets.values():
+            view = target.view
+            if (
+                target.in_use >= view.slots
+                or target.ejected
+                or target.left
+                or not view.accepting
+                or target.paused_until > now
+            ):
+                continue
+            if view.target_id == avoid:
+                fallback = target
+                continue
+            cost = expected * target.slowness
+            if view.zone != self.zone:
+                cost += 2 * self.remote_delay
+            # Spreads equal targets by use; the noise keeps dispatchers that
+            # share targets from choosing the same one.
+            cost += 1e-3 * (target.in_use / view.slots)
+            cost += 1e-5 * self.rng.random()
+            if best is None or cost < best_cost:
+                best, best_cost = target, cost
+        return best or fallback
