--- /dev/null
+++ b/anvilford/configuration/__init__.py
@@ -0,0 +1,33 @@
+"""The configuration in force: document check, row, versions."""
+
+from anvilford.configuration._document import Document
+from anvilford.configuration._document import DocumentFailure
+from anvilford.configuration._document import encode_document
+from anvilford.configuration._document import parse_document
+from anvilford.configuration._document import Preset
+from anvilford.configuration._document import ServiceDocument
+from anvilford.configuration._register import Register
+from anvilford.configuration._rows import ConfigurationRow
+from anvilford.configuration._rows import encode_row
+from anvilford.configuration._rows import HISTORY_LENGTH
+from anvilford.configuration._rows import HistoryEntry
+from anvilford.configuration._rows import next_row
+from anvilford.configuration._rows import parse_row
+from anvilford.configuration._rows import ROW_KEY
+
+__all__ = [
+    "HISTORY_LENGTH",
+    "ROW_KEY",
+    "ConfigurationRow",
+    "Document",
+    "DocumentFailure",
+    "HistoryEntry",
+    "Preset",
+    "Register",
+    "ServiceDocument",
+    "encode_document",
+    "encode_row",
+    "next_row",
+    "parse_document",
+    "parse_row",
+]
