Add the entry core, its runtime and a simulation on a virtual clock

EntryCore composes ledger, directory, configuration and one dispatcher per service without I/O. The simulation runs several cores against fake targets and a fake platform with delayed, duplicated and lost messages, and checks the recorded history against the invariants.

--- /dev/null
+++ b/anvilford/daemon/__init__.py
@@ -0,0 +1,6 @@
+"""The entry daemon."""
+
+from anvilford.daemon._main import core_options
+from anvilford.daemon._main import main
+
+__all__ = ["core_options", "main"]
--- /dev/null
+++ b/anvilford/daemon/__main__.py
@@ -0,0 +1,7 @@
+"""Runs the daemon as `python -m anvilford.daemon`."""
+
+import sys
+
+from anvilford.daemon import main
+
+sys.exit(main())
--- /dev/null
+++ b/anvilford/daemon/_main.py
@@ -0,0 +1,211 @@
+"""The entry daemon `anvilfordd`."""
+
+import argparse
+import asyncio
+import contextlib
+import logging
+import random
+import secrets
+import signal
+import sys
+import threading
+
+import cherrypy
+from cheroot import wsgi
+from cherrypy.process.servers import ServerAdapter
+
+from anvilford import __version__
+from anvilford.daemon._ports import CallerAdapter
+from anvilford.daemon._runtime import EntryRuntime
+from anvilford.entry import CoreOptions
+from anvilford.entry import EntryCore
+from anvilford.http import CallersApplication
+from anvilford.model import Incarnation
+from anvilford.peers import PeerLinks
+from anvilford.peers import PeerServer
+from anvilford.platform import PlatformClient
+from anvilford.settings import describe_failure
+from anvilford.settings import HttpSettings
+from anvilford.settings import load_settings
+from anvilford.settings import Settings
+from anvilford.shares import ConnectionSplit
+from anvilford.submissions import RetentionLimits
+from anvilford.targets import TargetClient
+from anvilford.telemetry import configure_logging
+from anvilford.telemetry import Counters
+from anvilford.telemetry import Tracing
+
+EXIT_SETTINGS = 2
+INCARNATION_BYTES = 8
+TAG_KEY_BYTES = 32
+
+logger = logging.getLogger("anvilford.daemon")
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Runs the daemon until a planned stop is complete.
+
+    Returns:
+        Exit status: 0 after a planned stop, 2 when the settings are refused.
+    """
+    arguments = _parse_arguments(argv)
+    loaded = load_settings(arguments.settings)
+    if loaded.is_error():
+        for failure in loaded.error:
+            print(f"anvilfordd: {describe_failure(failure)}", file=sys.stderr)
+        return EXIT_SETTINGS
+    if arguments.check:
+        return 0
+    configure_logging(sys.stderr, loaded.ok.log.level)
+    with contextlib.ExitStack() as stack:
+        _run(loaded.ok, stack)
+    return 0
+
+
+def _parse_arguments(argv: list[str] | None) -> argparse.Namespace:
+    parser = argparse.ArgumentParser(
+        prog="anvilfordd",
+        description="Entry daemon of the anvilford dispatcher.",
+        epilog="Exit status: 0 after a planned stop, 2 on refused settings.",
+    )
+    parser.add_argument("settings", help="JSON settings file")
+    parser.add_argument(
+        "--check", action="store_true", help="only check the settings"
+    )
+    parser.add_argument("--version", action="version", version=__version__)
+    return parser.parse_args(argv)
+
+
+def core_options(settings: Settings) -> CoreOptions:
+    """Takes the parameters of the decisions from the settings."""
+    targets = settings.targets
+    return CoreOptions(
+        weight=settings.vm.weight,
+        seeds=settings.peers.seeds,
+        gossip_interval=settings.peers.gossip_ms / 1000,
+        gossip_fanout=settings.peers.gossip_fanout,
+        suspect_after=settings.peers.suspect_ms / 1000,
+        drain_notice=settings.drain.notice_ms / 1000,
+        handover_timeout=settings.drain.handover_timeout_ms / 1000,
+        slots=targets.slots,
+        connections=ConnectionSplit(
+            targets.connections_home,
+            targets.connections_remote,
+            targets.entries_per_zone,
+            targets.remote_entries,
+        ),
+        retention=RetentionLimits(
+            settings.retention.records, settings.retention.bytes
+        ),
+    )
+
+
+def _run(settings: Settings, stack: contextlib.ExitStack) -> None:
+    drain_requested = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: drain_requested.set())
+    runtime = _start_loop(settings, stack)
+    _start_http(settings, runtime, stack)
+    logger.info("started", extra={"zone": settings.vm.zone})
+    drain_requested.wait()
+    runtime.request_drain()
+    runtime.stopped.wait()
+
+
+def _start_loop(
+    settings: Settings, stack: contextlib.ExitStack
+) -> EntryRuntime:
+    """Starts the entry's loop on its thread; the stack ends it."""
+    loop = asyncio.new_event_loop()
+    thread = threading.Thread(target=loop.run_forever, name="entry-loop")
+    thread.start()
+    stack.callback(_stop_loop, loop, thread)
+    closing = contextlib.AsyncExitStack()
+    stack.callback(
+        lambda: asyncio.run_coroutine_threadsafe(
+            closing.aclose(), loop
+        ).result()
+    )
+    return asyncio.run_coroutine_threadsafe(
+        _open_entry(settings, closing), loop
+    ).result()
+
+
+def _stop_loop(
+    loop: asyncio.AbstractEventLoop, thread: threading.Thread
+) -> None:
+    loop.call_soon_threadsafe(loop.stop)
+    thread.join()
+    loop.close()
+
+
+async def _open_entry(
+    settings: Settings, stack: contextlib.AsyncExitStack
+) -> EntryRuntime:
+    loop = asyncio.get_running_loop()
+    me = Incarnation(
+        settings.vm.zone,
+        settings.listen.peers,
+        secrets.token_hex(INCARNATION_BYTES),
+    )
+    core = EntryCore(
+        me,
+        secrets.token_bytes(TAG_KEY_BYTES),
+        core_options(settings),
+        random.Random(secrets.randbits(64)),
+        loop.time(),
+    )
+    counters = Counters()
+    tracing = Tracing(me.address, settings.trace.capacity, settings.trace.ratio)
+    platform = stack.enter_context(
+        PlatformClient(
+            settings.platform.address, settings.platform.timeout_ms / 1000
+        )
+    )
+    runtime = EntryRuntime(
+        core,
+        counters,
+        tracing,
+        platform,
+        settings.platform.poll_ms / 1000,
+        settings.model_limits(),
+    )
+    targets = stack.enter_context(
+        TargetClient(settings.targets, core.connection_limit)
+    )
+    links = await stack.enter_async_context(
+        PeerLinks(me, settings.peers.token, counters)
+    )
+    await runtime.run(stack, targets, links)
+    await stack.enter_async_context(
+        PeerServer(me, settings.peers.token, counters, runtime.receive)
+    )
+    return runtime
+
+
+def _start_http(
+    settings: Settings, runtime: EntryRuntime, stack: contextlib.ExitStack
+) -> None:
+    """Starts the callers' and the operators' servers; the stack ends them."""
+    callers = CallersApplication(
+        CallerAdapter(runtime, settings.http.wait_limit_ms),
+        {caller.token: caller.name for caller in settings.callers},
+        settings.model_limits(),
+    )
+    cherrypy.config.update({"environment": "production", "log.screen": False})
+    cherrypy.engine.autoreload.unsubscribe()
+    _subscribe(settings.listen.callers, callers, settings.http)
+    cherrypy.engine.start()
+    stack.callback(cherrypy.engine.exit)
+
+
+def _subscribe(address: str, application, http: HttpSettings) -> None:
+    host, _, port = address.rpartition(":")
+    bind = (host.strip("[]"), int(port))
+    server = wsgi.Server(
+        bind,
+        application,
+        numthreads=http.threads,
+        request_queue_size=http.socket_queue_size,
+    )
+    ServerAdapter(cherrypy.engine, server, bind).subscribe()
--- /dev/null
+++ b/anvilford/daemon/_ports.py
@@ -0,0 +1,72 @@
+"""Connects the callers' HTTP threads with the entry's loop."""
+
+import attrs
+
+from anvilford.daemon._runtime import EntryRuntime
+from anvilford.entry import SubmissionRequested
+from anvilford.model import encode_answer
+from anvilford.model import EncodedAnswer
+from anvilford.model import JobSpec
+from anvilford.model import Pending
+from anvilford.model import SubmissionId
+from anvilford.protocol import RequestKind
+
+# Deadline of a status or cancel request; the owner answers these at once.
+SHORT_REQUEST_MS = 2000
+
+
+@attrs.frozen
+class CallerAdapter:
+    """`CallerPort` over an `EntryRuntime`.
+
+    Attributes:
+        runtime: The running entry.
+        wait_limit_ms: Longest wait for an answer.
+    """
+
+    runtime: EntryRuntime
+    wait_limit_ms: int
+
+    def is_ready(self) -> bool:
+        """Tells whether requests may be served."""
+        runtime = self.runtime
+        return runtime.core.is_ready(runtime.loop.time())
+
+    def is_draining(self) -> bool:
+        """Tells whether a planned stop began."""
+        return self.runtime.core.is_draining
+
+    def issue(self, caller: str, count: int) -> list[str]:
+        """Issues submission ids."""
+        ids = self.runtime.call(lambda: self.runtime.core.issue(caller, count))
+        return [str(submission_id) for submission_id in ids]
+
+    def serve(
+        self,
+        caller: str,
+        submission_id: SubmissionId,
+        kind: RequestKind,
+        job: JobSpec | None,
+        body: bytes,
+        traceparent: str,
+    ) -> EncodedAnswer:
+        """Serves a request; answers `Pending` when the wait limit is over."""
+        deadline_ms = job.deadline_ms if job else SHORT_REQUEST_MS
+        runtime = self.runtime
+        with runtime.tracing.span(
+            f"submission.{kind.name.lower()}", traceparent, caller=caller
+        ) as context:
+            answer = runtime.request(
+                lambda request_id: SubmissionRequested(
+                    request_id,
+                    caller,
+                    submission_id,
+                    kind,
+                    job,
+                    body,
+                    deadline_ms,
+                    traceparent=context,
+                ),
+                self.wait_limit_ms / 1000,
+            )
+        return encode_answer(Pending()) if answer is None else answer
--- /dev/null
+++ b/anvilford/daemon/_runtime.py
@@ -0,0 +1,306 @@
+"""Runs an entry's effects on one asyncio loop."""
+
+import asyncio
+import concurrent.futures
+import contextlib
+import itertools
+import logging
+import threading
+import time
+from collections.abc import Callable
+from typing import Any
+
+from anvilford.configuration import ROW_KEY
+from anvilford.entry import AttemptFinished
+from anvilford.entry import CallPeer
+from anvilford.entry import ConfigurationReceived
+from anvilford.entry import Count
+from anvilford.entry import DrainRequested
+from anvilford.entry import Effect
+from anvilford.entry import EntryCore
+from anvilford.entry import Event
+from anvilford.entry import LogChange
+from anvilford.entry import PeerFailed
+from anvilford.entry import PeerMessage
+from anvilford.entry import PeerReplied
+from anvilford.entry import RequesterGone
+from anvilford.entry import Respond
+from anvilford.entry import RespondPeer
+from anvilford.entry import RunAttempt
+from anvilford.entry import SendPeer
+from anvilford.entry import StopAttempt
+from anvilford.entry import Stopped
+from anvilford.entry import SubmissionRequested
+from anvilford.entry import Tick
+from anvilford.entry import VmListReceived
+from anvilford.model import EncodedAnswer
+from anvilford.model import Incarnation
+from anvilford.model import JobLimits
+from anvilford.model import parse_job
+from anvilford.model import parse_submission_id
+from anvilford.protocol import ForwardReply
+from anvilford.protocol import ForwardSubmission
+from anvilford.protocol import Message
+from anvilford.protocol import RequestKind
+from anvilford.telemetry import Counters
+from anvilford.telemetry import Tracing
+
+logger = logging.getLogger("anvilford.entry")
+
+
+class EntryRuntime:
+    """Feeds events to an `EntryCore` and carries out its effects.
+
+    All state is touched on the loop's thread only; `call` and `request` are
+    the ways in for other threads.
+
+    Attributes:
+        core: The decisions.
+        counters: Counters and latencies.
+        tracing: Spans.
+        platform: Client of the platform's services.
+        poll_interval: Time between reads of the VM list and configuration, in
+            seconds.
+        job_limits: Bounds on jobs that peers forward.
+        stopped: Set when a planned stop is complete.
+    """
+
+    def __init__(
+        self,
+        core: EntryCore,
+        counters: Counters,
+        tracing: Tracing,
+        platform: Any,
+        poll_interval: float,
+        job_limits: JobLimits,
+    ):
+        self.core = core
+        self.counters = counters
+        self.tracing = tracing
+        self.platform = platform
+        self.poll_interval = poll_interval
+        self.job_limits = job_limits
+        self.stopped = threading.Event()
+        self.loop: asyncio.AbstractEventLoop | None = None
+        self.targets: Any = None
+        self.links: Any = None
+        self._requesters: dict[str, asyncio.Future] = {}
+        self._numbers = itertools.count()
+        self._tasks: set[asyncio.Task] = set()
+        self._timer: asyncio.TimerHandle | None = None
+
+    async def run(
+        self,
+        stack: contextlib.AsyncExitStack,
+        targets: Any,
+        links: Any,
+    ) -> None:
+        """Starts the pollers; the caller's exit stack ends them.
+
+        Args:
+            stack: Owner of what must be closed.
+            targets: Open `TargetClient`.
+            links: Open `PeerLinks`.
+        """
+        self.loop = asyncio.get_running_loop()
+        self.targets = targets
+        self.links = links
+        stack.push_async_callback(self._cancel_tasks)
+        self._spawn(self._poll(self._read_vm_list))
+        self._spawn(self._poll(self._read_configuration))
+        self.handle(Tick())
+
+    def handle(self, event: Event) -> None:
+        """Applies an event on the loop's thread and runs its effects."""
+        now = self.loop.time()
+        for effect in self.core.handle(event, now):
+            self._perform(effect)
+        if self._timer is not None:
+            self._timer.cancel()
+        wakeup = self.core.next_wakeup(now)
+        self._timer = self.loop.call_at(wakeup, self.handle, Tick())
+
+    def call(self, function: Callable[[], Any]) -> Any:
+        """Runs a function on the loop's thread and returns its result."""
+        future: concurrent.futures.Future = concurrent.futures.Future()
+
+        def run() -> None:
+            try:
+                future.set_result(function())
+            except Exception as error:  # pylint: disable=broad-except
+                future.set_exception(error)
+
+        self.loop.call_soon_threadsafe(run)
+        return future.result()
+
+    def request(
+        self, make_event: Callable[[str], SubmissionRequested], wait: float
+    ) -> EncodedAnswer | None:
+        """Serves a caller's request from another thread.
+
+        Args:
+            make_event: Makes the event from the request id chosen here.
+            wait: Longest wait in seconds.
+
+        Returns:
+            The answer, or None if there is none after `wait`.
+        """
+        future = asyncio.run_coroutine_threadsafe(
+            self._request(make_event, wait), self.loop
+        )
+        return future.result()
+
+    async def _request(
+        self, make_event: Callable[[str], SubmissionRequested], wait: float
+    ) -> EncodedAnswer | None:
+        request_id = f"r{next(self._numbers)}"
+        answer = self.loop.create_future()
+        self._requesters[request_id] = answer
+        self.handle(make_event(request_id))
+        try:
+            return await asyncio.wait_for(answer, wait)
+        except TimeoutError:
+            self.handle(RequesterGone(request_id))
+            return None
+        finally:
+            self._requesters.pop(request_id, None)
+
+    async def receive(
+        self, sender: Incarnation, message: Message
+    ) -> Message | None:
+        """Handles a message of a peer; returns the reply, if there is one."""
+        if isinstance(message, ForwardSubmission):
+            return await self._serve_forward(message)
+        request_id = f"p{next(self._numbers)}"
+        reply = self.loop.create_future()
+        self._requesters[request_id] = reply
+        self.handle(PeerMessage(sender, message, request_id))
+        self._requesters.pop(request_id, None)
+        return reply.result() if reply.done() else None
+
+    async def _serve_forward(
+        self, message: ForwardSubmission
+    ) -> ForwardReply | None:
+        submission_id = parse_submission_id(message.submission_id)
+        if submission_id.is_error():
+            return None
+        job = None
+        if message.kind is RequestKind.SUBMIT:
+            parsed = parse_job(message.job, self.job_limits)
+            if parsed.is_error():
+                return None
+            job = parsed.ok
+        with self.tracing.span(
+            "submission.forwarded", message.traceparent
+        ) as traceparent:
+            answer = await self._request(
+                lambda request_id: SubmissionRequested(
+                    request_id,
+                    message.caller,
+                    submission_id.ok,
+                    message.kind,
+                    job,
+                    message.job,
+                    message.deadline_ms,
+                    message.hops,
+                    traceparent,
+                ),
+                message.deadline_ms / 1000 + 1.0,
+            )
+        return None if answer is None else ForwardReply(answer)
+
+    def request_drain(self) -> None:
+        """Begins a planned stop; safe to call from a signal handler."""
+        self.loop.call_soon_threadsafe(self.handle, DrainRequested())
+
+    def _perform(self, effect: Effect) -> None:
+        match effect:
+            case RunAttempt():
+                self._spawn(self._run_attempt(effect))
+            case StopAttempt(cancel):
+                self.counters.increment("attempts_cancelled")
+                self._spawn(self.targets.cancel(cancel))
+            case Respond(request_id, answer):
+                self._resolve(request_id, answer)
+            case RespondPeer(request_id, message):
+                self._resolve(request_id, message)
+            case CallPeer():
+                self._spawn(self._call_peer(effect))
+            case SendPeer(address, message):
+                self.links.send(address, message)
+            case Count(name, labels, amount):
+                self.counters.increment(name, amount, **dict(labels))
+            case LogChange(change, fields):
+                logger.info(change, extra=dict(fields))
+            case Stopped():
+                self.stopped.set()
+
+    def _resolve(self, request_id: str, value: Any) -> None:
+        future = self._requesters.get(request_id)
+        if future is not None and not future.done():
+            future.set_result(value)
+
+    async def _run_attempt(self, effect: RunAttempt) -> None:
+        start = effect.start
+        self.counters.increment("attempts_started")
+        began = time.monotonic()
+        with self.tracing.span(
+            "task.attempt",
+            effect.traceparent,
+            target=start.target_id,
+            operation=start.task.operation,
+        ) as traceparent:
+            lease_ms = int(max(0.0, start.deadline - self.loop.time()) * 1000)
+            outcome = await self.targets.start(start, lease_ms, traceparent)
+        self.counters.observe("attempt_seconds", time.monotonic() - began)
+        self.handle(AttemptFinished(start.attempt_id, start.target_id, outcome))
+
+    async def _call_peer(self, effect: CallPeer) -> None:
+        result = await self.links.call(
+            effect.address, effect.message, effect.timeout
+        )
+        if result.is_ok():
+            self.handle(PeerReplied(effect.call, result.ok))
+        else:
+            self.handle(PeerFailed(effect.call))
+
+    async def _poll(self, read: Callable) -> None:
+        while True:
+            await read()
+            await asyncio.sleep(self.poll_interval)
+
+    async def _read_vm_list(self) -> None:
+        result = await self.platform.list_vms()
+        if result.is_ok():
+            self.handle(VmListReceived(result.ok.revision, result.ok.vms))
+        else:
+            self.counters.increment("platform_failures", service="vms")
+
+    async def _read_configuration(self) -> None:
+        result = await self.platform.read_row(ROW_KEY)
+        if result.is_error():
+            self.counters.increment("platform_failures", service="table")
+        elif result.ok is None:
+            self.handle(ConfigurationReceived(0, {}))
+        else:
+            row = result.ok
+            self.handle(ConfigurationReceived(row.version, row.value))
+
+    def _spawn(self, coroutine) -> None:
+        task = self.loop.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._forget)
+
+    def _forget(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self.counters.increment("internal_errors")
+            logger.error("task failed", exc_info=task.exception())
+
+    async def _cancel_tasks(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
--- /dev/null
+++ b/anvilford/entry/__init__.py
@@ -0,0 +1,53 @@
+"""The decisions of one entry daemon; no I/O."""
+
+from anvilford.entry._core import EntryCore
+from anvilford.entry._events import AttemptFinished
+from anvilford.entry._events import CallPeer
+from anvilford.entry._events import ConfigurationReceived
+from anvilford.entry._events import Count
+from anvilford.entry._events import DrainRequested
+from anvilford.entry._events import Effect
+from anvilford.entry._events import Event
+from anvilford.entry._events import LogChange
+from anvilford.entry._events import PeerFailed
+from anvilford.entry._events import PeerMessage
+from anvilford.entry._events import PeerReplied
+from anvilford.entry._events import RequesterGone
+from anvilford.entry._events import Respond
+from anvilford.entry._events import RespondPeer
+from anvilford.entry._events import RunAttempt
+from anvilford.entry._events import SendPeer
+from anvilford.entry._events import StopAttempt
+from anvilford.entry._events import Stopped
+from anvilford.entry._events import SubmissionRequested
+from anvilford.entry._events import TargetMarked
+from anvilford.entry._events import Tick
+from anvilford.entry._events import VmListReceived
+from anvilford.entry._options import CoreOptions
+
+__all__ = [
+    "AttemptFinished",
+    "CallPeer",
+    "ConfigurationReceived",
+    "CoreOptions",
+    "Count",
+    "DrainRequested",
+    "Effect",
+    "EntryCore",
+    "Event",
+    "LogChange",
+    "PeerFailed",
+    "PeerMessage",
+    "PeerReplied",
+    "RequesterGone",
+    "Respond",
+    "RespondPeer",
+    "RunAttempt",
+    "SendPeer",
+    "StopAttempt",
+    "Stopped",
+    "SubmissionRequested",
+    "TargetMarked",
+    "Tick",
+    "VmListReceived",
+]
--- /dev/null
+++ b/anvilford/entry/_core.py
@@ -0,0 +1,376 @@
+"""The decisions of one entry daemon, free of I/O."""
+
+import json
+import random
+
+import attrs
+
+from anvilford.configuration import encode_row
+from anvilford.configuration import parse_row
+from anvilford.configuration import Register
+from anvilford.entry._drain import Drain
+from anvilford.entry._events import AttemptFinished
+from anvilford.entry._events import CallPeer
+from anvilford.entry._events import ConfigurationCall
+from anvilford.entry._events import ConfigurationReceived
+from anvilford.entry._events import Count
+from anvilford.entry._events import DrainRequested
+from anvilford.entry._events import Effect
+from anvilford.entry._events import Event
+from anvilford.entry._events import ForwardCall
+from anvilford.entry._events import HandoverCall
+from anvilford.entry._events import LogChange
+from anvilford.entry._events import PeerFailed
+from anvilford.entry._events import PeerMessage
+from anvilford.entry._events import PeerReplied
+from anvilford.entry._events import RequesterGone
+from anvilford.entry._events import RespondPeer
+from anvilford.entry._events import RunAttempt
+from anvilford.entry._events import StopAttempt
+from anvilford.entry._events import SubmissionRequested
+from anvilford.entry._events import TargetMarked
+from anvilford.entry._events import Tick
+from anvilford.entry._events import VmListReceived
+from anvilford.entry._gossip import Gossiper
+from anvilford.entry._options import CoreOptions
+from anvilford.entry._requests import Requests
+from anvilford.entry._services import Services
+from anvilford.membership import Directory
+from anvilford.model import AttemptNotStarted
+from anvilford.model import Incarnation
+from anvilford.model import NotStartedReason
+from anvilford.model import SubmissionId
+from anvilford.protocol import ConfigurationReply
+from anvilford.protocol import ConfigurationRequest
+from anvilford.protocol import Gossip
+from anvilford.protocol import HandoverAck
+from anvilford.protocol import HandoverChunk
+from anvilford.protocol import HandoverSeal
+from anvilford.protocol import RequestKind
+from anvilford.protocol import Successor
+from anvilford.protocol import VmInfo
+from anvilford.scheduling import CancelAttempt
+from anvilford.scheduling import JobFinished
+from anvilford.scheduling import StartAttempt
+from anvilford.scheduling import TargetView
+from anvilford.shares import slot_share
+from anvilford.submissions import Ledger
+
+CONFIGURATION_CALL_TIMEOUT_S = 1.0
+
+
+class EntryCore:
+    """State machine of one entry daemon.
+
+    `handle` is the only way to change the state. Effects are returned in the
+    order in which they must be carried out.
+
+    Attributes:
+        me: This process.
+        options: Parameters of the decisions.
+        started_at: Loop time of the start.
+        directory: Membership.
+        register: Configuration in force.
+        services: Queue and placement of tasks, by service.
+        requests: Requesters and submissions.
+        gossiper: Exchange of membership.
+        drain: Planned stop.
+        traceparents: Trace context of each own job in flight, by sequence.
+        jobs: Submission id and caller of each own job in flight.
+    """
+
+    def __init__(
+        self,
+        me: Incarnation,
+        tag_key: bytes,
+        options: CoreOptions,
+        rng: random.Random,
+        now: float,
+    ):
+        self.me = me
+        self.options = options
+        self.started_at = now
+        self.directory = Directory()
+        self.register = Register()
+        self.services = Services(me.zone, me.token, rng)
+        ledger = Ledger(me, tag_key, options.retention)
+        self.requests = Requests(me, options, self.directory, ledger)
+        self.gossiper = Gossiper(me, options, self.directory, rng)
+        self.traceparents: dict[int, str] = {}
+        self.jobs: dict[int, tuple[SubmissionId, str]] = {}
+        self._platform_answered = False
+        self._configuration_call: str | None = None
+        self._views_basis: tuple[bytes, dict[str, float]] | None = None
+        self._was_ready = False
+        self.drain = Drain(options, self.requests, self.gossiper)
+
+    def handle(self, event: Event, now: float) -> list[Effect]:
+        """Applies one event and returns what must be done about it."""
+        effects = self._apply(event, now)
+        effects += self._advance(now)
+        return effects
+
+    def is_ready(self, now: float) -> bool:
+        """Tells whether requests may be served.
+
+        A fresh process first takes the newest configuration of the platform
+        and its peers; a peer alone is enough once the platform had its time.
+        It stays out of service while more entries are live than the static
+        split of a target's connections allows for.
+        """
+        if self._was_ready:
+            return True
+        waited = now - self.started_at >= self.options.configuration_wait
+        self._was_ready = (
+            self.register.version > 0
+            and (self._platform_answered or waited)
+            and self._fits_connection_split(now)
+        )
+        return self._was_ready
+
+    def _fits_connection_split(self, now: float) -> bool:
+        live = self.directory.live_entries(now, self.options.suspect_after)
+        others = [e.incarnation for e in live if e.incarnation != self.me]
+        home = sum(other.zone == self.me.zone for other in others)
+        split = self.options.connections
+        return (
+            home < split.entries_per_zone
+            and len(others) - home < split.remote_entries
+        )
+
+    @property
+    def is_draining(self) -> bool:
+        """True once a planned stop began."""
+        return self.drain.started_at is not None
+
+    def issue(self, caller: str, count: int) -> tuple[SubmissionId, ...]:
+        """Issues submission ids; changes nothing else."""
+        return self.requests.ledger.issue(caller, count)
+
+    def next_wakeup(self, now: float) -> float:
+        """Loop time at which `Tick` must be sent."""
+        times = [
+            self.gossiper.next_round,
+            self.services.next_wakeup(),
+            self.requests.next_wakeup(),
+            self.drain.next_wakeup(),
+        ]
+        return max(now, min(time for time in times if time is not None))
+
+    def _apply(self, event: Event, now: float) -> list[Effect]:
+        match event:
+            case SubmissionRequested():
+                return self._serve(event, now)
+            case AttemptFinished():
+                return self._finish(event, now)
+            case PeerMessage():
+                return self._receive(event, now)
+            case PeerReplied(call, message):
+                return self._receive_reply(call, message, now)
+            case PeerFailed(call):
+                return self._receive_reply(call, None, now)
+            case RequesterGone(request_id):
+                self.requests.abandon(request_id)
+                return []
+            case VmListReceived(revision, vms):
+                before = self.directory.fingerprint()
+                self.directory.observe_list(revision, vms, now)
+                return self._push_if_changed(before, now)
+            case ConfigurationReceived(version, row):
+                self._platform_answered = True
+                return self._apply_configuration(version, row, now)
+            case TargetMarked(vm_id, drained):
+                before = self.directory.fingerprint()
+                self.directory.mark(vm_id, drained, self.me.token)
+                return self._push_if_changed(before, now)
+            case DrainRequested():
+                return self.drain.start(now)
+            case Tick():
+                return []
+
+    def _advance(self, now: float) -> list[Effect]:
+        effects = self.gossiper.advance(now)
+        effects += self.requests.advance(now)
+        self._update_targets(now)
+        effects += self._translate(self.services.advance(now))
+        effects += self._request_configuration()
+        effects += self.drain.advance(now)
+        return effects
+
+    def _serve(self, event: SubmissionRequested, now: float) -> list[Effect]:
+        is_new, effects = self.requests.serve(event, now)
+        sequence = event.submission_id.sequence
+        if is_new:
+            self.traceparents[sequence] = event.traceparent
+            self.jobs[sequence] = (event.submission_id, event.caller)
+            deadline_ms = min(event.job.deadline_ms, event.deadline_ms)
+            job = attrs.evolve(event.job, deadline_ms=max(1, deadline_ms))
+            effects += self._translate(
+                self.services.submit(sequence, job, event.caller, now)
+            )
+        elif (
+            event.kind is RequestKind.CANCEL
+            and event.submission_id.owner == self.me
+            and sequence in self.jobs
+        ):
+            effects += self._translate(self.services.cancel(sequence, now))
+        return effects
+
+    def _finish(self, event: AttemptFinished, now: float) -> list[Effect]:
+        effects: list[Effect] = []
+        if event.outcome == AttemptNotStarted(NotStartedReason.LEAVING):
+            before = self.directory.fingerprint()
+            self.directory.observe_leaving(event.target_id, now)
+            effects += self._push_if_changed(before, now)
+        kind = type(event.outcome).__name__
+        reason = str(getattr(event.outcome, "reason", ""))
+        labels = (("outcome", kind), ("reason", reason))
+        effects.append(Count("attempts_finished", labels))
+        finished = self.services.finish(event.attempt_id, event.outcome, now)
+        return effects + self._translate(finished)
+
+    def _translate(self, effects: list) -> list[Effect]:
+        """Turns effects of the dispatcher into effects of the entry."""
+        translated: list[Effect] = []
+        for effect in effects:
+            match effect:
+                case StartAttempt():
+                    traceparent = self.traceparents.get(effect.job_key, "")
+                    translated.append(RunAttempt(effect, traceparent))
+                case CancelAttempt():
+                    translated.append(StopAttempt(effect))
+                case JobFinished(job_key, answer):
+                    self.traceparents.pop(job_key, None)
+                    self.jobs.pop(job_key, None)
+                    translated += self.requests.settle(job_key, answer)
+        return translated
+
+    def _receive(self, event: PeerMessage, now: float) -> list[Effect]:
+        match event.message:
+            case Gossip() as gossip:
+                return self.gossiper.receive(gossip, now)
+            case ConfigurationRequest():
+                version = self.register.version
+                row = encode_row(self.register.row) if version else {}
+                reply = ConfigurationReply(version, json.dumps(row).encode())
+                return [RespondPeer(event.request_id, reply)]
+            case HandoverChunk() as chunk:
+                if not self.is_draining:
+                    self.requests.adoptions.adopt_chunk(chunk)
+                ack = HandoverAck(not self.is_draining)
+                return [RespondPeer(event.request_id, ack)]
+            case HandoverSeal() as seal:
+                return self._adopt(seal, event.request_id, now)
+            case _:
+                return [Count("peer_messages_ignored")]
+
+    def _adopt(
+        self, seal: HandoverSeal, request_id: str, now: float
+    ) -> list[Effect]:
+        if self.is_draining:
+            return [RespondPeer(request_id, HandoverAck(False))]
+        self.requests.adoptions.adopt_seal(seal)
+        self.directory.observe_successor(
+            Successor(seal.owner, self.me, seal.counter, seal.complete)
+        )
+        return [
+            RespondPeer(request_id, HandoverAck(True)),
+            LogChange("handover_adopted", (("owner", seal.owner.address),)),
+            *self.gossiper.push(now),
+        ]
+
+    def _receive_reply(self, call, message, now: float) -> list[Effect]:
+        match call:
+            case ForwardCall():
+                return self.requests.receive_reply(call, message)
+            case HandoverCall():
+                accepted = isinstance(message, HandoverAck) and message.accepted
+                return self.drain.receive(call, accepted)
+            case ConfigurationCall():
+                self._configuration_call = None
+                if isinstance(message, ConfigurationReply):
+                    row = json.loads(message.row)
+                    return self._apply_configuration(message.version, row, now)
+                return []
+
+    def _apply_configuration(
+        self, version: int, row: dict, now: float
+    ) -> list[Effect]:
+        if version <= self.register.version:
+            return []
+        parsed = parse_row(version, row)
+        if parsed.is_error():
+            return [Count("configurations_malformed")]
+        if not self.register.apply(parsed.ok):
+            return []
+        self.services.apply_document(parsed.ok.document, now)
+        self.gossiper.configuration_version = self.register.version
+        return [
+            Count("configurations_applied"),
+            LogChange("configuration_in_force", (("version", version),)),
+            *self.gossiper.push(now),
+        ]
+
+    def _request_configuration(self) -> list[Effect]:
+        """Asks the peer with the newest configuration if it is newer."""
+        if self._configuration_call is not None:
+            return []
+        entries = [known.info for known in self.directory.entries.values()]
+        newest = max(
+            entries, key=lambda e: e.configuration_version, default=None
+        )
+        if newest is None or (
+            newest.configuration_version <= self.register.version
+        ):
+            return []
+        self._configuration_call = newest.incarnation.address
+        return [
+            CallPeer(
+                ConfigurationCall(newest.incarnation.address),
+                newest.incarnation.address,
+                ConfigurationRequest(),
+                CONFIGURATION_CALL_TIMEOUT_S,
+            )
+        ]
+
+    def _push_if_changed(self, before: bytes, now: float) -> list[Effect]:
+        if self.directory.fingerprint() == before:
+            return []
+        return self.gossiper.push(now)
+
+    def _update_targets(self, now: float) -> None:
+        """Gives the dispatcher its share of every target."""
+        live = self.directory.live_entries(now, self.options.suspect_after)
+        weights = {
+            entry.incarnation.token: entry.weight
+            for entry in live
+            if entry.incarnation.zone == self.me.zone and not entry.draining
+        }
+        weights[self.me.token] = self.options.weight
+        basis = (self.directory.fingerprint(), weights)
+        if basis == self._views_basis:
+            return
+        self._views_basis = basis
+        views: dict[str, list[TargetView]] = {}
+        for vm in self.directory.targets():
+            views.setdefault(vm.service, []).append(
+                TargetView(
+                    vm.vm_id,
+                    vm.address,
+                    vm.zone,
+                    self._slots(vm, weights),
+                    self.directory.accepts_work(vm),
+                )
+            )
+        self.services.apply_targets(views, now)
+
+    def _slots(self, vm: VmInfo, weights: dict[str, float]) -> int:
+        if vm.zone != self.me.zone:
+            return self.options.connections.limit(is_home=False)
+        return slot_share(self.options.slots, weights, self.me.token, vm.vm_id)
+
+    def connection_limit(self, target_id: str) -> int:
+        """Connections that this entry may open to a target."""
+        known = self.directory.vms.get(target_id)
+        is_home = known is not None and known.info.zone == self.me.zone
+        return self.options.connections.limit(is_home)
--- /dev/null
+++ b/anvilford/entry/_policy.py
@@ -0,0 +1,35 @@
+"""Turns the configuration in force into the policy of a dispatcher."""
+
+from anvilford.configuration import Document
+from anvilford.configuration import ServiceDocument
+from anvilford.scheduling import Policy
+from anvilford.scheduling import ServicePolicy
+
+
+def policy_of(document: Document | None, service: str) -> Policy:
+    """Makes the policy of one service's dispatcher.
+
+    Args:
+        document: The document in force, or None before the first.
+        service: Name of the service; defaults apply if it is not configured.
+    """
+    configured = ServiceDocument()
+    preset = "ordinary"
+    accepting = True
+    if document is not None:
+        configured = document.services.get(service, configured)
+        preset = str(document.preset)
+        accepting = document.accepts_jobs
+    own = ServicePolicy(
+        name=service,
+        restart_failed=configured.restart_failed,
+        weight=configured.weight,
+        accepting=accepting,
+    )
+    if configured.max_queued_tasks is None:
+        return Policy(preset=preset, services={service: own})
+    return Policy(
+        preset=preset,
+        services={service: own},
+        max_queued_tasks=configured.max_queued_tasks,
+    )
--- /dev/null
+++ b/anvilford/entry/_services.py
@@ -0,0 +1,121 @@
+"""One dispatcher for each service that this entry can reach."""
+
+import random
+from collections.abc import Mapping
+from collections.abc import Sequence
+
+from anvilford.configuration import Document
+from anvilford.entry._policy import policy_of
+from anvilford.model import AttemptOutcome
+from anvilford.model import JobSpec
+from anvilford.model import NotRun
+from anvilford.model import RefusalReason
+from anvilford.scheduling import Dispatcher
+from anvilford.scheduling import JobFinished
+from anvilford.scheduling import TargetView
+
+PREFIX_SEPARATOR = "."
+
+
+class Services:
+    """Routes jobs and attempts to the dispatcher of their service.
+
+    Targets run one service each, so services share nothing: long or failing
+    work of one cannot hold back another.
+
+    Attributes:
+        zone: Availability zone of the entry.
+        token: Incarnation token; starts every attempt id.
+        rng: Source of randomness.
+        document: Configuration in force, or None before the first.
+        dispatchers: Dispatcher by service.
+        job_services: Service of each job without an answer.
+    """
+
+    def __init__(self, zone: str, token: str, rng: random.Random):
+        self.zone = zone
+        self.token = token
+        self.rng = rng
+        self.document: Document | None = None
+        self.dispatchers: dict[str, Dispatcher] = {}
+        self.job_services: dict[int, str] = {}
+        self._by_prefix: dict[str, Dispatcher] = {}
+
+    def submit(
+        self, job_key: int, job: JobSpec, caller: str, now: float
+    ) -> list:
+        """Submits a job to its service; returns the dispatcher's effects."""
+        dispatcher = self.dispatchers.get(job.service)
+        if dispatcher is None:
+            if self.document and job.service in self.document.services:
+                return [JobFinished(job_key, NotRun(RefusalReason.NO_TARGET))]
+            refusal = NotRun(RefusalReason.UNKNOWN_SERVICE)
+            return [JobFinished(job_key, refusal)]
+        self.job_services[job_key] = job.service
+        return self._observe(dispatcher.submit(job_key, job, caller, now))
+
+    def cancel(self, job_key: int, now: float) -> list:
+        """Cancels a job that has no answer yet."""
+        service = self.job_services.get(job_key)
+        if service is None:
+            return []
+        return self._observe(self.dispatchers[service].cancel(job_key, now))
+
+    def finish(
+        self, attempt_id: str, outcome: AttemptOutcome, now: float
+    ) -> list:
+        """Reports the end of an attempt to the dispatcher that started it."""
+        prefix = attempt_id.rpartition("-")[0]
+        dispatcher = self._by_prefix.get(prefix)
+        if dispatcher is None:
+            return []
+        return self._observe(dispatcher.finish(attempt_id, outcome, now))
+
+    def advance(self, now: float) -> list:
+        """Advances the dispatchers that are due."""
+        effects = []
+        for dispatcher in self.dispatchers.values():
+            wakeup = dispatcher.next_wakeup()
+            if wakeup is not None and wakeup <= now:
+                effects += dispatcher.advance(now)
+        return self._observe(effects)
+
+    def next_wakeup(self) -> float | None:
+        """Earliest time at which a dispatcher is due."""
+        times = [d.next_wakeup() for d in self.dispatchers.values()]
+        return min((t for t in times if t is not None), default=None)
+
+    def apply_targets(
+        self, views: Mapping[str, Sequence[TargetView]], now: float
+    ) -> None:
+        """Replaces the targets of every service.
+
+        Args:
+            views: Targets by service.
+            now: Loop time.
+        """
+        for service in views:
+            if service not in self.dispatchers:
+                self._add(service)
+        for service, dispatcher in self.dispatchers.items():
+            dispatcher.apply_targets(views.get(service, ()), now)
+
+    def apply_document(self, document: Document, now: float) -> None:
+        """Puts a configuration in force for every service."""
+        self.document = document
+        for service, dispatcher in self.dispatchers.items():
+            dispatcher.apply_policy(policy_of(document, service), now)
+
+    def _add(self, service: str) -> None:
+        prefix = f"{self.token}{PREFIX_SEPARATOR}{len(self.dispatchers)}"
+        dispatcher = Dispatcher(
+            self.zone, prefix, policy_of(self.document, service), self.rng
+        )
+        self.dispatchers[service] = dispatcher
+        self._by_prefix[prefix] = dispatcher
+
+    def _observe(self, effects: list) -> list:
+        for effect in effects:
+            if isinstance(effect, JobFinished):
+                self.job_services.pop(effect.job_key, None)
+        return effects
--- a/anvilford/membership/_directory.py
+++ b/anvilford/membership/_directory.py
@@ -101,6 +101,10 @@
         """Merges one VM: the later state of its life wins."""
         known = self.vms.get(vm.vm_id)
         if known is None:
+            # Taking over unknown tombstones would renew them at every peer
+            # in turn, so that they would never expire.
+            if vm.state is VmState.GONE:
+                return
             self.vms[vm.vm_id] = KnownVm(vm, None, now)
             self._fingerprint = None
         elif vm.state > known.info.state:
@@ -223,11 +227,12 @@
         return vm.state is VmState.LIVE and not is_drained
 
     def fingerprint(self) -> bytes:
-        """Digest of VMs, marks and successors; equal views are equal."""
+        """Digest of VMs, marks and successors; tombstones are left out."""
         if self._fingerprint is None:
             parts = sorted(
                 f"{k.info.vm_id}\0{int(k.info.state)}"
                 for k in self.vms.values()
+                if k.info.state is not VmState.GONE
             )
             parts += sorted(
                 f"{m.vm_id}\0{m.drained}\0{m.counter}\0{m.author}"
--- /dev/null
+++ b/testkit/simulation/_scenario.py
@@ -0,0 +1,313 @@
+"""Callers and faults of a simulated run."""
+
+import json
+import random
+
+import attrs
+
+from anvilford.entry import DrainRequested
+from anvilford.entry import SubmissionRequested
+from anvilford.entry import TargetMarked
+from anvilford.model import decode_answer
+from anvilford.model import EncodedAnswer
+from anvilford.model import parse_job
+from anvilford.model import SubmissionId
+from anvilford.protocol import RequestKind
+from testkit.simulation import _faults
+from testkit.simulation._history import Answered
+from testkit.simulation._history import History
+from testkit.simulation._history import Requested
+from testkit.simulation._history import TargetLeft
+from testkit.simulation._network import Network
+from testkit.simulation._network import NetworkOptions
+from testkit.simulation._network import Node
+from testkit.simulation._network import SERVICE
+
+CALLERS = ("line-1", "line-2", "desk-1")
+WARM_UP_S = 2.0
+SHORT_REQUEST_MS = 2000
+
+
+@attrs.frozen
+class Scenario:
+    """One kind of run.
+
+    Attributes:
+        faults: Faults with their times after the warm-up.
+        duration: Length of the load, in seconds.
+        jobs_per_second: Arrival rate.
+        max_tasks: Most tasks in a job.
+        resubmit: Probability that a caller repeats a request elsewhere.
+        cancel: Probability that a caller cancels.
+        settle: Time after the load until the run ends, in seconds.
+        network: Sizes and message faults.
+    """
+
+    faults: tuple[_faults.Fault, ...] = ()
+    duration: float = 6.0
+    jobs_per_second: float = 30.0
+    max_tasks: int = 6
+    resubmit: float = 0.4
+    cancel: float = 0.05
+    settle: float = 12.0
+    network: NetworkOptions = NetworkOptions()
+
+
+@attrs.frozen
+class SimulatedJob:
+    """A job of one caller under one id."""
+
+    submission_id: SubmissionId
+    caller: str
+    body: bytes
+    uids: tuple[str, ...]
+    deadline_ms: int
+    repeatable: bool
+
+
+class ScenarioRun:
+    """Drives the callers and faults of one run.
+
+    Attributes:
+        scenario: What to do.
+        network: The simulated system.
+        rng: Source of randomness of callers and faults.
+        jobs: Every job submitted so far.
+    """
+
+    def __init__(self, scenario: Scenario, seed: int):
+        self.scenario = scenario
+        self.network = Network(scenario.network, seed)
+        self.network.on_answer = self._receive
+        self.rng = random.Random(seed + 1)
+        self.jobs: list[SimulatedJob] = []
+        self._requests = 0
+
+    def run(self) -> History:
+        """Runs the scenario and returns what was observed."""
+        network = self.network
+        network.platform.apply(0, "ordinary", "first", 0.0)
+        network.run(WARM_UP_S)
+        for fault in self.scenario.faults:
+            network.after(fault.at, lambda fault=fault: self._inject(fault))
+        at = 0.0
+        while at < self.scenario.duration:
+            network.after(at, self._arrive)
+            at += self.rng.expovariate(self.scenario.jobs_per_second)
+        end = WARM_UP_S + self.scenario.duration + self.scenario.settle
+        network.run(end)
+        network.history.ended_at = end
+        network.history.versions_at_end = {
+            address: node.core.register.version
+            for address, node in network.nodes.items()
+            if not node.is_dead
+        }
+        return network.history
+
+    def _arrive(self) -> None:
+        """A caller takes an id and submits a job under it."""
+        node = self._pick_entry()
+        if node is None:
+            return
+        caller = self.rng.choice(CALLERS)
+        submission_id = node.core.issue(caller, 1)[0]
+        job = self._make_job(submission_id, caller)
+        self.jobs.append(job)
+        self._send(job, RequestKind.SUBMIT, node.core.me.address, 0.003)
+        while self.rng.random() < self.scenario.resubmit:
+            address = self.rng.choice(list(self.network.nodes))
+            delay = self.rng.expovariate(2.0)
+            self._send(job, RequestKind.SUBMIT, address, delay)
+        if self.rng.random() < self.scenario.cancel:
+            address = self.rng.choice(list(self.network.nodes))
+            delay = self.rng.expovariate(4.0)
+            self._send(job, RequestKind.CANCEL, address, delay)
+
+    def _pick_entry(self) -> Node | None:
+        now = self.network.now
+        nodes = [
+            node
+            for node in self.network.nodes.values()
+            if not node.is_dead
+            and node.frozen_until <= now
+            and node.core.is_ready(now)
+            and not node.core.is_draining
+        ]
+        return self.rng.choice(nodes) if nodes else None
+
+    def _make_job(
+        self, submission_id: SubmissionId, caller: str
+    ) -> SimulatedJob:
+        number = len(self.jobs)
+        count = self.rng.randint(1, self.scenario.max_tasks)
+        uids = tuple(f"job-{number}/{index}" for index in range(count))
+        deadline_ms = self.rng.choice((800, 2000, 4000))
+        document = {
+            "service": SERVICE,
+            "deadline_ms": deadline_ms,
+            "repeatable": self.rng.random() < 0.5,
+            "tasks": [
+                {
+                    "operation": "check",
+                    "payload": {"uid": uid, "run_s": self._run_time()},
+                }
+                for uid in uids
+            ],
+        }
+        return SimulatedJob(
+            submission_id,
+            caller,
+            json.dumps(document).encode(),
+            uids,
+            deadline_ms,
+            document["repeatable"],
+        )
+
+    def _run_time(self) -> float:
+        if self.rng.random() < 0.03:
+            return self.rng.uniform(2.0, 6.0)
+        return self.rng.uniform(0.02, 0.3)
+
+    def _send(
+        self, job: SimulatedJob, kind: RequestKind, address: str, delay: float
+    ) -> None:
+        self.network.after(delay, lambda: self._deliver(job, kind, address))
+
+    def _deliver(
+        self, job: SimulatedJob, kind: RequestKind, address: str
+    ) -> None:
+        """Hands a request to an entry if its process accepts connections."""
+        network = self.network
+        node = network.nodes[address]
+        if node.is_dead:
+            return
+        if not node.core.is_ready(network.now):
+            return
+        request = f"request-{self._requests}"
+        self._requests += 1
+        is_submit = kind is RequestKind.SUBMIT
+        deadline_ms = job.deadline_ms if is_submit else SHORT_REQUEST_MS
+        network.history.record(
+            Requested(
+                network.now,
+                request,
+                job.caller,
+                str(job.submission_id),
+                kind,
+                network.label(node),
+                job.uids if is_submit else (),
+                network.now + deadline_ms / 1000,
+                job.repeatable,
+            )
+        )
+        event = SubmissionRequested(
+            request,
+            job.caller,
+            job.submission_id,
+            kind,
+            parse_job(job.body).ok if is_submit else None,
+            job.body if is_submit else b"",
+            deadline_ms,
+        )
+        network.deliver(node, event)
+
+    def _receive(self, request: str, answer: EncodedAnswer) -> None:
+        network = self.network
+        network.history.record(
+            Answered(network.now, request, decode_answer(answer))
+        )
+
+    def _inject(self, fault: _faults.Fault) -> None:
+        network = self.network
+        match fault:
+            case _faults.FreezeEntry(_, entry, duration):
+                network.freeze(self._address(entry), duration)
+            case _faults.KillEntry(_, entry, restart_after):
+                network.kill(self._address(entry))
+                self._restart(self._address(entry), restart_after)
+            case _faults.DrainEntry(_, entry, restart_after):
+                node = network.nodes[self._address(entry)]
+                network.deliver(node, DrainRequested())
+                self._restart(self._address(entry), restart_after)
+            case _faults.CutZone(_, zone, duration):
+                self._cut(f"zone-{zone}", duration)
+            case _faults.PlatformOutage(_, duration):
+                network.platform.is_down = True
+                until = network.now + duration
+                network.history.cuts.append(("platform", network.now, until))
+                network.after(duration, self._end_outage)
+            case _faults.FailingTarget(_, target, duration):
+                failing = self._target(target)
+                failing.is_failing = True
+                network.after(
+                    duration, lambda: setattr(failing, "is_failing", False)
+                )
+            case _faults.KillTarget(_, target):
+                self._target(target).is_dead = True
+            case _faults.TargetLeaves(_, target, by):
+                self._leave(target, by)
+            case _faults.CancelWave(_, share):
+                self._cancel_wave(share)
+            case _faults.ApplyConfiguration(_, preset):
+                version = network.platform.row[0]
+                for operator in ("first", "second"):
+                    operation = f"{operator}-{network.now}"
+                    network.platform.apply(
+                        version, preset, operation, network.now
+                    )
+
+    def _address(self, entry: int) -> str:
+        addresses = sorted(self.network.nodes)
+        return addresses[entry % len(addresses)]
+
+    def _target(self, index: int):
+        addresses = sorted(self.network.targets)
+        return self.network.targets[addresses[index % len(addresses)]]
+
+    def _restart(self, address: str, delay: float) -> None:
+        """Starts a new process once the old one has ended."""
+        network = self.network
+        node = network.nodes[address]
+
+        def attempt() -> None:
+            if not node.is_dead:
+                network.after(0.5, attempt)
+            elif network.nodes[address] is node:
+                network.start_entry(address, node.core.me.zone)
+
+        network.after(delay, attempt)
+
+    def _cut(self, zone: str, duration: float) -> None:
+        network = self.network
+        network.cut_zones.add(zone)
+        until = network.now + duration
+        network.history.cuts.append((zone, network.now, until))
+        network.after(duration, lambda: network.cut_zones.discard(zone))
+
+    def _end_outage(self) -> None:
+        self.network.platform.is_down = False
+
+    def _leave(self, index: int, by: str) -> None:
+        network = self.network
+        target = self._target(index)
+        if by == "answer":
+            target.says_leaving = True
+            return
+        network.history.record(TargetLeft(network.now, target.vm_id))
+        if by == "list":
+            network.platform.set_leaving(target.vm_id, network.now)
+            return
+        node = self._pick_entry()
+        if node is not None:
+            network.deliver(node, TargetMarked(target.vm_id, True))
+
+    def _cancel_wave(self, share: float) -> None:
+        for job in self.jobs[-60:]:
+            if self.rng.random() < share:
+                address = self.rng.choice(list(self.network.nodes))
+                self._send(job, RequestKind.CANCEL, address, 0.003)
+
+
+def run_scenario(scenario: Scenario, seed: int) -> History:
+    """Runs a scenario from a seed; the same seed gives the same history."""
+    return ScenarioRun(scenario, seed).run()
