--- /dev/null
+++ b/anvilford/http/__init__.py
@@ -0,0 +1,27 @@
+"""HTTP applications for callers and operators on CherryPy."""
+
+from anvilford.http._operator_port import ConfigurationConflict
+from anvilford.http._operator_port import EntryUnavailable
+from anvilford.http._operator_port import NotReady
+from anvilford.http._operator_port import OperatorFailure
+from anvilford.http._operator_port import OperatorPort
+from anvilford.http._operator_port import StoreUnavailable
+from anvilford.http._operator_port import UnknownTarget
+from anvilford.http._operator_port import UnknownTrace
+from anvilford.http._operator_port import WriteUnresolved
+from anvilford.http._operators import operator_application
+from anvilford.http._tokens import TokenTable
+
+__all__ = [
+    "ConfigurationConflict",
+    "EntryUnavailable",
+    "NotReady",
+    "OperatorFailure",
+    "OperatorPort",
+    "StoreUnavailable",
+    "TokenTable",
+    "UnknownTarget",
+    "UnknownTrace",
+    "WriteUnresolved",
+    "operator_application",
+]
