--- /dev/null
+++ b/anvilford/targets/__init__.py
@@ -0,0 +1,17 @@
+"""Calls to targets, with an exact answer to whether a task may have run."""
+
+from anvilford.targets._classification import classify_answer
+from anvilford.targets._classification import classify_error
+from anvilford.targets._client import TargetClient
+from anvilford.targets._settings import CancelledAttempt
+from anvilford.targets._settings import StartedAttempt
+from anvilford.targets._settings import TargetSettings
+
+__all__ = [
+    "CancelledAttempt",
+    "StartedAttempt",
+    "TargetClient",
+    "TargetSettings",
+    "classify_answer",
+    "classify_error",
+]
--- /dev/null
+++ b/anvilford/targets/_call.py
@@ -0,0 +1,125 @@
+"""One HTTP call, performed on a worker thread."""
+
+import json
+import time
+import urllib.parse
+from typing import Any
+
+import attrs
+import urllib3
+
+from anvilford.model import AttemptOutcome
+from anvilford.model import AttemptUnknown
+from anvilford.model import UnknownAttemptReason
+from anvilford.targets._classification import classify_answer
+from anvilford.targets._classification import classify_error
+from anvilford.targets._exchange import CURRENT
+from anvilford.targets._exchange import Exchange
+from anvilford.targets._exchange import NotSentError
+from anvilford.targets._exchange import TargetPool
+from anvilford.targets._settings import CancelledAttempt
+from anvilford.targets._settings import StartedAttempt
+from anvilford.targets._settings import TargetSettings
+
+_READ_BYTES = 64 * 1024
+
+
+@attrs.frozen
+class Call:
+    """A request to a target.
+
+    Attributes:
+        attempt_id: Attempt that the request is about.
+        method: HTTP method.
+        path: Path with percent-encoded segments.
+        headers: Headers other than the lease.
+        document: JSON value of the body, or None.
+    """
+
+    attempt_id: str
+    method: str
+    path: str
+    headers: dict[str, str]
+    document: Any
+
+    @classmethod
+    def start(cls, attempt: StartedAttempt, traceparent: str) -> "Call":
+        """Makes the request that starts a task."""
+        headers = {
+            "Content-Type": "application/json",
+            "Anvilford-Attempt": attempt.attempt_id,
+        }
+        if traceparent:
+            headers["traceparent"] = traceparent
+        task = attempt.task
+        document = {"operation": task.operation, "payload": task.payload}
+        return cls(attempt.attempt_id, "POST", "/v1/tasks", headers, document)
+
+    @classmethod
+    def cancel(cls, attempt: CancelledAttempt) -> "Call":
+        """Makes the request that cancels an attempt."""
+        segment = urllib.parse.quote(attempt.attempt_id, safe="")
+        path = f"/v1/tasks/{segment}"
+        return cls(attempt.attempt_id, "DELETE", path, {}, None)
+
+
+def perform(
+    call: Call, pool: TargetPool, exchange: Exchange, settings: TargetSettings
+) -> AttemptOutcome:
+    """Sends a request and classifies what comes of it; never raises."""
+    CURRENT.exchange = exchange
+    try:
+        status, body = _send(call, pool, exchange, settings)
+    # Whatever goes wrong, the outcome depends on whether a byte was sent.
+    except Exception as error:
+        return classify_error(error, exchange.sent, exchange.expired)
+    if body is None:
+        return AttemptUnknown(UnknownAttemptReason.BAD_RESPONSE)
+    return classify_answer(status, body, call.attempt_id)
+
+
+def _send(
+    call: Call, pool: TargetPool, exchange: Exchange, settings: TargetSettings
+) -> tuple[int, bytes | None]:
+    """Returns status and body; None for a body above the limit."""
+    body = None
+    if call.document is not None:
+        body = json.dumps(call.document, separators=(",", ":")).encode()
+    now = time.monotonic()
+    remaining = min(exchange.deadline, exchange.lease_end) - now
+    if remaining <= 0 or exchange.aborted:
+        raise NotSentError
+    timeout = urllib3.Timeout(
+        connect=min(settings.connect_timeout_ms / 1000, remaining),
+        read=exchange.lease_end - now + settings.grace_ms / 1000,
+    )
+    response = pool.urlopen(
+        call.method,
+        call.path,
+        body,
+        call.headers,
+        retries=False,
+        redirect=False,
+        timeout=timeout,
+        pool_timeout=remaining,
+        preload_content=False,
+        decode_content=False,
+    )
+    try:
+        return response.status, _read(response, settings.response_bytes)
+    finally:
+        # Returns the connection to the pool if reading has not done so; a
+        # connection with an unread rest has been closed by then.
+        response.release_conn()
+
+
+def _read(response: urllib3.BaseHTTPResponse, limit: int) -> bytes | None:
+    chunks = []
+    size = 0
+    while chunk := response.read(_READ_BYTES, decode_content=False):
+        chunks.append(chunk)
+        size += len(chunk)
+        if size > limit:
+            response.close()
+            return None
+    return b"".join(chunks)
--- /dev/null
+++ b/anvilford/targets/_classification.py
@@ -0,0 +1,100 @@
+"""Turns an answer or an error into the outcome of an attempt."""
+
+import http.client
+import json
+from typing import Any
+
+import urllib3
+
+from anvilford.model import AttemptFailed
+from anvilford.model import AttemptNotStarted
+from anvilford.model import AttemptOutcome
+from anvilford.model import AttemptSucceeded
+from anvilford.model import AttemptUnknown
+from anvilford.model import NotStartedReason
+from anvilford.model import UnknownAttemptReason
+
+# Reasons that a target may give for not running a task.
+_REFUSALS = {
+    reason.value: reason
+    for reason in (
+        NotStartedReason.BUSY,
+        NotStartedReason.LEAVING,
+        NotStartedReason.LEASE,
+    )
+}
+_BAD_RESPONSE = AttemptUnknown(UnknownAttemptReason.BAD_RESPONSE)
+
+
+def classify_answer(
+    status: int, body: bytes, attempt_id: str
+) -> AttemptOutcome:
+    """Classifies a response that was received whole.
+
+    Args:
+        status: HTTP status.
+        body: Whole body.
+        attempt_id: Id that the response must carry.
+    """
+    try:
+        document = json.loads(body, parse_constant=_reject_constant)
+    except (ValueError, RecursionError):
+        return _BAD_RESPONSE
+    if not isinstance(document, dict) or "attempt" not in document:
+        return _BAD_RESPONSE
+    if document["attempt"] != attempt_id:
+        return AttemptUnknown(UnknownAttemptReason.ATTEMPT_MISMATCH)
+    match status, document:
+        case 200, {"result": result}:
+            return AttemptSucceeded(result)
+        case 500, {"type": "task_failed", "message": str(message)}:
+            return AttemptFailed(message)
+        case 503, {"type": "not_run", "reason": str(reason)} if (
+            reason in _REFUSALS
+        ):
+            return AttemptNotStarted(_REFUSALS[reason])
+    return _BAD_RESPONSE
+
+
+def classify_error(
+    error: BaseException, sent: bool, expired: bool
+) -> AttemptOutcome:
+    """Classifies an attempt that ended without a whole response.
+
+    Args:
+        error: What ended it.
+        sent: False only if no byte of the request was written.
+        expired: True if the client gave up waiting for the answer.
+    """
+    causes = list(_causes(error))
+    if not sent:
+        if _any_is(causes, ConnectionRefusedError):
+            return AttemptNotStarted(NotStartedReason.CONNECTION_REFUSED)
+        return AttemptNotStarted(NotStartedReason.NOT_SENT)
+    timeouts = (TimeoutError, urllib3.exceptions.TimeoutError)
+    if expired or _any_is(causes, timeouts):
+        return AttemptUnknown(UnknownAttemptReason.TIMEOUT)
+    if _any_is(causes, OSError):
+        return AttemptUnknown(UnknownAttemptReason.CONNECTION_LOST)
+    malformed = (http.client.HTTPException, ValueError)
+    if _any_is(causes, malformed):
+        return _BAD_RESPONSE
+    return AttemptUnknown(UnknownAttemptReason.CONNECTION_LOST)
+
+
+def _reject_constant(name: str) -> Any:
+    # Python reads NaN and Infinity, which are not JSON; passed on, they would
+    # make the caller's answer unreadable.
+    raise ValueError(f"{name} is not JSON")
+
+
+def _causes(error: BaseException | None):
+    while error is not None:
+        yield error
+        # urllib3 names the original error in the arguments of some errors.
+        yield from (a for a in error.args if isinstance(a, BaseException))
+        error = error.__cause__
+
+
+def _any_is(causes: list[BaseException], classes: Any) -> bool:
+    return any(isinstance(cause, classes) for cause in causes)
--- /dev/null
+++ b/anvilford/targets/_client.py
@@ -0,0 +1,230 @@
+"""Starts and cancels tasks at targets."""
+
+import asyncio
+import concurrent.futures
+import contextlib
+import threading
+import time
+from collections.abc import Callable
+
+import attrs
+
+from anvilford.model import AttemptNotStarted
+from anvilford.model import AttemptOutcome
+from anvilford.model import NotStartedReason
+from anvilford.targets._call import Call
+from anvilford.targets._call import perform
+from anvilford.targets._exchange import Exchange
+from anvilford.targets._exchange import TargetPool
+from anvilford.targets._settings import CancelledAttempt
+from anvilford.targets._settings import StartedAttempt
+from anvilford.targets._settings import TargetSettings
+
+_NOT_SENT = AttemptNotStarted(NotStartedReason.NOT_SENT)
+
+
+@attrs.define
+class _Target:
+    """Connections to one target.
+
+    Attributes:
+        address: "IP:port".
+        limit: Most connections.
+        pool: The connections.
+        in_flight: Requests that use or wait for a connection.
+        last_used: Monotonic time of the last request's start or end.
+    """
+
+    address: str
+    limit: int
+    pool: TargetPool
+    in_flight: int = 0
+    last_used: float = 0.0
+
+
+class TargetClient:
+    """Calls targets from worker threads; a context manager.
+
+    Methods are called from the event loop's thread and never block it. The
+    loop's clock must be the monotonic clock, as it is by default.
+
+    Attributes:
+        settings: Settings.
+        connections_for: Gives the most connections to a target, by VM id. A
+            changed value is used once nothing is in flight to the target.
+        in_flight: Exchanges by attempt id.
+    """
+
+    def __init__(
+        self, settings: TargetSettings, connections_for: Callable[[str], int]
+    ):
+        self.settings = settings
+        self.connections_for = connections_for
+        self.in_flight: dict[str, Exchange] = {}
+        self._targets: dict[str, _Target] = {}
+        self._lock = threading.Lock()
+        self._next_sweep = 0.0
+
+    def __enter__(self) -> "TargetClient":
+        self._threads = concurrent.futures.ThreadPoolExecutor(
+            self.settings.threads, "target"
+        )
+        self._cancel_threads = concurrent.futures.ThreadPoolExecutor(
+            self.settings.cancel_threads, "target-cancel"
+        )
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        for exchange in self.in_flight.values():
+            if exchange.abort():
+                _settle(exchange.outcome, _NOT_SENT)
+        for threads in (self._threads, self._cancel_threads):
+            threads.shutdown(wait=False, cancel_futures=True)
+        for target in self._targets.values():
+            target.pool.close()
+        self._targets.clear()
+
+    async def start(
+        self, attempt: StartedAttempt, lease_ms: int, traceparent: str
+    ) -> AttemptOutcome:
+        """Starts a task at a target and waits for its outcome.
+
+        The lease sent ends at the earlier of `lease_ms` from now and the
+        deadline plus `grace_ms`; it is computed just before sending.
+
+        Args:
+            attempt: The attempt; its id must not be in flight.
+            lease_ms: Longest lease, counted from now.
+            traceparent: W3C trace context, or "".
+
+        Returns:
+            The outcome. `AttemptNotStarted` proves that the task did not run.
+        """
+        now = time.monotonic()
+        grace = self.settings.grace_ms / 1000
+        lease_end = min(now + lease_ms / 1000, attempt.deadline + grace)
+        target = self._target(attempt.target_id, attempt.address, now)
+        if target is None or now >= min(lease_end, attempt.deadline):
+            return _NOT_SENT
+        exchange = Exchange(attempt.deadline, lease_end, self._lock)
+        self.in_flight[attempt.attempt_id] = exchange
+        try:
+            return await self._run(
+                target,
+                exchange,
+                self._threads,
+                Call.start(attempt, traceparent),
+            )
+        finally:
+            del self.in_flight[attempt.attempt_id]
+
+    async def cancel(self, attempt: CancelledAttempt) -> None:
+        """Cancels an attempt, at the target if it may have been sent.
+
+        An attempt of which nothing was sent ends as not sent. When all
+        connections to the target are in use, the attempt's own connection is
+        closed to make room for the cancellation; the attempt then ends as
+        unknown. A cancellation that fails is not repeated, since the lease
+        ends the task.
+
+        Args:
+            attempt: The attempt; it may already be over.
+        """
+        exchange = self.in_flight.get(attempt.attempt_id)
+        if exchange is not None and exchange.abort_unsent():
+            _settle(exchange.outcome, _NOT_SENT)
+            return
+        now = time.monotonic()
+        target = self._target(attempt.target_id, attempt.address, now)
+        if target is None:
+            return
+        if exchange is not None and target.in_flight >= target.limit:
+            exchange.abort()
+        end = now + self.settings.grace_ms / 1000
+        cancellation = Exchange(end, end, self._lock)
+        await self._run(
+            target,
+            cancellation,
+            self._cancel_threads,
+            Call.cancel(attempt),
+        )
+
+    def _target(
+        self, target_id: str, address: str, now: float
+    ) -> _Target | None:
+        self._sweep(now)
+        target = self._targets.get(target_id)
+        limit = self.connections_for(target_id)
+        if target is not None and target.in_flight == 0:
+            if (target.address, target.limit) == (address, limit):
+                return target
+            target.pool.close()
+            target = None
+        if target is None or target.address != address:
+            if limit <= 0:
+                return None
+            target = _Target(address, limit, self._new_pool(address, limit))
+            self._targets[target_id] = target
+        return target
+
+    def _new_pool(self, address: str, limit: int) -> TargetPool:
+        host, _, port = address.rpartition(":")
+        return TargetPool(
+            host,
+            int(port),
+            maxsize=limit,
+            block=True,
+            retries=False,
+            idle_seconds=self.settings.idle_ms / 1000,
+        )
+
+    def _sweep(self, now: float) -> None:
+        # Targets are replaced all the time; without this their idle
+        # connections would stay open for as long as the process runs.
+        if now < self._next_sweep:
+            return
+        idle = self.settings.idle_ms / 1000
+        self._next_sweep = now + idle
+        for target_id, target in list(self._targets.items()):
+            if target.in_flight == 0 and now - target.last_used > idle:
+                target.pool.close()
+                del self._targets[target_id]
+
+    async def _run(
+        self,
+        target: _Target,
+        exchange: Exchange,
+        threads: concurrent.futures.ThreadPoolExecutor,
+        call: Call,
+    ) -> AttemptOutcome:
+        loop = asyncio.get_running_loop()
+        outcome = exchange.outcome = loop.create_future()
+
+        def work() -> None:
+            result = perform(call, target.pool, exchange, self.settings)
+            # The loop may have been closed meanwhile.
+            with contextlib.suppress(RuntimeError):
+                loop.call_soon_threadsafe(_settle, outcome, result)
+
+        def expire() -> None:
+            if exchange.abort(expired=True):
+                _settle(outcome, _NOT_SENT)
+
+        wait = exchange.lease_end + self.settings.grace_ms / 1000
+        timer = loop.call_later(wait - time.monotonic(), expire)
+        target.in_flight += 1
+        target.last_used = time.monotonic()
+        try:
+            threads.submit(work)
+            return await outcome
+        finally:
+            timer.cancel()
+            if not outcome.done() or outcome.cancelled():
+                exchange.abort()
+            target.in_flight -= 1
+            target.last_used = time.monotonic()
+
+
+def _settle(outcome: asyncio.Future, result: AttemptOutcome) -> None:
+    if not outcome.done():
+        outcome.set_result(result)
