Keep forwards and handovers whole during a planned stop

Cause: the history check found requests that a stopping entry never answered. The stop waited for forwards only before the handover, not for those that began during it. And after a suspension every peer looked silent, so a stop right after it found no peer and handed nothing over. Change: the stop ends after the last forward, new ones are answered outcome_unknown in its last stage, and time in which the process itself was suspended does not count as silence of its peers.

--- a/anvilford/daemon/_main.py
+++ b/anvilford/daemon/_main.py
@@ -20,6 +20,7 @@
 from anvilford.entry import CoreOptions
 from anvilford.entry import EntryCore
 from anvilford.http import CallersApplication
+from anvilford.http import TokenTable
 from anvilford.model import Incarnation
 from anvilford.peers import PeerLinks
 from anvilford.peers import PeerServer
@@ -189,7 +190,7 @@
     """Starts the callers' and the operators' servers; the stack ends them."""
     callers = CallersApplication(
         CallerAdapter(runtime, settings.http.wait_limit_ms),
-        {caller.token: caller.name for caller in settings.callers},
+        TokenTable(settings.callers),
         settings.model_limits(),
     )
     cherrypy.config.update({"environment": "production", "log.screen": False})
--- a/anvilford/entry/_core.py
+++ b/anvilford/entry/_core.py
@@ -57,6 +57,9 @@
 from anvilford.submissions import Ledger
 
 CONFIGURATION_CALL_TIMEOUT_S = 1.0
+# The gossip round wakes the core regularly; missing this many rounds means
+# that the process was suspended or starved.
+PAUSE_LIMIT_ROUNDS = 3
 
 
 class EntryCore:
@@ -98,6 +101,7 @@
         self.gossiper = Gossiper(me, options, self.directory, rng)
         self.traceparents: dict[int, str] = {}
         self.jobs: dict[int, tuple[SubmissionId, str]] = {}
+        self._handled_at = now
         self._platform_answered = False
         self._configuration_call: str | None = None
         self._views_basis: tuple[bytes, dict[str, float]] | None = None
@@ -106,10 +110,24 @@
 
     def handle(self, event: Event, now: float) -> list[Effect]:
         """Applies one event and returns what must be done about it."""
-        effects = self._apply(event, now)
+        effects = self._observe_pause(now)
+        effects += self._apply(event, now)
         effects += self._advance(now)
         return effects
 
+    def _observe_pause(self, now: float) -> list[Effect]:
+        """Excludes time in which this process was suspended.
+
+        Without this, every peer would look silent after a pause, and a
+        planned stop right after it would find no peer for its records.
+        """
+        pause = now - self._handled_at
+        self._handled_at = now
+        if pause < PAUSE_LIMIT_ROUNDS * self.options.gossip_interval:
+            return []
+        self.directory.extend_heartbeats(pause)
+        return [Count("pauses"), LogChange("resumed", (("seconds", pause),))]
+
     def is_ready(self, now: float) -> bool:
         """Tells whether requests may be served.
 
--- a/anvilford/entry/_drain.py
+++ b/anvilford/entry/_drain.py
@@ -62,7 +62,7 @@
         self.requests.refusing = True
         effects: list[Effect] = []
         if self.handover is None:
-            if self.requests.ledger.store.in_flight or self.requests.forwards:
+            if self.requests.ledger.store.in_flight:
                 return []
             self.handover = Handover(
                 handover_messages(
@@ -74,7 +74,11 @@
             effects = self.handover.start()
         if not self.handover.finished:
             return effects
-        return self._stop(now)
+        # Callers may still wait for forwards that began during the handover.
+        self.requests.closing = True
+        if self.requests.forwards:
+            return effects
+        return effects + self._stop(now)
 
     def _candidates(self, now: float) -> list[str]:
         """Live peers, those of the own zone first."""
--- a/anvilford/entry/_requests.py
+++ b/anvilford/entry/_requests.py
@@ -67,6 +67,7 @@
         waiters: Request ids that wait for a submission in flight, by sequence.
         forwards: Forwarded requests by request id.
         refusing: True once a planned stop accepts no new jobs.
+        closing: True once a planned stop forwards nothing more.
     """
 
     def __init__(
@@ -84,6 +85,7 @@
         self.waiters: dict[int, list[str]] = {}
         self.forwards: dict[str, Forward] = {}
         self.refusing = False
+        self.closing = False
 
     def serve(
         self, request: SubmissionRequested, now: float
@@ -207,6 +209,8 @@
     ) -> str | UnknownReason:
         """Finds the peer address that can answer for a foreign id."""
         owner = request.submission_id.owner
+        if self.closing:
+            return UnknownReason.ENTRY_STOPPING
         if request.hops >= self.options.max_hops:
             return UnknownReason.OWNER_UNREACHABLE
         suspect_after = self.options.suspect_after
--- a/anvilford/http/_callers.py
+++ b/anvilford/http/_callers.py
@@ -4,17 +4,16 @@
 more processor time for each request.
 """
 
-import hmac
 import json
 import urllib.parse
 from collections.abc import Callable
 from collections.abc import Iterable
-from collections.abc import Mapping
 from typing import Any
 from typing import Protocol
 
 import attrs
 
+from anvilford.http._tokens import TokenTable
 from anvilford.model import EncodedAnswer
 from anvilford.model import InvalidJob
 from anvilford.model import JobLimits
@@ -84,12 +83,12 @@
 
     Attributes:
         port: The entry.
-        tokens: Caller name by bearer token.
+        tokens: Callers by bearer token.
         job_limits: Bounds on a job.
     """
 
     port: CallerPort
-    tokens: Mapping[str, str]
+    tokens: TokenTable
     job_limits: JobLimits
 
     def __call__(
@@ -134,20 +133,12 @@
         return "503 Service Unavailable", b'{"ready":false}'
 
     def _authenticate(self, environ: dict[str, Any]) -> str:
-        scheme, _, token = environ.get("HTTP_AUTHORIZATION", "").partition(" ")
-        found = ""
-        # Every token is compared, so that the time does not depend on which
-        # one matches.
-        for known, caller in self.tokens.items():
-            if hmac.compare_digest(
-                known.encode(), token.encode("latin-1", "replace")
-            ):
-                found = caller
-        if scheme.lower() != "bearer" or not found:
+        caller = self.tokens.name_for(environ.get("HTTP_AUTHORIZATION"))
+        if caller is None:
             raise RequestError(
                 "401 Unauthorized", "unauthorized", "a known token is needed"
             )
-        return found
+        return caller
 
     def _issue(self, caller: str, environ: dict[str, Any]) -> tuple[str, bytes]:
         if self.port.is_draining():
--- a/anvilford/membership/_directory.py
+++ b/anvilford/membership/_directory.py
@@ -168,6 +168,11 @@
             if now - entry.heard_at > TOMBSTONE_S:
                 del self.entries[token]
 
+    def extend_heartbeats(self, pause: float) -> None:
+        """Excludes a pause of this process from the silence of others."""
+        for entry in self.entries.values():
+            entry.heard_at += pause
+
     def is_suspect(self, token: str, now: float, limit: float) -> bool:
         """Tells whether an entry's heartbeat is unknown or too old."""
         entry = self.entries.get(token)
--- a/anvilford/model/_answers.py
+++ b/anvilford/model/_answers.py
@@ -52,6 +52,7 @@
     OWNER_UNREACHABLE = "owner_unreachable"
     OWNER_GONE = "owner_gone"
     HANDOVER_INCOMPLETE = "handover_incomplete"
+    ENTRY_STOPPING = "entry_stopping"
 
 
 @attrs.frozen
--- a/testkit/simulation/_network.py
+++ b/testkit/simulation/_network.py
@@ -50,6 +50,7 @@
 from testkit.simulation._targets import SimulatedTarget
 
 POLL_INTERVAL_S = 1.0
+PEER_REQUEST = "peer-"
 SERVICE = "line-brain"
 
 
@@ -73,7 +74,7 @@
     latency: float = 0.001
     loss: float = 0.02
     duplication: float = 0.05
-    core: CoreOptions = CoreOptions()
+    core: CoreOptions = CoreOptions(drain_notice=0.3)
 
 
 @attrs.define(eq=False)
@@ -317,7 +318,7 @@
             self.after(self.latency(), lambda: self.deliver(node, event))
 
     def _respond(self, request_id: str, answer: EncodedAnswer) -> None:
-        if request_id in self._replies:
+        if request_id.startswith(PEER_REQUEST):
             self._reply(request_id, ForwardReply(answer))
         else:
             self.on_answer(request_id, answer)
@@ -354,7 +355,7 @@
         return True
 
     def _call_peer(self, node: Node, effect: CallPeer) -> None:
-        request_id = f"peer-{next(self._numbers)}"
+        request_id = f"{PEER_REQUEST}{next(self._numbers)}"
 
         def fail() -> None:
             if self._replies.pop(request_id, None):
