Add history tests and broken variants for the checker

Each broken variant must be caught by the checker for its invariant; the histories cover each fault alone, twice in a row and in pairs.

--- /dev/null
+++ b/anvilford/entry/tests/test_checker.py
@@ -0,0 +1,241 @@
+"""The history checker must catch a broken variant of every invariant."""
+
+import contextlib
+from unittest import mock
+
+import attrs
+
+from anvilford.configuration import Register
+from anvilford.entry._drain import Drain
+from anvilford.entry._requests import Requests
+from anvilford.membership import Directory
+from anvilford.model import AttemptNotStarted
+from anvilford.model import AttemptUnknown
+from anvilford.model import Complete
+from anvilford.model import encode_answer
+from anvilford.model import NotRun
+from anvilford.model import NotStartedReason
+from anvilford.model import RefusalReason
+from anvilford.scheduling import Dispatcher
+from anvilford.submissions import Accepted
+from anvilford.submissions import Adoptions
+from anvilford.submissions import Ledger
+from anvilford.submissions import Record
+from testkit import function_tests
+from testkit.simulation import ApplyConfiguration
+from testkit.simulation import check
+from testkit.simulation import DrainEntry
+from testkit.simulation import FreezeEntry
+from testkit.simulation import KillTarget
+from testkit.simulation import run_scenario
+from testkit.simulation import Scenario
+from testkit.simulation import TargetLeaves
+
+load_tests = function_tests(__name__)
+
+SEEDS = range(3)
+
+
+def violated(faults=(), **changes):
+    """Invariants that are violated in any of the seeded runs."""
+    scenario = Scenario(faults=faults, **changes)
+    return {
+        violation.invariant
+        for seed in SEEDS
+        for violation in check(run_scenario(scenario, seed))
+    }
+
+
+def patch(owner, name, make):
+    """Replaces a method by `make(original)`."""
+    return mock.patch.object(owner, name, make(getattr(owner, name)))
+
+
+def test_running_every_resubmission_is_caught(case):
+    """P1: a ledger that accepts an id again."""
+
+    def broken(original):
+        def submit(self, submission_id, caller, digest):
+            answer = original(self, submission_id, caller, digest)
+            if isinstance(answer, Accepted):
+                return answer
+            self.store.records.pop(submission_id.sequence, None)
+            self.store.add(Record(submission_id.sequence, caller, digest))
+            return Accepted()
+
+        return submit
+
+    with patch(Ledger, "submit", broken):
+        case.assertIn("P1", violated())
+
+
+def test_retrying_unknown_attempts_is_caught(case):
+    """P1 and P5: a lost answer taken as proof that nothing ran."""
+
+    def broken(original):
+        def finish(self, attempt_id, outcome, now):
+            if isinstance(outcome, AttemptUnknown):
+                outcome = AttemptNotStarted(NotStartedReason.NOT_SENT)
+            return original(self, attempt_id, outcome, now)
+
+        return finish
+
+    with patch(Dispatcher, "finish", broken):
+        found = violated((KillTarget(1.0, 0), KillTarget(2.0, 1)))
+    case.assertLessEqual({"P1", "P5"}, found)
+
+
+def test_partial_answers_are_caught(case):
+    """P2: an answer that lacks a result."""
+
+    def broken(original):
+        def settle(self, sequence, answer):
+            if isinstance(answer, Complete):
+                answer = Complete(answer.results[:-1])
+            return original(self, sequence, answer)
+
+        return settle
+
+    with patch(Requests, "settle", broken):
+        case.assertIn("P2", violated())
+
+
+def test_swapped_answers_are_caught(case):
+    """P3: a caller that gets the answer to another request."""
+
+    def broken(original):
+        last = [Complete(({"uid": "another"},))]
+
+        def settle(self, sequence, answer):
+            given, last[0] = last[0], answer
+            return original(self, sequence, given)
+
+        return settle
+
+    with patch(Requests, "settle", broken):
+        case.assertIn("P3", violated())
+
+
+def test_false_refusals_are_caught(case):
+    """P4: an unreachable owner reported as not run."""
+
+    def broken(original):
+        def unreachable(self, request_id):
+            answer = encode_answer(NotRun(RefusalReason.OWNER_STOPPED))
+            *counts, respond = original(self, request_id)
+            return [*counts, attrs.evolve(respond, answer=answer)]
+
+        return unreachable
+
+    with patch(Requests, "_unreachable", broken):
+        case.assertIn("P4", violated((FreezeEntry(1.0, 0, 4.0),)))
+
+
+def test_refusing_for_an_incomplete_handover_is_caught(case):
+    """P4: a successor that lacks records and still says not run."""
+
+    def broken(original):
+        def adopt_chunk(self, chunk):
+            return original(self, attrs.evolve(chunk, records=()))
+
+        return adopt_chunk
+
+    with patch(Adoptions, "adopt_chunk", broken):
+        case.assertIn("P4", violated((DrainEntry(1.0, 0),), resubmit=0.8))
+
+
+def test_work_for_leaving_targets_is_caught(case):
+    """P6: a directory that ignores that a target is leaving."""
+
+    def broken(original):
+        del original
+        return lambda self, vm: True
+
+    with patch(Directory, "accepts_work", broken):
+        case.assertIn("P6", violated((TargetLeaves(1.0, 0, "list"),)))
+
+
+def test_stopping_with_requests_in_flight_is_caught(case):
+    """P7: a planned stop that does not wait."""
+
+    def broken(original):
+        def advance(self, now):
+            store = self.requests.ledger.store
+            with contextlib.ExitStack() as stack:
+                stack.enter_context(
+                    mock.patch.object(type(store), "in_flight", 0)
+                )
+                return original(self, now)
+
+        return advance
+
+    with patch(Drain, "advance", broken):
+        case.assertIn("P7", violated((DrainEntry(1.0, 0),)))
+
+
+def test_reverting_configurations_is_caught(case):
+    """P8: a register that takes any version, with a stale peer."""
+
+    def broken(original):
+        def apply(self, row):
+            if original(self, row) and row.version > 2:
+                self.row = attrs.evolve(row, version=1)
+            return True
+
+        return apply
+
+    faults = (
+        ApplyConfiguration(1.0, "peak"),
+        ApplyConfiguration(2.0, "ordinary"),
+    )
+    with patch(Register, "apply", broken):
+        case.assertIn("P8", violated(faults))
+
+
+def test_configurations_that_do_not_spread_are_caught(case):
+    """P8: an entry that ignores newer versions."""
+
+    def broken(original):
+        def apply(self, row):
+            return False if self.version else original(self, row)
+
+        return apply
+
+    with patch(Register, "apply", broken):
+        case.assertIn("P8", violated((ApplyConfiguration(1.0, "peak"),)))
+
+
+def test_lost_answers_are_caught(case):
+    """Lost: a waiter that is forgotten."""
+
+    def broken(original):
+        def settle(self, sequence, answer):
+            self.waiters.pop(sequence, None)
+            return original(self, sequence, answer)
+
+        return settle
+
+    with patch(Requests, "settle", broken):
+        case.assertIn("lost", violated())
+
+
+def test_late_answers_are_caught(case):
+    """Lost: an outcome that stays open past the caller's deadline."""
+
+    def broken(original):
+        def advance(self, now):
+            return [] if self.forwards else original(self, now)
+
+        return advance
+
+    def never_fail(original):
+        def receive_reply(self, call, message):
+            return original(self, call, message) if message else []
+
+        return receive_reply
+
+    with (
+        patch(Requests, "advance", broken),
+        patch(Requests, "receive_reply", never_fail),
+    ):
+        case.assertIn("lost", violated((FreezeEntry(1.0, 0, 5.0),)))
--- /dev/null
+++ b/anvilford/entry/tests/test_history.py
@@ -0,0 +1,104 @@
+"""Histories of concurrent runs under faults, checked for every invariant."""
+
+import itertools
+
+from testkit import function_tests
+from testkit.simulation import ApplyConfiguration
+from testkit.simulation import CancelWave
+from testkit.simulation import check
+from testkit.simulation import CutZone
+from testkit.simulation import DrainEntry
+from testkit.simulation import FailingTarget
+from testkit.simulation import FreezeEntry
+from testkit.simulation import KillEntry
+from testkit.simulation import KillTarget
+from testkit.simulation import PlatformOutage
+from testkit.simulation import run_scenario
+from testkit.simulation import Scenario
+from testkit.simulation import TargetLeaves
+
+load_tests = function_tests(__name__)
+
+FAULTS = {
+    "none": (),
+    "freeze": (FreezeEntry(1.0, 0, 4.0),),
+    "kill": (KillEntry(1.0, 0),),
+    "drain": (DrainEntry(1.0, 0),),
+    "cut": (CutZone(1.0, 1, 4.0),),
+    "outage": (PlatformOutage(0.5, 5.0),),
+    "failing target": (FailingTarget(1.0, 0, 3.0),),
+    "vanished target": (KillTarget(1.0, 0),),
+    "leaving by list": (TargetLeaves(1.0, 0, "list"),),
+    "leaving by answer": (TargetLeaves(1.0, 0, "answer"),),
+    "leaving by operator": (TargetLeaves(1.0, 0, "operator"),),
+    "cancel waves": (CancelWave(1.0, 0.8), CancelWave(2.0, 0.8)),
+    "racing operators": (
+        ApplyConfiguration(1.0, "peak"),
+        ApplyConfiguration(2.0, "ordinary"),
+    ),
+}
+TWICE = {
+    "freeze twice": (FreezeEntry(1.0, 0, 2.0), FreezeEntry(3.5, 0, 2.0)),
+    "freeze two": (FreezeEntry(1.0, 0, 3.0), FreezeEntry(1.0, 1, 3.0)),
+    "kill twice": (KillEntry(1.0, 0, 0.5), KillEntry(3.0, 0, 0.5)),
+    "drain in a row": (DrainEntry(1.0, 0), DrainEntry(2.0, 1)),
+    "drain twice": (DrainEntry(1.0, 0, 0.5), DrainEntry(4.0, 0, 0.5)),
+    "cut both zones": (CutZone(1.0, 0, 2.0), CutZone(2.0, 1, 3.0)),
+    "drain while cut": (CutZone(0.5, 0, 4.0), DrainEntry(1.0, 0)),
+    "kill the successor": (DrainEntry(1.0, 0), KillEntry(2.5, 1)),
+    "maintenance while frozen": (
+        FreezeEntry(0.5, 0, 4.0),
+        ApplyConfiguration(1.0, "maintenance"),
+        ApplyConfiguration(3.0, "ordinary"),
+    ),
+}
+
+
+def check_scenarios(case, scenarios, seeds):
+    """Asserts that no run has a violation; names the run that has one."""
+    for (name, faults), seed in itertools.product(scenarios.items(), seeds):
+        violations = check(run_scenario(Scenario(faults=faults), seed))
+        case.assertEqual(violations, [], f"{name}, seed {seed}")
+
+
+def test_single_faults(case):
+    """Guards against a broken invariant under each fault alone."""
+    check_scenarios(case, FAULTS, range(3))
+
+
+def test_faults_twice_in_a_row(case):
+    """Guards against state left behind by the first of two faults."""
+    check_scenarios(case, TWICE, range(3))
+
+
+def test_two_faults_at_once(case):
+    """Guards against faults that only break an invariant together."""
+    pairs = {
+        f"{first} and {second}": FAULTS[first] + FAULTS[second]
+        for first, second in itertools.combinations(FAULTS, 2)
+    }
+    check_scenarios(case, pairs, (7,))
+
+
+def test_runs_are_repeatable(case):
+    """Guards against findings that cannot be reproduced from their seed."""
+    scenario = Scenario(faults=FAULTS["freeze"] + FAULTS["kill"])
+    first, second = (run_scenario(scenario, 5) for _ in range(2))
+    case.assertEqual(first.events, second.events)
+
+
+def test_runs_exercise_what_they_claim(case):
+    """Guards against a simulation in which nothing happens."""
+    faults = FAULTS["drain"] + FAULTS["freeze"]
+    history = run_scenario(Scenario(faults=faults), 3)
+    names = [type(event).__name__ for event in history.events]
+    for name in ("Executed", "Answered", "EntryStopped", "EntryFroze"):
+        case.assertIn(name, names)
+    answers = {
+        type(e.answer).__name__
+        for e in history.events
+        if type(e).__name__ == "Answered"
+    }
+    case.assertLessEqual(
+        {"Complete", "Failed", "OutcomeUnknown", "NotRun"}, answers
+    )
