--- /dev/null
+++ b/anvilford/cli/_changes.py
@@ -0,0 +1,199 @@
+"""Changes of the configuration and their confirmation on every VM."""
+
+import argparse
+from typing import Any
+
+import attrs
+
+from anvilford.cli._connection import connect
+from anvilford.cli._connection import Connection
+from anvilford.cli._connection import Reply
+from anvilford.cli._context import CommandError
+from anvilford.cli._context import ExitCode
+from anvilford.cli._context import Session
+from anvilford.cli._output import format_age
+from anvilford.cli._output import format_table
+from anvilford.cli._output import Report
+
+POLL_PERIOD = 0.5
+
+# Entries poll the row each second; the rest is for slow polls and gossip.
+DEFAULT_WAIT = 10.0
+
+
+@attrs.frozen
+class Confirmation:
+    """What is known of the VMs after a change.
+
+    Attributes:
+        version: Version that was accepted.
+        vms: VMs as in the daemon's status; the newest report of each.
+        newest: Configuration that the daemon reports as in force.
+    """
+
+    version: int
+    vms: tuple[dict[str, Any], ...]
+    newest: dict[str, Any]
+
+    @property
+    def unconfirmed(self) -> list[str]:
+        """Ids of the VMs that have not reported the version or a newer one.
+
+        A VM that was confirmed once and is unreachable now stays confirmed,
+        because versions never go down.
+        """
+        return [
+            vm["vm_id"]
+            for vm in self.vms
+            if vm["configuration_version"] < self.version
+        ]
+
+
+def use_preset(arguments: argparse.Namespace, session: Session) -> Report:
+    """Runs `anvilctl preset use`."""
+    connection = connect(arguments, session)
+    body = {"preset": arguments.preset}
+    return write_change(connection, arguments, "POST", "/v1/preset", body, {})
+
+
+def write_change(
+    connection: Connection,
+    arguments: argparse.Namespace,
+    method: str,
+    path: str,
+    body: dict[str, Any],
+    headers: dict[str, str],
+) -> Report:
+    """Writes a change once and waits until every VM has confirmed it.
+
+    Args:
+        connection: Operators' listeners.
+        arguments: With `wait`, `require_all` and `operation_id`.
+        method: HTTP method of the change.
+        path: Path of the change.
+        body: JSON object without the operation id.
+        headers: Further headers.
+
+    Returns:
+        The report, with exit code 3 if a VM has not confirmed in time.
+
+    Raises:
+        CommandError: The change was not accepted, or it is not known.
+    """
+    session = connection.session
+    operation_id = arguments.operation_id or session.context.new_operation_id()
+    if arguments.require_all:
+        _check_reachable(connection.read("/v1/status"))
+    accepted = connection.write(
+        method, path, body | {"operation_id": operation_id}, headers
+    )
+    confirmation = _wait(connection, accepted["version"], arguments.wait)
+    return _report(accepted, confirmation)
+
+
+def _check_reachable(status: dict[str, Any]) -> None:
+    missing = [vm["vm_id"] for vm in status["vms"] if not vm["reachable"]]
+    if missing:
+        raise CommandError(
+            ExitCode.REFUSED,
+            "vms_unreachable",
+            f"Not reachable: {', '.join(missing)}. Nothing was written.",
+            vms=missing,
+        )
+
+
+def _wait(connection: Connection, version: int, wait: float) -> Confirmation:
+    context = connection.session.context
+    limit = context.monotonic() + wait
+    confirmation = Confirmation(version, (), {})
+    while True:
+        confirmation = _poll(connection, confirmation)
+        vms, missing = confirmation.vms, confirmation.unconfirmed
+        connection.session.progress.message = (
+            f"version {version} is in force on {len(vms) - len(missing)} of "
+            f"{len(vms)} VMs"
+        )
+        if vms and not missing:
+            return confirmation
+        remaining = limit - context.monotonic()
+        if remaining <= 0:
+            return confirmation
+        context.sleep(min(POLL_PERIOD, remaining))
+
+
+def _poll(connection: Connection, last: Confirmation) -> Confirmation:
+    """Asks every address, because a zone that is cut off speaks for itself."""
+    replies = [
+        connection.send(address, "GET", "/v1/status")
+        for address in connection.addresses
+    ]
+    views = [
+        r.body for r in replies if isinstance(r, Reply) and r.status == 200
+    ]
+    if not views:
+        return last
+    vms: dict[str, dict[str, Any]] = {}
+    for view in views:
+        for vm in view["vms"]:
+            known = vms.get(vm["vm_id"], vm)
+            vms[vm["vm_id"]] = max(
+                known, vm, key=lambda v: v["configuration_version"]
+            )
+    newest = max(
+        (view["configuration"] for view in views), key=lambda c: c["version"]
+    )
+    ordered = tuple(vms[vm_id] for vm_id in sorted(vms))
+    return Confirmation(last.version, ordered, newest)
+
+
+def _report(accepted: dict[str, Any], confirmation: Confirmation) -> Report:
+    missing = confirmation.unconfirmed
+    everywhere = bool(confirmation.vms) and not missing
+    value = {
+        "accepted": accepted,
+        "in_force_everywhere": everywhere,
+        "unconfirmed": missing,
+        "vms": list(confirmation.vms),
+    }
+    lines = [
+        f"Accepted as version {accepted['version']}, preset "
+        f"{accepted['preset']}, by {accepted['author']} (operation "
+        f"{accepted['operation']})."
+    ]
+    newer = confirmation.newest
+    if newer and newer["version"] > accepted["version"]:
+        lines.append(
+            f"Replaced since by version {newer['version']}, preset "
+            f"{newer['preset']}, by {newer['author']}."
+        )
+    if confirmation.vms:
+        lines.append(_vm_table(confirmation))
+        count = len(confirmation.vms)
+        lines.append(f"In force on {count - len(missing)} of {count} VMs.")
+    else:
+        lines.append("No VM could be asked whether it is in force.")
+    if missing:
+        lines.append(f"Not confirmed: {', '.join(missing)}.")
+    code = ExitCode.DONE if everywhere else ExitCode.NOT_IN_FORCE
+    return Report(value, "\n".join(lines), code)
+
+
+def _vm_table(confirmation: Confirmation) -> str:
+    missing = set(confirmation.unconfirmed)
+    rows = []
+    for vm in confirmation.vms:
+        remark = "confirmed"
+        if vm["vm_id"] in missing:
+            remark = "not confirmed"
+            if not vm["reachable"]:
+                heard = format_age(vm["heartbeat_age_ms"])
+                remark += f", not reachable (last heard: {heard})"
+        rows.append(vm | {"remark": remark})
+    columns = {
+        "vm_id": "VM",
+        "zone": "ZONE",
+        "address": "ADDRESS",
+        "configuration_version": "IN FORCE",
+        "remark": "STATE",
+    }
+    return format_table(columns, rows)
--- /dev/null
+++ b/anvilford/cli/_jobs.py
@@ -0,0 +1,148 @@
+"""`anvilctl job run`: submits one job as a caller."""
+
+import argparse
+import itertools
+import json
+import urllib.parse
+from typing import Any
+
+from anvilford.cli._connection import connect
+from anvilford.cli._connection import Connection
+from anvilford.cli._connection import NotSent
+from anvilford.cli._connection import read_json
+from anvilford.cli._connection import refused
+from anvilford.cli._connection import Reply
+from anvilford.cli._connection import usage_error
+from anvilford.cli._context import CommandError
+from anvilford.cli._context import ExitCode
+from anvilford.cli._context import Session
+from anvilford.cli._output import format_table
+from anvilford.cli._output import Report
+
+PAUSE = 0.2
+ROUNDS = 3
+
+# Time beyond the job's deadline for repeated requests.
+EXTRA_WAIT = 10.0
+
+_EXIT_CODES = {
+    "complete": ExitCode.DONE,
+    "conflict": ExitCode.CONFLICT,
+    "outcome_unknown": ExitCode.UNKNOWN,
+}
+
+
+def run_job(arguments: argparse.Namespace, session: Session) -> Report:
+    """Runs `anvilctl job run`."""
+    job = read_json(arguments.file)
+    deadline_ms = job.get("deadline_ms") if isinstance(job, dict) else None
+    if not isinstance(deadline_ms, int):
+        raise usage_error(f"{arguments.file}: deadline_ms must be an integer.")
+    connection = connect(arguments, session, callers=True)
+    wait = arguments.wait
+    if wait is None:
+        wait = deadline_ms / 1000 + EXTRA_WAIT
+    submission_id = arguments.id or _take_id(connection)
+    session.progress.message = f"waiting for the answer to {submission_id}"
+    reply = _submit(connection, submission_id, job, wait)
+    return _report(submission_id, reply)
+
+
+def _take_id(connection: Connection) -> str:
+    """Takes an id; one whose answer is lost stays unused."""
+    refusal = None
+    for address in connection.addresses:
+        reply = connection.send(
+            address, "POST", "/v1/submission-ids?count=1", body={}
+        )
+        match reply:
+            case Reply(200 | 201, {"ids": [str() as submission_id, *_]}):
+                return submission_id
+            case Reply(status):
+                refusal = reply
+                if status < 500:
+                    break
+    raise refused(refusal) if refusal else connection.unreachable()
+
+
+def _submit(
+    connection: Connection, submission_id: str, job: Any, wait: float
+) -> Reply:
+    """Sends the job until there is a final answer.
+
+    Every request carries the same id, so the job starts at most once however
+    often it is sent.
+
+    Args:
+        connection: Callers' listeners.
+        submission_id: Id of the submission.
+        job: The job.
+        wait: Limit in seconds.
+
+    Returns:
+        The final answer; `outcome_unknown` if only such answers came.
+
+    Raises:
+        CommandError: No final answer came within the limit.
+    """
+    context = connection.session.context
+    limit = context.monotonic() + wait
+    path = f"/v1/submissions/{urllib.parse.quote(submission_id, safe='~:')}"
+    unknown = None
+    sent = False
+    fruitless = 0
+    for address in itertools.cycle(connection.addresses):
+        remaining = limit - context.monotonic()
+        if remaining <= 0 or fruitless >= ROUNDS * len(connection.addresses):
+            break
+        reply = connection.send(
+            address, "PUT", path, job, read_timeout=remaining
+        )
+        sent = sent or not isinstance(reply, NotSent)
+        if isinstance(reply, Reply):
+            outcome = reply.body.get("outcome")
+            if outcome == "pending":
+                fruitless = 0
+                continue
+            if outcome != "outcome_unknown" and (outcome or reply.status < 500):
+                return reply
+            unknown = reply if outcome else unknown
+        # Another entry may know more, or the same one a little later.
+        fruitless += 1
+        context.sleep(PAUSE)
+    if unknown is not None:
+        return unknown
+    if not sent:
+        raise connection.unreachable()
+    raise CommandError(
+        ExitCode.UNKNOWN,
+        "outcome_unknown",
+        f"No answer in time. Ask again with --id {submission_id}.",
+        id=submission_id,
+    )
+
+
+def _report(submission_id: str, reply: Reply) -> Report:
+    answer = reply.body
+    outcome = answer.get("outcome") or answer.get("type", "refused")
+    value = {"id": submission_id, "status": reply.status, "answer": answer}
+    lines = [f"Submission {submission_id}: {outcome}"]
+    lines += [
+        f"{key}: {answer[key]}"
+        for key in ("type", "reason", "message", "retry_id")
+        if answer.get(key)
+    ]
+    if "results" in answer:
+        rows = [
+            {"task": index, "result": json.dumps(result)}
+            for index, result in enumerate(answer["results"])
+        ]
+        lines.append(format_table({"task": "TASK", "result": "RESULT"}, rows))
+    elif answer.get("tasks"):
+        rows = [
+            {"task": index, "state": state}
+            for index, state in enumerate(answer["tasks"])
+        ]
+        lines.append(format_table({"task": "TASK", "state": "STATE"}, rows))
+    code = _EXIT_CODES.get(outcome, ExitCode.REFUSED)
+    return Report(value, "\n".join(lines), code)
--- /dev/null
+++ b/anvilford/cli/_views.py
@@ -0,0 +1,114 @@
+"""Commands that show the state of an entry, and operator marks."""
+
+import argparse
+import json
+
+from anvilford.cli._connection import connect
+from anvilford.cli._context import Session
+from anvilford.cli._output import format_age
+from anvilford.cli._output import format_table
+from anvilford.cli._output import Report
+
+
+def status(arguments: argparse.Namespace, session: Session) -> Report:
+    """Runs `anvilctl status`."""
+    value = connect(arguments, session).read("/v1/status")
+    entry, row = value["entry"], value["configuration"]
+    state = "draining" if entry["draining"] else "ready"
+    if not entry["ready"]:
+        state = "not ready"
+    in_force = "none yet"
+    if row["version"]:
+        in_force = (
+            f"version {row['version']}, preset {row['preset']}, "
+            f"by {row['author']}"
+        )
+    store = "reachable" if value["store"]["reachable"] else "NOT reachable"
+    lines = [
+        f"Entry {entry['address']} in {entry['zone']}: {state}",
+        f"Configuration: {in_force}",
+        f"Store: {store}",
+        format_table(
+            {
+                "vm_id": "VM",
+                "zone": "ZONE",
+                "address": "ADDRESS",
+                "heard": "HEARD",
+                "configuration_version": "VERSION",
+                "reachable": "REACHABLE",
+                "draining": "DRAINING",
+            },
+            [
+                vm | {"heard": format_age(vm["heartbeat_age_ms"])}
+                for vm in value["vms"]
+            ],
+        ),
+    ]
+    return Report(value, "\n".join(lines))
+
+
+def targets(arguments: argparse.Namespace, session: Session) -> Report:
+    """Runs `anvilctl targets`."""
+    value = connect(arguments, session).read("/v1/targets")
+    columns = {
+        "vm_id": "VM",
+        "zone": "ZONE",
+        "address": "ADDRESS",
+        "service": "SERVICE",
+        "state": "STATE",
+        "drained": "DRAINED",
+        "ejected": "EJECTED",
+        "running": "RUNNING",
+        "slots": "SLOTS",
+    }
+    return Report(value, format_table(columns, value["targets"]))
+
+
+def submissions(arguments: argparse.Namespace, session: Session) -> Report:
+    """Runs `anvilctl submissions`."""
+    path = f"/v1/submissions?limit={arguments.limit}"
+    value = connect(arguments, session).read(path)
+    rows = [
+        row | {"age": format_age(row["age_ms"])} for row in value["submissions"]
+    ]
+    columns = {
+        "id": "ID",
+        "caller": "CALLER",
+        "service": "SERVICE",
+        "state": "STATE",
+        "tasks": "TASKS",
+        "age": "AGE",
+    }
+    text = format_table(columns, rows)
+    return Report(value, f"{text}\n{len(rows)} of {value['total']} shown")
+
+
+def mark_target(arguments: argparse.Namespace, session: Session) -> Report:
+    """Runs `anvilctl target drain|resume`."""
+    path = f"/v1/targets/{arguments.vm_id}/{arguments.action}"
+    value = connect(arguments, session).write("POST", path)
+    effect = "gets no new work" if value["drained"] else "may get new work"
+    return Report(value, f"Target {value['vm_id']} {effect}.")
+
+
+def trace(arguments: argparse.Namespace, session: Session) -> Report:
+    """Runs `anvilctl trace`."""
+    path = f"/v1/traces/{arguments.trace_id}"
+    value = connect(arguments, session).read(path)
+    rows = [
+        span
+        | {
+            "attributes": " ".join(
+                f"{key}={json.dumps(item)}"
+                for key, item in sorted(span["attributes"].items())
+            )
+        }
+        for span in value["spans"]
+    ]
+    columns = {
+        "start_ms": "START MS",
+        "duration_ms": "DURATION MS",
+        "name": "SPAN",
+        "attributes": "ATTRIBUTES",
+    }
+    return Report(value, format_table(columns, rows))
--- a/anvilford/http/_operator_port.py
+++ b/anvilford/http/_operator_port.py
@@ -108,6 +108,8 @@
             "draining"}]}`. The VMs include the answering one.
             `heartbeat_age_ms` is None and `configuration_version` 0 for a VM
             that was never heard of. `reachable` is False for a suspect VM.
+            Before the first configuration its version is 0 and its other
+            values are None.
         """
         ...
 
