--- a/anvilford/cli/_connection.py
+++ b/anvilford/cli/_connection.py
@@ -93,18 +93,13 @@
         Returns:
             The reply, or what is known if there is none.
         """
-        sent_headers = {"Authorization": f"Bearer {self.token}"}
-        sent_headers |= headers or {}
-        encoded = None
-        if body is not None:
-            encoded = json.dumps(body).encode()
-            sent_headers["Content-Type"] = "application/json"
+        authorization = {"Authorization": f"Bearer {self.token}"}
         try:
             response = self.session.pool.request(
                 method,
                 f"http://{address}{path}",
-                body=encoded,
-                headers=sent_headers,
+                json=body,
+                headers=authorization | dict(headers or {}),
                 timeout=urllib3.Timeout(
                     connect=CONNECT_TIMEOUT, read=max(read_timeout, 0.1)
                 ),
--- a/anvilford/cli/_jobs.py
+++ b/anvilford/cli/_jobs.py
@@ -99,14 +99,14 @@
             address, "PUT", path, job, read_timeout=remaining
         )
         sent = sent or not isinstance(reply, NotSent)
-        if isinstance(reply, Reply):
-            outcome = reply.body.get("outcome")
-            if outcome == "pending":
+        match reply:
+            case Reply(body={"outcome": "pending"}):
                 fruitless = 0
                 continue
-            if outcome != "outcome_unknown" and (outcome or reply.status < 500):
+            case Reply(body={"outcome": "outcome_unknown"}):
+                unknown = reply
+            case Reply(status, body) if "outcome" in body or status < 500:
                 return reply
-            unknown = reply if outcome else unknown
         # Another entry may know more, or the same one a little later.
         fruitless += 1
         context.sleep(PAUSE)
@@ -114,7 +114,11 @@
         return unknown
     if not sent:
         raise connection.unreachable()
-    raise CommandError(
+    raise _no_answer(submission_id)
+
+
+def _no_answer(submission_id: str) -> CommandError:
+    return CommandError(
         ExitCode.UNKNOWN,
         "outcome_unknown",
         f"No answer in time. Ask again with --id {submission_id}.",
--- a/anvilford/settings/_checks.py
+++ b/anvilford/settings/_checks.py
@@ -86,9 +86,18 @@
 
 
 def _check_pairs(settings: Settings) -> Iterator[SettingsFailure]:
+    for holds, paths, allowed in _pair_rules(settings):
+        if not holds:
+            found = {path: _value(settings, path) for path in paths}
+            yield InvalidCombination(paths[0], paths[1:], found, allowed)
+
+
+def _pair_rules(
+    settings: Settings,
+) -> tuple[tuple[bool, tuple[str, str], str], ...]:
     peers, targets = settings.peers, settings.targets
     connections = targets.connections_home + targets.connections_remote
-    rules = (
+    return (
         (
             peers.suspect_ms >= GOSSIP_ROUNDS_BEFORE_SUSPECT * peers.gossip_ms,
             ("peers/suspect_ms", "peers/gossip_ms"),
@@ -123,10 +132,6 @@
             "retention bytes not below the largest response",
         ),
     )
-    for holds, paths, allowed in rules:
-        if not holds:
-            found = {path: _value(settings, path) for path in paths}
-            yield InvalidCombination(paths[0], paths[1:], found, allowed)
 
 
 def _value(settings: Settings, path: str) -> int:
