--- a/anvilford/scheduling/_attempts.py
+++ b/anvilford/scheduling/_attempts.py
@@ -105,6 +105,9 @@
         self.long_running -= attempt.long
         target = self.targets[attempt.target_id]
         target.in_use -= 1
+        if not isinstance(outcome, AttemptNotStarted):
+            # A slot has just become free there.
+            target.paused_until = now
         if attempt.probe:
             target.probing = False
         match outcome:
--- a/anvilford/scheduling/_placement.py
+++ b/anvilford/scheduling/_placement.py
@@ -55,19 +55,24 @@
 
     def slots(self) -> int:
         """Returns how many slots take ordinary work."""
-        return sum(
-            target.view.slots
-            for target in self.targets.values()
-            if target.usable() and not target.ejected
-        )
+        return sum(target.view.slots for target in self._counted())
 
     def capacity(self) -> float:
         """Returns seconds of ordinary work done per second at full use."""
         return sum(
-            target.view.slots / target.slowness
+            target.view.slots / target.slowness for target in self._counted()
+        )
+
+    def _counted(self) -> list[Target]:
+        # Slots in other zones are shared with their own entries and may all
+        # be busy, so they count only when the own zone has none.
+        usable = [
+            target
             for target in self.targets.values()
             if target.usable() and not target.ejected
-        )
+        ]
+        home = [t for t in usable if t.view.zone == self.zone]
+        return home or usable
 
     def probe(self, now: float) -> Target | None:
         """Returns an ejected target that is due for a probe."""
