Admit jobs by start order and offered work

Cause: the predicted wait counted all queued work, so short jobs were refused behind long ones, and at the peak the queue displaced small jobs. Change: only work that starts before the job in its lane counts, and the wait is limited while jobs of the same size or smaller offer more than the capacity.

--- a/anvilford/experiments/_report.py
+++ b/anvilford/experiments/_report.py
@@ -11,7 +11,7 @@
 
 _COLUMNS = {
     "slowdown": ("p99", "p99.9", "in_time", "waste"),
-    "slowdown_ratio": ("p99.9", "reference_p99.9", "ratio", "in_time"),
+    "slowdown_ratio": ("p99.9", "reference_p99.9", "ratio", "in_time", "waste"),
     "peak": (
         "worst_second_of_bound",
         "peak_of_bound",
@@ -19,7 +19,7 @@
         "recovery_s",
         "refusals_late",
     ),
-    "in_time": ("in_time", "in_time_total", "p99", "most_ejected"),
+    "in_time": ("in_time", "in_time_total", "p99", "most_ejected", "waste"),
 }
 
 
--- a/anvilford/scheduling/_attempts.py
+++ b/anvilford/scheduling/_attempts.py
@@ -107,7 +107,7 @@
         target.in_use -= 1
         if not isinstance(outcome, AttemptNotStarted):
             # A slot has just become free there.
-            target.paused_until = now
+            target.paused_until = 0.0
         if attempt.probe:
             target.probing = False
         match outcome:
--- a/anvilford/scheduling/_dispatcher.py
+++ b/anvilford/scheduling/_dispatcher.py
@@ -19,6 +19,7 @@
 from anvilford.scheduling import _admission
 from anvilford.scheduling._attempts import RunningAttempts
 from anvilford.scheduling._counters import DispatchCounters
+from anvilford.scheduling._demand import OfferedWork
 from anvilford.scheduling._effects import CancelAttempt
 from anvilford.scheduling._effects import DispatcherStats
 from anvilford.scheduling._effects import Effect
@@ -64,6 +65,7 @@
         self.rng = rng
         self.run_times = RunTimes()
         self.queue = JobQueue()
+        self.offered = OfferedWork()
         self.timers = Timers()
         self.targets: dict[str, Target] = {}
         self.placement = Placement(zone, self.targets, rng)
@@ -101,8 +103,7 @@
             forecast,
             self.policy,
             self.queue,
-            self.placement.slots(),
-            self.placement.capacity(),
+            self._backlog(job, forecast, now),
         )
         if refusal is not None:
             self.counters.refused += 1
@@ -232,6 +233,29 @@
         )
         return forecast, estimates
 
+    def _backlog(
+        self, job: JobSpec, forecast: _admission.JobForecast, now: float
+    ) -> _admission.Backlog:
+        slots = self.placement.slots()
+        capacity = self.placement.capacity()
+        lane = SHORT
+        free = max(1, slots - self.attempts.long_running)
+        if any(self._is_long(job, index) for index in (0, -1)):
+            lane = LONG
+            free = self._long_slots()
+        smaller, equal = self.offered.rates(forecast.work, now)
+        self.offered.observe(forecast.work, now)
+        service = self.policy.services.get(job.service)
+        weight = 1.0 if service is None else service.weight
+        order = self.queue.order_of(now, forecast.work, weight)
+        return _admission.Backlog(
+            slots=slots,
+            capacity=capacity * min(1.0, free / max(1, slots)),
+            ahead=self.queue.work_ahead(lane, order),
+            smaller=smaller,
+            equal=equal,
+        )
+
     def _enqueue(
         self,
         job_key: int,
@@ -261,19 +285,20 @@
         self.queue.enter(job)
 
     def _lane(self, job: Job, index: int) -> int:
-        long = self.run_times.is_long(
-            job.spec.service,
-            job.spec.tasks[index].operation,
-            self.policy.long_factor,
+        return LONG if self._is_long(job.spec, index) else SHORT
+
+    def _is_long(self, job: JobSpec, index: int) -> bool:
+        return self.run_times.is_long(
+            job.service, job.tasks[index].operation, self.policy.long_factor
         )
-        return LONG if long else SHORT
+
+    def _long_slots(self) -> int:
+        return max(1, int(self.policy.long_share * self.placement.slots()))
 
     def _start_tasks(self, now: float, effects: list[Effect]) -> None:
         if not self.queue.tasks:
             return
-        long_slots = max(
-            1, int(self.policy.long_share * self.placement.slots())
-        )
+        long_slots = self._long_slots()
         while True:
             lanes = (
                 (SHORT, LONG)
--- a/anvilford/scheduling/_jobs.py
+++ b/anvilford/scheduling/_jobs.py
@@ -36,7 +36,8 @@
         results: Result of each task that succeeded.
         pending: Indices of queued tasks by lane.
         entered: Whether the job has an entry in each lane's heap.
-        queued_work: Sum of `estimates` of queued tasks.
+        queued_work: Sum of `estimates` of queued tasks by lane.
+        placed: Where the queue sums up the job's work, by lane.
         avoid: Target that did not start a task, by task index.
         attempts: Running attempts by id.
         unfinished: Number of tasks that have not succeeded.
@@ -58,7 +59,8 @@
         lambda: (deque(), deque())
     )
     entered: list[bool] = attrs.Factory(lambda: [False, False])
-    queued_work: float = 0.0
+    queued_work: list[float] = attrs.Factory(lambda: [0.0, 0.0])
+    placed: list[tuple[int, float] | None] = attrs.Factory(lambda: [None, None])
     avoid: dict[int, str] = attrs.Factory(dict)
     attempts: dict[str, "Attempt"] = attrs.Factory(dict)
     may_have_run: bool = False
--- a/anvilford/scheduling/_queue.py
+++ b/anvilford/scheduling/_queue.py
@@ -11,6 +11,8 @@
 # queued work takes on all slots: small and nearly finished jobs go first, and
 # large ones still advance with age.
 STRETCH = 10.0
+# Width of the buckets in which queued work is summed by start order.
+BUCKET_SECONDS = 0.1
 
 
 class JobQueue:
@@ -23,9 +25,10 @@
     def __init__(self):
         self.slots = 1
         self.tasks = 0
-        self.work = 0.0
         self.tasks_of_caller: dict[str, int] = {}
         self._lanes: tuple[list, list] = ([], [])
+        # Queued work by lane and bucket of the start order.
+        self._buckets: tuple[dict[int, float], ...] = ({}, {})
         self._order = itertools.count()
 
     def add(self, job: Job, index: int, lane: int, first: bool = False) -> None:
@@ -34,12 +37,13 @@
             job.pending[lane].appendleft(index)
         else:
             job.pending[lane].append(index)
-        job.queued_work += job.estimates[index]
-        self._count(job, 1, job.estimates[index])
+        job.queued_work[lane] += job.estimates[index]
+        self._count(job, 1)
 
     def enter(self, job: Job) -> None:
         """Makes the job's queued tasks eligible, after the last `add`."""
         for lane in (SHORT, LONG):
+            self._place(job, lane)
             if job.pending[lane] and not job.entered[lane]:
                 job.entered[lane] = True
                 entry = (*self._key(job), next(self._order), job)
@@ -71,9 +75,9 @@
         heap = self._lanes[lane]
         job = heap[0][-1]
         index = job.pending[lane].popleft()
-        work = job.estimates[index]
-        job.queued_work = max(0.0, job.queued_work - work)
-        self._count(job, -1, -work)
+        job.queued_work[lane] -= job.estimates[index]
+        self._count(job, -1)
+        self._place(job, lane)
         if job.pending[lane]:
             entry = (*self._key(job), next(self._order), job)
             heapq.heapreplace(heap, entry)
@@ -84,18 +88,55 @@
 
     def drop(self, job: Job) -> None:
         """Removes all queued tasks of a job."""
-        self._count(job, -job.queued_tasks(), -job.queued_work)
-        job.queued_work = 0.0
+        self._count(job, -job.queued_tasks())
         for lane in (SHORT, LONG):
             job.pending[lane].clear()
+            self._place(job, lane)
+
+    def work_ahead(self, lane: int, order: float) -> float:
+        """Returns queued work of a lane that starts before `order`."""
+        last = int(order / BUCKET_SECONDS)
+        return sum(
+            work for key, work in self._buckets[lane].items() if key <= last
+        )
+
+    def order_of(self, submitted: float, work: float, weight: float) -> float:
+        """Returns the start order of a job, a time in seconds.
+
+        Args:
+            submitted: Loop time of submission.
+            work: Queued work in seconds.
+            weight: Weight of the service.
+        """
+        return submitted + STRETCH * work / (weight * self.slots)
+
+    def _order_of_job(self, job: Job) -> float:
+        work = job.queued_work[SHORT] + job.queued_work[LONG]
+        return self.order_of(job.submitted, work, job.service.weight)
 
     def _key(self, job: Job) -> tuple[int, float]:
-        work = job.queued_work / job.service.weight
-        return job.service.priority, job.submitted + STRETCH * work / self.slots
+        return job.service.priority, self._order_of_job(job)
+
+    def _place(self, job: Job, lane: int) -> None:
+        """Moves the job's queued work to its bucket."""
+        buckets = self._buckets[lane]
+        if job.placed[lane] is not None:
+            key, work = job.placed[lane]
+            job.placed[lane] = None
+            buckets[key] -= work
+            # Work is far above 1 microsecond; the rest is rounding.
+            if buckets[key] < 1e-6:
+                del buckets[key]
+        if job.pending[lane]:
+            work = max(job.queued_work[lane], 1e-5)
+            key = int(self._order_of_job(job) / BUCKET_SECONDS)
+            job.placed[lane] = (key, work)
+            buckets[key] = buckets.get(key, 0.0) + work
+        else:
+            job.queued_work[lane] = 0.0
 
-    def _count(self, job: Job, tasks: int, work: float) -> None:
+    def _count(self, job: Job, tasks: int) -> None:
         self.tasks += tasks
-        self.work = max(0.0, self.work + work) if self.tasks else 0.0
         held = self.tasks_of_caller.get(job.caller, 0) + tasks
         if held:
             self.tasks_of_caller[job.caller] = held
