--- /dev/null
+++ b/anvilford/platform/_operations.py
@@ -0,0 +1,173 @@
+"""Conditional writes whose outcome is settled even if the answer is lost."""
+
+import asyncio
+from typing import Any
+
+import attrs
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from anvilford.platform._client import PlatformClient
+from anvilford.platform._failures import PlatformFailure
+from anvilford.platform._failures import PlatformUnavailable
+from anvilford.platform._failures import VersionConflict
+from anvilford.platform._records import Row
+
+# Between attempts to settle a write; the platform answers in about 1 ms, and
+# most interruptions that end by themselves are longer than this.
+_PAUSE = 0.1
+
+
+@attrs.frozen
+class OperationAccepted:
+    """The write took effect.
+
+    Attributes:
+        version: Version that the write made.
+        current_version: Latest version seen; higher if a later write has
+            superseded this one.
+    """
+
+    version: int
+    current_version: int
+
+
+@attrs.frozen
+class OperationConflict:
+    """Another write came first; this one has no effect, now or later.
+
+    Attributes:
+        version: Version made by the other write, or the latest version if the
+            history does not reach back to it.
+        author: Author of that version, "" if not recorded.
+        current: The latest row, None if the row is missing.
+    """
+
+    version: int
+    author: str
+    current: Row | None
+
+
+@attrs.frozen
+class NotWritten:
+    """The platform could not be reached; the write has no effect.
+
+    Attributes:
+        failure: What the last call reported.
+    """
+
+    failure: PlatformFailure
+
+
+@attrs.frozen
+class Unresolved:
+    """The write may have taken effect, or may still do so.
+
+    Attributes:
+        failure: What the last call reported; None if the row's history no
+            longer shows which write made the version in question.
+    """
+
+    failure: PlatformFailure | None
+
+
+OperationFailure = OperationConflict | NotWritten | Unresolved
+
+
+async def write_with_operation(
+    client: PlatformClient,
+    key: str,
+    expected_version: int,
+    value: dict[str, Any],
+    operation_id: str,
+    attempts: int = 3,
+) -> Result[OperationAccepted, OperationFailure]:
+    """Writes a row under an operation id and settles a lost answer.
+
+    After a lost answer the row is read back. If it still has the expected
+    version, the lost write may be under way, so the same write is sent again:
+    of two conditional writes on one version at most one takes effect, and the
+    operation id in the history tells that it was this operation.
+
+    Args:
+        client: Client of the platform.
+        key: Key of the row.
+        expected_version: Version to replace; 0 creates the row.
+        value: JSON object. Its "history" is a list of objects with
+            "operation", "version" and optionally "author", newest last; the
+            last one describes this write.
+        operation_id: Unique id of this operation.
+        attempts: Most times that the write is sent.
+
+    Raises:
+        ValueError: The last entry of the history does not describe this write.
+    """
+    last = value["history"][-1]
+    if (last["operation"], last["version"]) != (
+        operation_id,
+        expected_version + 1,
+    ):
+        raise ValueError("the history must end with this operation")
+    may_be_written = False
+    failure = None
+    for attempt in range(attempts):
+        if attempt:
+            await asyncio.sleep(_PAUSE)
+        match await client.write_row(key, expected_version, value):
+            case Result(tag="ok", ok=row):
+                return Ok(OperationAccepted(row.version, row.version))
+            case Result(error=VersionConflict(row)):
+                return _settle(
+                    row, expected_version, operation_id, may_be_written
+                )
+            case Result(error=PlatformUnavailable(sent=False) as failure):
+                continue
+            case Result(error=failure):
+                may_be_written = True
+        match await client.read_row(key):
+            case Result(tag="ok", ok=row):
+                if _version(row) != expected_version:
+                    return _settle(row, expected_version, operation_id, True)
+            case Result(error=failure):
+                pass
+    if may_be_written:
+        return Error(Unresolved(failure))
+    return Error(NotWritten(failure))
+
+
+def _version(row: Row | None) -> int:
+    return 0 if row is None else row.version
+
+
+def _settle(
+    row: Row | None,
+    expected_version: int,
+    operation_id: str,
+    may_be_written: bool,
+) -> Result[OperationAccepted, OperationFailure]:
+    """Finds out from a row with another version whether a write was made."""
+    history = _history(row)
+    for entry in history:
+        if entry.get("operation") == operation_id:
+            version = entry.get("version", expected_version + 1)
+            return Ok(OperationAccepted(version, _version(row)))
+    made = [e for e in history if e.get("version") == expected_version + 1]
+    if not made and may_be_written:
+        return Error(Unresolved(None))
+    other = [*made, *history[-1:], {}][0]
+    return Error(
+        OperationConflict(
+            other.get("version", _version(row)),
+            str(other.get("author", "")),
+            row,
+        )
+    )
+
+
+def _history(row: Row | None) -> list[dict[str, Any]]:
+    value = row.value if row is not None else None
+    history = value.get("history") if isinstance(value, dict) else None
+    if not isinstance(history, list):
+        return []
+    return [entry for entry in history if isinstance(entry, dict)]
--- /dev/null
+++ b/anvilford/platform/tests/test_platform.py
@@ -0,0 +1,212 @@
+"""Tests of the platform client against the platform's double."""
+
+import asyncio
+import contextlib
+import time
+
+from anvilford.platform import BadPlatformResponse
+from anvilford.platform import NotWritten
+from anvilford.platform import OperationAccepted
+from anvilford.platform import OperationConflict
+from anvilford.platform import PlatformClient
+from anvilford.platform import PlatformSettings
+from anvilford.platform import PlatformTimeout
+from anvilford.platform import PlatformUnavailable
+from anvilford.platform import Row
+from anvilford.platform import Unresolved
+from anvilford.platform import VersionConflict
+from anvilford.platform import write_with_operation
+from anvilford.protocol import VmInfo
+from anvilford.protocol import VmRole
+from anvilford.protocol import VmState
+from standins import PlatformStandin
+from testkit import fixture
+from testkit import function_tests
+
+load_tests = function_tests(__name__)
+
+
+@fixture
+def platform():
+    """A platform without faults."""
+    with PlatformStandin("127.0.0.1:0") as standin:
+        yield standin
+
+
+def run(platform, use, client_class=PlatformClient, timeout_ms=150):
+    """Runs a coroutine function with a client."""
+    settings = PlatformSettings(platform.address, timeout_ms=timeout_ms)
+
+    async def start():
+        with client_class(settings) as client:
+            return await use(client)
+
+    return asyncio.run(start())
+
+
+def document(version, *earlier, operation="mine"):
+    """Makes a value whose history ends with the given version."""
+    entry = {"operation": operation, "version": version, "author": operation}
+    return {"history": [*earlier, entry]}
+
+
+def test_rows_and_objects_round_trip(case, platform):
+    """Guards against lost or reordered writes and untyped conflicts."""
+
+    async def use(client):
+        missing = await client.read_row("a/b")
+        written = await client.write_row("a/b", 0, {"x": "é"})
+        conflict = await client.write_row("a/b", 0, {"x": 2})
+        absent = await client.write_row("none", 3, {})
+        data = b"\x00\xff"
+        put = await client.put_object("o", data)
+        objects = [await client.get_object(key) for key in ("o", "none")]
+        return missing, written, conflict, absent, put, *objects
+
+    got = run(platform, use)
+    row = Row("a/b", 1, {"x": "é"})
+    case.assertEqual([r.ok for r in got[:2]], [None, row])
+    case.assertEqual(got[2].error, VersionConflict(row))
+    case.assertEqual(got[3].error, VersionConflict(None))
+    case.assertEqual([r.ok for r in got[4:]], [None, b"\x00\xff", None])
+
+
+def test_vm_list_is_typed(case, platform):
+    """Guards against a VM that seems removed since its entry is malformed."""
+    platform.put_vm("e1", "entry", "z1", "127.0.0.1:1")
+    platform.put_vm("t1", "target", "z2", "127.0.0.1:2", "leaving", "svc")
+    listed = run(platform, lambda client: client.list_vms()).ok
+    case.assertEqual(
+        listed.vms,
+        (
+            VmInfo("e1", VmRole.ENTRY, "z1", "127.0.0.1:1", "", VmState.LIVE),
+            VmInfo(
+                "t1", VmRole.TARGET, "z2", "127.0.0.1:2", "svc", VmState.LEAVING
+            ),
+        ),
+    )
+    case.assertEqual(listed.revision, 2)
+    for bad in (
+        ("t2", "other", "z", "127.0.0.1:1"),
+        ("t2", "target", "z", "nowhere"),
+        ("t2", "target", "z", "127.0.0.1:1", "gone"),
+        ("t2", "target", None, "127.0.0.1:1"),
+    ):
+        platform.put_vm(*bad)
+        result = run(platform, lambda client: client.list_vms())
+        case.assertIsInstance(result.error, BadPlatformResponse, bad)
+
+
+def test_faults_give_typed_failures_in_time(case, platform):
+    """Guards against exceptions and waits while the platform is down."""
+    platform.rows["bad"] = ("not a version", {})
+    table = [
+        ({"outage": True}, "k", PlatformUnavailable(True)),
+        ({"slow_ms": 400}, "k", PlatformTimeout()),
+        ({}, "bad", BadPlatformResponse(200, "a version")),
+    ]
+    for faults, key, expected in table:
+        platform.set_faults(outage=False, slow_ms=0)
+        platform.set_faults(**faults)
+        started = time.monotonic()
+        result = run(platform, lambda client, key=key: client.read_row(key))
+        case.assertEqual(result.error, expected)
+        case.assertLess(time.monotonic() - started, 0.35)
+
+
+def test_unreachable_platform_proves_that_nothing_was_written(case):
+    """Guards against an operator told `unresolved` without need."""
+    with PlatformStandin("127.0.0.1:0") as platform:
+        pass
+
+    async def use(client):
+        write = await client.write_row("k", 0, {})
+        return write, await write_with_operation(
+            client, "k", 0, document(1), "mine", attempts=2
+        )
+
+    write, operation = run(platform, use)
+    case.assertEqual(write.error, PlatformUnavailable(False))
+    case.assertEqual(operation.error, NotWritten(PlatformUnavailable(False)))
+
+
+def test_slow_reads_do_not_delay_writes(case, platform):
+    """Guards against a configuration change that waits behind polls."""
+
+    async def use(client):
+        platform.set_faults(slow_ms=300)
+        reads = [asyncio.create_task(client.read_row("k")) for _ in range(4)]
+        await asyncio.sleep(0.05)
+        platform.set_faults(slow_ms=0)
+        started = time.monotonic()
+        write = await client.write_row("k", 0, 1)
+        taken = time.monotonic() - started
+        return write, taken, await asyncio.gather(*reads)
+
+    write, taken, reads = run(platform, use)
+    case.assertEqual(write.ok, Row("k", 1, 1))
+    case.assertLess(taken, 0.1)
+    case.assertEqual({str(read.error) for read in reads}, {"PlatformTimeout()"})
+
+
+class RacedClient(PlatformClient):
+    """Lets another operator write before the row is read back."""
+
+    async def read_row(self, key):
+        """Reads a row after the other operator's write."""
+        version, value = self.platform.rows.get(key, (0, {"history": []}))
+        other = {
+            "operation": "other",
+            "version": version + 1,
+            "author": "other",
+        }
+        kept = value["history"][-1:] if self.keep else []
+        self.platform.rows[key] = (version + 1, {"history": [*kept, other]})
+        return await super().read_row(key)
+
+
+def test_operations_settle(case, platform):
+    """Guards against a change that is reported wrongly or applied twice."""
+    theirs = document(1, operation="other")
+    late = {"slow_ms": 220}
+    table = [
+        ({}, None, None, OperationAccepted(1, 1)),
+        ({"lose_answers": 1}, None, None, OperationAccepted(1, 1)),
+        ({"lose_answers": 1}, None, True, OperationAccepted(1, 2)),
+        ({"lose_answers": 1}, None, False, Unresolved(None)),
+        (late, None, None, OperationAccepted(1, 1)),
+        ({"outage": True}, None, True, Unresolved(PlatformUnavailable(True))),
+        ({}, theirs, None, OperationConflict(1, "other", Row("k6", 1, theirs))),
+    ]
+    for index, (faults, existing, keep, expected) in enumerate(table):
+        key = f"k{index}"
+        if existing is not None:
+            platform.rows[key] = (1, existing)
+        RacedClient.platform, RacedClient.keep = platform, keep
+        platform.set_faults(outage=False, slow_ms=0, lose_answers=False)
+        platform.set_faults(**faults)
+
+        async def use(client, key=key, faults=faults):
+            if faults is late:
+                loop = asyncio.get_running_loop()
+                loop.call_later(0.2, lambda: platform.set_faults(slow_ms=0))
+            return await write_with_operation(
+                client, key, 0, document(1), "mine"
+            )
+
+        client_class = PlatformClient if keep is None else RacedClient
+        result = run(platform, use, client_class)
+        got = result.ok if result.is_ok() else result.error
+        case.assertEqual(got, expected, (index, faults))
+
+
+def test_operation_must_describe_itself(case, platform):
+    """Guards against a write whose lost answer could never be settled."""
+
+    async def use(client):
+        with contextlib.suppress(ValueError):
+            await write_with_operation(client, "k", 0, document(2), "mine")
+            case.fail("accepted")
+
+    run(platform, use)
+    case.assertEqual(platform.rows, {})
