--- a/anvilford/targets/tests/test_client.py
+++ b/anvilford/targets/tests/test_client.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+import random
 import socket
 import struct
 import threading
@@ -364,3 +365,57 @@
     # A blocked loop would show the 100 ms of a task; 60 ms allows for noise.
     case.assertLess(gap, 0.06)
     case.assertLessEqual(target.stats()["max_open_connections"], 4)
+
+
+def test_outcomes_agree_with_the_targets_log(case):
+    """Guards against a wrong proof when targets crash during calls."""
+    rng = random.Random(7)
+    settings = attrs.evolve(SETTINGS, idle_ms=30, connect_timeout_ms=100)
+    outcomes = {}
+    logs = []
+
+    async def call(client, caller, address, end):
+        while time.monotonic() < end:
+            now = time.monotonic()
+            attempt = Attempt(
+                address,
+                now + rng.choice((0.02, 0.05, 0.3)),
+                {"run_ms": rng.choice((0, 5, 40))},
+                f"{caller}/{len(outcomes)}",
+            )
+            running = asyncio.create_task(client.start(attempt, 5000, ""))
+            if rng.random() < 0.2:
+                await asyncio.sleep(rng.random() * 0.02)
+                await client.cancel(attempt)
+            outcomes[attempt.attempt_id] = await running
+            case.assertLess(time.monotonic(), attempt.deadline + 0.5)
+            await asyncio.sleep(rng.random() * rng.choice((0, 0.05)))
+
+    async def crash(target, end):
+        while time.monotonic() < end:
+            with target:
+                await asyncio.sleep(rng.random() * 0.2)
+                target.set_faults(drop_after_start=rng.random() < 0.3)
+                await asyncio.sleep(rng.random() * 0.1)
+            logs.extend(target.log)
+            target = TargetStandin(target.address)
+            await asyncio.sleep(rng.random() * 0.03)
+
+    async def start(target):
+        end = time.monotonic() + 1.5
+        with TargetClient(settings, lambda _: 12) as client:
+            calls = (call(client, i, target.address, end) for i in range(14))
+            await asyncio.gather(crash(target, end), *calls)
+
+    with TargetStandin("127.0.0.1:0") as first:
+        pass
+    asyncio.run(start(first))
+    started = [entry.attempt for entry in logs]
+    case.assertEqual(len(started), len(set(started)))
+    for attempt_id, outcome in outcomes.items():
+        if isinstance(outcome, AttemptNotStarted):
+            case.assertNotIn(attempt_id, started, outcome)
+        if isinstance(outcome, (AttemptSucceeded, AttemptFailed)):
+            case.assertIn(attempt_id, started, outcome)
+    kinds = {type(outcome) for outcome in outcomes.values()}
+    case.assertGreaterEqual(len(kinds), 3, kinds)
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements over real sockets."""
--- /dev/null
+++ b/benchmarks/_http.py
@@ -0,0 +1,216 @@
+"""Keep-alive HTTP client on asyncio for load generation.
+
+Threads would disturb the measured times at 256 connections, so this does not
+use the product's client. It counts what a caller would notice.
+"""
+
+import asyncio
+import contextlib
+import json
+from typing import Any
+
+import attrs
+
+HEADER_BYTES = 64 * 1024
+# What reading or writing raises when the connection ends or sends no HTTP.
+_ENDED = (EOFError, OSError, ValueError, asyncio.LimitOverrunError)
+
+
+class ConnectionLostError(Exception):
+    """The connection ended after a request was sent, before its answer."""
+
+
+class ConnectError(Exception):
+    """No connection could be established."""
+
+
+@attrs.frozen
+class Reply:
+    """One answer.
+
+    Attributes:
+        status: HTTP status.
+        body: Whole body.
+    """
+
+    status: int
+    body: bytes
+
+    def json(self) -> Any:
+        """Decodes the body; None if it is not JSON."""
+        try:
+            return json.loads(self.body)
+        except ValueError:
+            return None
+
+
+@attrs.define
+class ConnectionCounts:
+    """Events on the connections to one address.
+
+    Attributes:
+        opened: Connections established.
+        refused: Connections that could not be established.
+        idle_closes: Idle connections that the server closed.
+        resets: Connections that ended while a request was under way.
+        timeouts: Requests given up by the client.
+    """
+
+    opened: int = 0
+    refused: int = 0
+    idle_closes: int = 0
+    resets: int = 0
+    timeouts: int = 0
+
+
+Stream = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+
+
+class Connections:
+    """Keep-alive connections to one address; an async context manager.
+
+    Attributes:
+        address: "IP:port".
+        limit: Most connections; further requests wait.
+        counts: Events so far.
+    """
+
+    def __init__(self, address: str, limit: int):
+        self.address = address
+        self.limit = limit
+        self.counts = ConnectionCounts()
+        self._idle: list[Stream] = []
+
+    async def __aenter__(self) -> "Connections":
+        self._free = asyncio.Semaphore(self.limit)
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        for _, writer in self._idle:
+            writer.close()
+        for _, writer in self._idle:
+            with contextlib.suppress(OSError):
+                await writer.wait_closed()
+        self._idle.clear()
+
+    async def open_all(self) -> None:
+        """Opens as many connections as allowed, before the measurement."""
+        streams = await asyncio.gather(
+            *(self._open() for _ in range(self.limit))
+        )
+        self._idle.extend(streams)
+
+    async def request(
+        self,
+        method: str,
+        path: str,
+        headers: dict[str, str],
+        document: Any,
+        timeout: float,
+    ) -> Reply:
+        """Sends one request and returns the answer.
+
+        Args:
+            method: HTTP method.
+            path: Path and query, encoded.
+            headers: Headers other than the length.
+            document: JSON value of the body.
+            timeout: Seconds, including the wait for a connection.
+
+        Raises:
+            ConnectError: No connection; nothing was sent.
+            ConnectionLostError: The connection ended early.
+            TimeoutError: No answer in time.
+        """
+        message = self._encode(method, path, headers, document)
+        try:
+            async with asyncio.timeout(timeout), self._free:
+                return await self._exchange(message)
+        except TimeoutError:
+            self.counts.timeouts += 1
+            raise
+
+    def _encode(
+        self, method: str, path: str, headers: dict[str, str], document: Any
+    ) -> bytes:
+        body = json.dumps(document, separators=(",", ":")).encode()
+        lines = [
+            f"{method} {path} HTTP/1.1",
+            f"Host: {self.address}",
+            "Content-Type: application/json",
+            f"Content-Length: {len(body)}",
+            *(f"{name}: {value}" for name, value in headers.items()),
+        ]
+        return "\r\n".join([*lines, "", ""]).encode() + body
+
+    async def _exchange(self, message: bytes) -> Reply:
+        reader, writer = await self._take()
+        kept = False
+        try:
+            writer.write(message)
+            await writer.drain()
+            reply, kept = await _read_reply(reader)
+            return reply
+        except _ENDED as error:
+            # TimeoutError is an OSError; it is not the connection's end.
+            if isinstance(error, TimeoutError):
+                raise
+            self.counts.resets += 1
+            raise ConnectionLostError from error
+        finally:
+            if kept:
+                self._idle.append((reader, writer))
+            else:
+                writer.transport.abort()
+
+    async def _take(self) -> Stream:
+        while self._idle:
+            reader, writer = self._idle.pop()
+            if not reader.at_eof() and not writer.is_closing():
+                return reader, writer
+            self.counts.idle_closes += 1
+            writer.close()
+        return await self._open()
+
+    async def _open(self) -> Stream:
+        host, _, port = self.address.rpartition(":")
+        try:
+            stream = await asyncio.open_connection(
+                host, int(port), limit=HEADER_BYTES
+            )
+        except OSError as error:
+            if isinstance(error, TimeoutError):
+                raise
+            self.counts.refused += 1
+            raise ConnectError from error
+        self.counts.opened += 1
+        return stream
+
+
+async def _read_reply(reader: asyncio.StreamReader) -> tuple[Reply, bool]:
+    """Reads an answer; the second value tells whether to keep the connection."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    status_line, *lines = head.rstrip("\r\n").split("\r\n")
+    status = int(status_line.split(" ")[1])
+    headers = {}
+    for line in lines:
+        name, _, value = line.partition(":")
+        headers[name.strip().lower()] = value.strip().lower()
+    kept = headers.get("connection") != "close"
+    if headers.get("transfer-encoding") == "chunked":
+        return Reply(status, await _read_chunks(reader)), kept
+    if "content-length" in headers:
+        length = int(headers["content-length"])
+        return Reply(status, await reader.readexactly(length)), kept
+    return Reply(status, await reader.read()), False
+
+
+async def _read_chunks(reader: asyncio.StreamReader) -> bytes:
+    chunks = []
+    while True:
+        line = await reader.readuntil(b"\r\n")
+        size = int(line.split(b";")[0], 16)
+        chunks.append(await reader.readexactly(size))
+        await reader.readuntil(b"\r\n")
+        if size == 0:
+            return b"".join(chunks)
--- /dev/null
+++ b/benchmarks/_jobs.py
@@ -0,0 +1,243 @@
+"""Jobs sent to entry daemons, and the same work sent directly to a target."""
+
+import argparse
+import asyncio
+import collections
+import itertools
+import random
+import urllib.parse
+from typing import Any
+
+import attrs
+
+from benchmarks._http import ConnectError
+from benchmarks._http import ConnectionLostError
+from benchmarks._http import Connections
+from benchmarks._http import Reply
+from benchmarks._measures import Measures
+
+ID_BATCH = 64
+# Callers wait a little longer than the deadline, at which the answer is due.
+PATIENCE_SECONDS = 1.0
+# A job is sent again under its id when its answer was lost, as callers do.
+SUBMISSIONS = 2
+
+
+@attrs.frozen
+class JobPlan:
+    """One job to send.
+
+    Attributes:
+        run_ms: Run time of each of its tasks.
+        tasks: Number of tasks.
+        is_long: Whether it is one of the long jobs.
+    """
+
+    run_ms: float
+    tasks: int
+    is_long: bool
+
+    @property
+    def kind(self) -> str:
+        """Key of the latency histogram for complete answers."""
+        return "complete_long" if self.is_long else "complete_short"
+
+
+def plan_job(arguments: argparse.Namespace, rng: random.Random) -> JobPlan:
+    """Draws the next job."""
+    is_long = rng.random() < arguments.long_share
+    factor = arguments.long_factor if is_long else 1.0
+    return JobPlan(arguments.run_ms * factor, arguments.tasks, is_long)
+
+
+class EntryJobs:
+    """Submits jobs to entry daemons in turn.
+
+    Attributes:
+        entries: Connections to each daemon's callers' listener.
+        token: Bearer token.
+        service: Service named in the jobs.
+        operation: Operation named in the tasks.
+        deadline_ms: Deadline of the jobs.
+        measures: What was seen.
+    """
+
+    def __init__(
+        self,
+        entries: list[Connections],
+        token: str,
+        service: str,
+        operation: str,
+        deadline_ms: int,
+        measures: Measures,
+    ):
+        self.entries = entries
+        self.token = token
+        self.service = service
+        self.operation = operation
+        self.deadline_ms = deadline_ms
+        self.measures = measures
+        self._sequence = itertools.count()
+        self._ids = [collections.deque() for _ in entries]
+        self._locks = [asyncio.Lock() for _ in entries]
+
+    @property
+    def timeout(self) -> float:
+        """Seconds that a caller waits for an answer."""
+        return self.deadline_ms / 1000 + PATIENCE_SECONDS
+
+    async def run(self, plan: JobPlan, arrival: float) -> None:
+        """Submits one job and records what came of it."""
+        loop = asyncio.get_running_loop()
+        number = next(self._sequence)
+        index = number % len(self.entries)
+        self.measures.sent += 1
+        submission_id = await self._take_id(index)
+        if submission_id is None:
+            self.measures.counts["no_id"] += 1
+            return
+        echoes = [f"{number}/{task}" for task in range(plan.tasks)]
+        reply = await self._submit(
+            index, submission_id, self._job(plan, echoes)
+        )
+        if reply is None:
+            self.measures.counts["lost"] += 1
+            return
+        outcome = _outcome(reply, echoes)
+        self.measures.counts[outcome] += 1
+        kind = plan.kind if outcome == "complete" else outcome
+        self.measures.observe(kind, loop.time() - arrival)
+
+    def report(self) -> dict[str, Any]:
+        """Returns measures, connection events and the verdict."""
+        connections = [
+            {"address": e.address, **attrs.asdict(e.counts)}
+            for e in self.entries
+        ]
+        counts = self.measures.counts
+        resets = sum(c["resets"] + c["timeouts"] for c in connections)
+        faults = resets + counts["lost"] + counts["wrong"] + counts["no_id"]
+        return {
+            "faultless": faults == 0,
+            **self.measures.report(),
+            "connections": connections,
+        }
+
+    def _job(self, plan: JobPlan, echoes: list[str]) -> dict[str, Any]:
+        tasks = [
+            {
+                "operation": self.operation,
+                "payload": {"run_ms": plan.run_ms, "echo": echo},
+                "declared_ms": plan.run_ms,
+            }
+            for echo in echoes
+        ]
+        return {
+            "service": self.service,
+            "repeatable": True,
+            "deadline_ms": self.deadline_ms,
+            "tasks": tasks,
+        }
+
+    async def _submit(
+        self, index: int, submission_id: str, job: dict[str, Any]
+    ) -> Reply | None:
+        path = "/v1/submissions/" + urllib.parse.quote(submission_id, safe="")
+        for submission in range(SUBMISSIONS):
+            if submission:
+                self.measures.counts["resubmitted"] += 1
+            try:
+                return await self._request(index, "PUT", path, job)
+            except (ConnectError, ConnectionLostError, TimeoutError):
+                continue
+        return None
+
+    async def _take_id(self, index: int) -> str | None:
+        """Returns an id of one daemon, whose jobs it then does not forward."""
+        ids = self._ids[index]
+        async with self._locks[index]:
+            if not ids:
+                path = f"/v1/submission-ids?count={ID_BATCH}"
+                try:
+                    reply = await self._request(index, "POST", path, {})
+                except (ConnectError, ConnectionLostError, TimeoutError):
+                    return None
+                document = reply.json()
+                if reply.status >= 300 or not isinstance(document, dict):
+                    return None
+                ids.extend(document.get("ids", ()))
+            return ids.popleft() if ids else None
+
+    async def _request(
+        self, index: int, method: str, path: str, document: Any
+    ) -> Reply:
+        headers = {"Authorization": f"Bearer {self.token}"}
+        return await self.entries[index].request(
+            method, path, headers, document, self.timeout
+        )
+
+
+class DirectCalls:
+    """Sends each job's first task to one target, as a baseline.
+
+    Attributes:
+        target: Connections to the target.
+        operation: Operation named in the tasks.
+        deadline_ms: Lease of the tasks.
+        measures: What was seen.
+    """
+
+    def __init__(
+        self,
+        target: Connections,
+        operation: str,
+        deadline_ms: int,
+        measures: Measures,
+    ):
+        self.target = target
+        self.operation = operation
+        self.deadline_ms = deadline_ms
+        self.measures = measures
+
+    async def run(self, plan: JobPlan, arrival: float) -> None:
+        """Runs one task and records what came of it."""
+        loop = asyncio.get_running_loop()
+        self.measures.sent += 1
+        attempt = f"direct/{self.measures.sent}"
+        headers = {
+            "Anvilford-Attempt": attempt,
+            "Anvilford-Lease-Ms": str(self.deadline_ms),
+        }
+        payload = {"run_ms": plan.run_ms, "echo": attempt}
+        document = {"operation": self.operation, "payload": payload}
+        timeout = self.deadline_ms / 1000 + PATIENCE_SECONDS
+        try:
+            reply = await self.target.request(
+                "POST", "/v1/tasks", headers, document, timeout
+            )
+        except (ConnectError, ConnectionLostError, TimeoutError):
+            self.measures.counts["lost"] += 1
+            return
+        outcome = "complete" if reply.status == 200 else f"http_{reply.status}"
+        self.measures.counts[outcome] += 1
+        kind = plan.kind if outcome == "complete" else outcome
+        self.measures.observe(kind, loop.time() - arrival)
+
+    def report(self) -> dict[str, Any]:
+        """Returns measures and connection events."""
+        connections = attrs.asdict(self.target.counts)
+        return {**self.measures.report(), "connections": connections}
+
+
+def _outcome(reply: Reply, echoes: list[str]) -> str:
+    """Names the outcome; "wrong" if results are missing or another job's."""
+    document = reply.json()
+    if not isinstance(document, dict) or "outcome" not in document:
+        return f"http_{reply.status}"
+    if document["outcome"] != "complete":
+        return str(document["outcome"])
+    results = document.get("results")
+    if not isinstance(results, list):
+        return "wrong"
+    got = [r.get("echo") if isinstance(r, dict) else None for r in results]
+    return "complete" if got == echoes else "wrong"
--- /dev/null
+++ b/benchmarks/load.py
@@ -0,0 +1,161 @@
+"""Sends jobs to entry daemons and measures what their callers see.
+
+Example, beside direct calls to a target's double:
+
+    python -m benchmarks.load --entries 127.0.0.1:7000 --token T \
+        --service line-brain --rate 100 --seconds 10 --target 127.0.0.1:7300
+
+With `--rate` arrivals are an open-loop Poisson process: they do not wait for
+answers, and times count from the planned arrival, so that a stall shows in
+every job that arrived during it. With `--callers` each caller waits for its
+answer before it sends the next job.
+"""
+
+import argparse
+import asyncio
+import contextlib
+import datetime
+import json
+import sys
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+from benchmarks._http import Connections
+from benchmarks._jobs import DirectCalls
+from benchmarks._jobs import EntryJobs
+from benchmarks._jobs import JobPlan
+from benchmarks._jobs import plan_job
+from benchmarks._measures import added_latency
+from benchmarks._measures import Measures
+from benchmarks._measures import random_for
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Runs one measurement and prints its report as JSON.
+
+    Returns:
+        0 if no connection was reset, no answer lost and none was wrong.
+    """
+    arguments = parse_arguments(argv)
+    report = asyncio.run(measure(arguments))
+    text = json.dumps(report, indent=2)
+    print(text)
+    if arguments.report:
+        with open(arguments.report, "w", encoding="utf-8") as file:
+            file.write(text + "\n")
+    return 0 if report["entry"]["faultless"] else 1
+
+
+def parse_arguments(argv: list[str] | None) -> argparse.Namespace:
+    """Reads the command line."""
+    parser = argparse.ArgumentParser(prog="benchmarks.load")
+    parser.add_argument("--entries", required=True, help="IP:port[,IP:port]")
+    parser.add_argument("--token", required=True, help="caller's bearer token")
+    parser.add_argument("--service", required=True)
+    parser.add_argument("--operation", default="load")
+    arrivals = parser.add_mutually_exclusive_group(required=True)
+    arrivals.add_argument("--rate", type=float, help="jobs per second")
+    arrivals.add_argument("--callers", type=int, help="callers that wait")
+    parser.add_argument("--seconds", type=float, default=10.0)
+    parser.add_argument("--tasks", type=int, default=1, help="tasks per job")
+    parser.add_argument("--run-ms", type=float, default=50.0)
+    parser.add_argument(
+        "--long-share", type=float, default=0.0, help="share of long jobs"
+    )
+    parser.add_argument("--long-factor", type=float, default=30.0)
+    parser.add_argument("--deadline-ms", type=int, default=2000)
+    parser.add_argument(
+        "--connections", type=int, default=64, help="per entry and target"
+    )
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--target", help="IP:port of a target called directly")
+    parser.add_argument("--report", help="file for the report")
+    return parser.parse_args(argv)
+
+
+async def measure(arguments: argparse.Namespace) -> dict:
+    """Runs the load and returns the report."""
+    started = datetime.datetime.now(datetime.UTC)
+    async with contextlib.AsyncExitStack() as stack:
+
+        async def connect(address: str) -> Connections:
+            connections = Connections(address, arguments.connections)
+            await stack.enter_async_context(connections)
+            await connections.open_all()
+            return connections
+
+        loads = {}
+        entries = [await connect(a) for a in arguments.entries.split(",")]
+        loads["entry"] = EntryJobs(
+            entries,
+            arguments.token,
+            arguments.service,
+            arguments.operation,
+            arguments.deadline_ms,
+            Measures(arguments.deadline_ms),
+        )
+        if arguments.target:
+            loads["direct"] = DirectCalls(
+                await connect(arguments.target),
+                arguments.operation,
+                arguments.deadline_ms,
+                Measures(arguments.deadline_ms),
+            )
+        await asyncio.gather(
+            *(drive(arguments, name, load.run) for name, load in loads.items())
+        )
+        report = {name: load.report() for name, load in loads.items()}
+    if "direct" in report:
+        report["added_ms"] = added_latency(
+            loads["entry"].measures, loads["direct"].measures
+        )
+    parameters = {k: v for k, v in vars(arguments).items() if k != "token"}
+    return {
+        "started": started.isoformat(timespec="seconds"),
+        "python": sys.version.split()[0],
+        "parameters": parameters,
+        **report,
+    }
+
+
+Run = Callable[[JobPlan, float], Awaitable[None]]
+
+
+async def drive(arguments: argparse.Namespace, name: str, run: Run) -> None:
+    """Runs jobs by the arrival process until the time is over.
+
+    Args:
+        arguments: Command line.
+        name: Names the load; its arrivals depend on it and the seed only.
+        run: Runs one job, given its plan and its arrival in loop time.
+    """
+    rng = random_for(arguments.seed, name)
+    loop = asyncio.get_running_loop()
+    start = loop.time()
+    if arguments.rate is None:
+        await asyncio.gather(
+            *(
+                _caller(arguments, f"{name}/{index}", run, start)
+                for index in range(arguments.callers)
+            )
+        )
+        return
+    async with asyncio.TaskGroup() as jobs:
+        arrival = start + rng.expovariate(arguments.rate)
+        while arrival < start + arguments.seconds:
+            await asyncio.sleep(arrival - loop.time())
+            jobs.create_task(run(plan_job(arguments, rng), arrival))
+            arrival += rng.expovariate(arguments.rate)
+
+
+async def _caller(
+    arguments: argparse.Namespace, name: str, run: Run, start: float
+) -> None:
+    rng = random_for(arguments.seed, name)
+    loop = asyncio.get_running_loop()
+    while loop.time() < start + arguments.seconds:
+        await run(plan_job(arguments, rng), loop.time())
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/standins/__init__.py
+++ b/standins/__init__.py
@@ -1,6 +1,9 @@
 """Small doubles of the platform and of a target, for tests and benchmarks."""
 
 from standins._http import HttpServer
+from standins._http import json_response
+from standins._http import Request
+from standins._http import Response
 from standins._platform import PlatformFaults
 from standins._platform import PlatformStandin
 from standins._target import TargetFaults
@@ -10,6 +13,9 @@
     "HttpServer",
     "PlatformFaults",
     "PlatformStandin",
+    "Request",
+    "Response",
     "TargetFaults",
     "TargetStandin",
+    "json_response",
 ]
--- a/standins/_http.py
+++ b/standins/_http.py
@@ -1,12 +1,15 @@
 """A small HTTP/1.1 keep-alive server whose answers can be damaged."""
 
 import asyncio
+import contextlib
 import http
 import json
+import socket
 import threading
 import urllib.parse
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Coroutine
 from typing import Any
 
 import attrs
@@ -39,6 +42,7 @@
     Attributes:
         method: HTTP method.
         path: Path segments, percent-decoded.
+        query: Query parameters; the last of each name.
         headers: Values by lower-case name.
         body: Body as received.
         connection: The connection that the request came on.
@@ -46,6 +50,7 @@
 
     method: str
     path: tuple[str, ...]
+    query: dict[str, str]
     headers: dict[str, str]
     body: bytes
     connection: Connection
@@ -113,46 +118,75 @@
         self.handler = handler
         self.closed = closed
         self.loop: asyncio.AbstractEventLoop | None = None
-        self._writers: set[asyncio.StreamWriter] = set()
+        self._tasks: set[asyncio.Task] = set()
+        # Accepted, but not yet handed to a stream.
+        self._sockets: set[socket.socket] = set()
 
     def __enter__(self) -> "HttpServer":
-        host, _, port = self.address.rpartition(":")
+        # The caller's thread may run a loop of its own, so everything that
+        # needs this loop happens on the new thread.
         self.loop = asyncio.new_event_loop()
-        opening = asyncio.start_server(
-            self._serve, host, int(port), backlog=BACKLOG
-        )
-        try:
-            self._server = self.loop.run_until_complete(opening)
-        except OSError:
-            self.loop.close()
-            raise
-        real = self._server.sockets[0].getsockname()
-        self.address = f"{real[0]}:{real[1]}"
         self._thread = threading.Thread(
             target=self.loop.run_forever, daemon=True
         )
         self._thread.start()
+        try:
+            self.address = self._call(self._open())
+        except OSError:
+            self._stop()
+            raise
         return self
 
     def __exit__(self, *exc_info: object) -> None:
+        self._call(self._finish())
+        self._stop()
+
+    def _call(self, coroutine: Coroutine) -> Any:
+        return asyncio.run_coroutine_threadsafe(coroutine, self.loop).result()
+
+    def _stop(self) -> None:
         self.loop.call_soon_threadsafe(self.loop.stop)
         self._thread.join()
-        self._server.close()
-        for writer in self._writers:
-            writer.transport.abort()
-        self.loop.run_until_complete(self._finish())
         self.loop.close()
 
+    async def _open(self) -> str:
+        host, _, port = self.address.rpartition(":")
+        # asyncio's server and `sock_accept` log errors if they are ended just
+        # as a connection arrives, which tests with restarts do all the time.
+        self._listener = socket.create_server(
+            (host, int(port)), backlog=BACKLOG
+        )
+        self._listener.setblocking(False)
+        self.loop.add_reader(self._listener, self._accept)
+        real = self._listener.getsockname()
+        return f"{real[0]}:{real[1]}"
+
     async def _finish(self) -> None:
-        tasks = asyncio.all_tasks() - {asyncio.current_task()}
-        for task in tasks:
+        self.loop.remove_reader(self._listener)
+        for task in self._tasks:
             task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-
-    async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        self._writers.add(writer)
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for sock in (self._listener, *self._sockets):
+            sock.close()
+        # An aborted transport closes its socket one turn of the loop later.
+        await asyncio.sleep(0)
+
+    def _start(self, coroutine: Coroutine) -> None:
+        task = self.loop.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _accept(self) -> None:
+        with contextlib.suppress(OSError):
+            sock, _ = self._listener.accept()
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self._sockets.add(sock)
+            self._start(self._serve(sock))
+
+    async def _serve(self, sock: socket.socket) -> None:
+        reader, writer = await asyncio.open_connection(sock=sock)
+        self._sockets.discard(sock)
         connection = Connection(reader, writer)
         try:
             while True:
@@ -167,11 +201,7 @@
                     return
         except (EOFError, OSError, ValueError, asyncio.LimitOverrunError):
             pass
-        except asyncio.CancelledError:
-            # Streams log a cancelled connection handler as an error.
-            pass
         finally:
-            self._writers.discard(writer)
             self.closed(connection)
             if not writer.is_closing():
                 writer.transport.abort()
@@ -195,9 +225,15 @@
         name, _, value = line.partition(":")
         headers[name.strip().lower()] = value.strip()
     body = await reader.readexactly(int(headers.get("content-length", "0")))
-    path = urllib.parse.urlsplit(target).path
-    segments = (urllib.parse.unquote(s) for s in path.split("/")[1:])
-    return Request(method, tuple(segments), headers, body, connection)
+    parts = urllib.parse.urlsplit(target)
+    return Request(
+        method,
+        tuple(urllib.parse.unquote(s) for s in parts.path.split("/")[1:]),
+        dict(urllib.parse.parse_qsl(parts.query)),
+        headers,
+        body,
+        connection,
+    )
 
 
 def _encode(response: Response) -> bytes:
