Bound lists alike when encoding and decoding

Lists beyond the receiver's limit now fail in encode; before, the receiver closed the connection. Rejected connections are counted and no longer logged, since anyone who reaches the port could fill the log.

--- a/anvilford/peers/_server.py
+++ b/anvilford/peers/_server.py
@@ -98,7 +98,7 @@
             stream.abort()
             return
         if len(self._streams) >= self.limits.connections:
-            self._reject(stream, "too_many")
+            self._reject("too_many")
             stream.abort()
             return
         self._streams.add(stream)
@@ -122,25 +122,18 @@
             async with asyncio.timeout(self.limits.hello_timeout):
                 received = await stream.receive(self.limits.hello_bytes)
         except TimeoutError:
-            return self._reject(stream, "hello_timeout")
+            return self._reject("hello_timeout")
         match received.default_value(None):
             case Envelope(message=Hello(token, sender)):
                 # Comparing in constant time hides how much of a guess fits.
                 if hmac.compare_digest(token.encode(), self.token.encode()):
                     return sender
-                return self._reject(stream, "token")
+                return self._reject("token")
             case _:
-                return self._reject(stream, "no_hello")
+                return self._reject("no_hello")
 
-    def _reject(self, stream: FrameStream, reason: str) -> None:
+    def _reject(self, reason: str) -> None:
         self.counters.increment("peer_connections_rejected", reason=reason)
-        _logger.warning(
-            "peer connection rejected",
-            extra={
-                "reason": reason,
-                "remote": stream.writer.get_extra_info("peername"),
-            },
-        )
 
     async def _receive_all(
         self, stream: FrameStream, sender: Incarnation
--- a/anvilford/peers/_stream.py
+++ b/anvilford/peers/_stream.py
@@ -1,6 +1,7 @@
 """Frames on a TCP connection: a 4-byte big-endian length and an envelope."""
 
 import asyncio
+import contextlib
 import socket
 
 import attrs
@@ -92,7 +93,9 @@
             (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, probe_interval),
             (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, probe_interval),
         ):
-            sock.setsockopt(level, option, value)
+            # The next read reports a connection that has ended already.
+            with contextlib.suppress(OSError):
+                sock.setsockopt(level, option, value)
         self.writer.transport.set_write_buffer_limits(WRITE_BUFFER_BYTES)
 
     async def send(self, frame: bytes) -> bool:
--- a/anvilford/protocol/_codec.py
+++ b/anvilford/protocol/_codec.py
@@ -24,10 +24,10 @@
 except ImportError:
     fastbinary = None
 
-# The extension allocates a list before it reads the elements, and an element
-# of one byte becomes an object of about 100 bytes. Two years' growth needs
-# 7,100 targets plus entries and VMs replaced in the retention time.
-MAX_ELEMENTS = 32_768
+# The extension allocates a list of the declared length before it reads the
+# elements. Two years' growth needs 7,100 targets, the entries, and the VMs
+# replaced within the time for which membership keeps them (1,300 a day).
+MAX_ELEMENTS = 65_536
 
 
 class AccelerationMissingError(Exception):
@@ -105,7 +105,8 @@
     """Encodes an envelope; the length of the frame is not included.
 
     Raises:
-        OverflowError: An integer exceeds 64 bits, or 32 bits for `hops`.
+        OverflowError: An integer exceeds 64 bits, or 32 bits for `hops`, or a
+            list exceeds `MAX_ELEMENTS`.
         UnicodeEncodeError: A string holds a lone surrogate.
     """
     struct = ttypes.Envelope(
@@ -113,7 +114,15 @@
         is_reply=envelope.is_reply,
         **{_NAMES[type(envelope.message)]: envelope.message},
     )
-    return fastbinary.encode_compact(struct, _SPEC)
+    frame = fastbinary.encode_compact(struct, _SPEC)
+    # An element takes at least one byte, so most frames need no check.
+    if len(frame) > MAX_ELEMENTS and any(
+        len(value) > MAX_ELEMENTS
+        for value in attrs.astuple(envelope.message, recurse=False)
+        if isinstance(value, (tuple, dict))
+    ):
+        raise OverflowError
+    return frame
 
 
 def decode(frame: bytes) -> Result[Envelope, MalformedFrame]:
--- a/anvilford/protocol/tests/test_codec.py
+++ b/anvilford/protocol/tests/test_codec.py
@@ -144,6 +144,20 @@
             case.assertEqual(result.error.fault, expected, name)
 
 
+def test_lists_have_one_limit(case):
+    """Guards against messages that every receiver rejects."""
+    for excess in (0, 1):
+        count = protocol.MAX_ELEMENTS + excess
+        in_use = {str(number): 1 for number in range(count)}
+        report = protocol.LoadReport("a", 1, 0, in_use)
+        envelope = protocol.Envelope(0, False, report)
+        if excess:
+            case.assertRaises(OverflowError, protocol.encode, envelope)
+        else:
+            frame = protocol.encode(envelope)
+            case.assertEqual(protocol.decode(frame).ok, envelope)
+
+
 def test_unknown_fields_are_skipped(case):
     """Guards against a peer of a newer version that cannot be understood."""
     hello = protocol.Hello("secret", HERE)
--- a/anvilford/telemetry/_counters.py
+++ b/anvilford/telemetry/_counters.py
@@ -62,7 +62,7 @@
             amount: At least 0.
             **labels: Label values by label name.
         """
-        series = (name, tuple(sorted(labels.items())))
+        series = (name, _label_pairs(labels))
         with self._lock:
             if series in self._counts or self._has_room():
                 self._counts[series] = self._counts.get(series, 0) + amount
@@ -75,7 +75,7 @@
             seconds: The latency; more than an hour counts as an hour.
             **labels: Label values by label name.
         """
-        series = (name, tuple(sorted(labels.items())))
+        series = (name, _label_pairs(labels))
         value_us = min(max(round(seconds * 1e6), 1), LARGEST_US)
         with self._lock:
             latency = self._latencies.get(series)
@@ -155,6 +155,12 @@
         return output.getvalue()
 
 
+def _label_pairs(labels: dict[str, str]) -> tuple[tuple[str, str], ...]:
+    pairs = labels.items()
+    # Sorting makes the order of arguments irrelevant; most calls pass one.
+    return tuple(sorted(pairs) if len(labels) > 1 else pairs)
+
+
 def _summarize(
     latency: Latency,
 ) -> list[tuple[str, tuple[tuple[str, str], ...], float]]:
