--- a/anvilford/protocol/tests/test_codec.py
+++ b/anvilford/protocol/tests/test_codec.py
@@ -3,6 +3,7 @@
 import enum
 import tracemalloc
 import typing
+from unittest import mock
 
 from hypothesis import given
 from hypothesis import settings
@@ -144,6 +145,19 @@
             case.assertEqual(result.error.fault, expected, name)
 
 
+def test_lists_have_one_limit(case):
+    """Guards against messages that every receiver rejects."""
+    for excess in (0, 1):
+        count = protocol.MAX_ELEMENTS + excess
+        in_use = {str(number): 1 for number in range(count)}
+        report = protocol.LoadReport("a", 1, 0, in_use)
+        envelope = protocol.Envelope(0, False, report)
+        with mock.patch.object(protocol._codec, "MAX_ELEMENTS", count):
+            frame = protocol.encode(envelope)
+        case.assertEqual(protocol.decode(frame).is_error(), bool(excess))
+    case.assertRaises(OverflowError, protocol.encode, envelope)
+
+
 def test_unknown_fields_are_skipped(case):
     """Guards against a peer of a newer version that cannot be understood."""
     hello = protocol.Hello("secret", HERE)
@@ -154,9 +168,9 @@
 
 def test_missing_extension_is_typed(case):
     """Guards against a start-up without acceleration."""
-    module = protocol._codec
     protocol.require_acceleration()
-    present, module.fastbinary = module.fastbinary, None
-    case.addCleanup(setattr, module, "fastbinary", present)
-    with case.assertRaises(protocol.AccelerationMissingError):
+    with (
+        mock.patch.object(protocol._codec, "fastbinary", None),
+        case.assertRaises(protocol.AccelerationMissingError),
+    ):
         protocol.require_acceleration()
