--- a/anvilford/configuration/_rows.py
+++ b/anvilford/configuration/_rows.py
@@ -48,7 +48,7 @@
         document: The document.
         operation: Operation id of the change that made this version.
         author: Operator who made the change.
-        history: The newest changes, newest first, this one included.
+        history: The newest changes, newest last, this one included.
     """
 
     version: int
@@ -174,7 +174,7 @@
     version = current_row.version + 1 if current_row else 1
     earlier = current_row.history if current_row else ()
     entry = HistoryEntry(version, operation_id, author, document.preset)
-    history = (entry, *earlier)[:HISTORY_LENGTH]
+    history = (*earlier, entry)[-HISTORY_LENGTH:]
     return encode_row(
         ConfigurationRow(version, document, operation_id, author, history)
     )
--- a/anvilford/daemon/_main.py
+++ b/anvilford/daemon/_main.py
@@ -10,21 +10,26 @@
 import sys
 import threading
 
+import attrs
 import cherrypy
 from cheroot import wsgi
 from cherrypy.process.servers import ServerAdapter
 
 from anvilford import __version__
+from anvilford.daemon._operators import OperatorAdapter
 from anvilford.daemon._ports import CallerAdapter
 from anvilford.daemon._runtime import EntryRuntime
 from anvilford.entry import CoreOptions
 from anvilford.entry import EntryCore
 from anvilford.http import CallersApplication
+from anvilford.http import operator_application
 from anvilford.http import TokenTable
 from anvilford.model import Incarnation
+from anvilford.peers import PeerLimits
 from anvilford.peers import PeerLinks
 from anvilford.peers import PeerServer
 from anvilford.platform import PlatformClient
+from anvilford.platform import PlatformSettings
 from anvilford.settings import describe_failure
 from anvilford.settings import HttpSettings
 from anvilford.settings import load_settings
@@ -32,6 +37,7 @@
 from anvilford.shares import ConnectionSplit
 from anvilford.submissions import RetentionLimits
 from anvilford.targets import TargetClient
+from anvilford.targets import TargetSettings
 from anvilford.telemetry import configure_logging
 from anvilford.telemetry import Counters
 from anvilford.telemetry import Tracing
@@ -39,6 +45,7 @@
 EXIT_SETTINGS = 2
 INCARNATION_BYTES = 8
 TAG_KEY_BYTES = 32
+OPERATOR_THREADS = 8
 
 logger = logging.getLogger("anvilford.daemon")
 
@@ -57,7 +64,7 @@
         return EXIT_SETTINGS
     if arguments.check:
         return 0
-    configure_logging(sys.stderr, loaded.ok.log.level)
+    configure_logging(sys.stderr, loaded.ok.log.level.upper())
     with contextlib.ExitStack() as stack:
         _run(loaded.ok, stack)
     return 0
@@ -101,6 +108,18 @@
     )
 
 
+def target_settings(settings: Settings) -> TargetSettings:
+    """Takes the settings of the target client from the daemon's."""
+    targets = settings.targets
+    return TargetSettings(
+        connect_timeout_ms=targets.connect_timeout_ms,
+        idle_ms=targets.idle_ms,
+        threads=targets.threads,
+        response_bytes=targets.response_bytes,
+        grace_ms=targets.grace_ms,
+    )
+
+
 def _run(settings: Settings, stack: contextlib.ExitStack) -> None:
     drain_requested = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -160,7 +179,9 @@
     tracing = Tracing(me.address, settings.trace.capacity, settings.trace.ratio)
     platform = stack.enter_context(
         PlatformClient(
-            settings.platform.address, settings.platform.timeout_ms / 1000
+            PlatformSettings(
+                settings.platform.address, settings.platform.timeout_ms
+            )
         )
     )
     runtime = EntryRuntime(
@@ -172,14 +193,18 @@
         settings.model_limits(),
     )
     targets = stack.enter_context(
-        TargetClient(settings.targets, core.connection_limit)
+        TargetClient(target_settings(settings), core.connection_limit)
     )
     links = await stack.enter_async_context(
-        PeerLinks(me, settings.peers.token, counters)
+        PeerLinks(
+            me, settings.peers.token, counters, random.Random(), PeerLimits()
+        )
     )
     await runtime.run(stack, targets, links)
     await stack.enter_async_context(
-        PeerServer(me, settings.peers.token, counters, runtime.receive)
+        PeerServer(
+            me, settings.peers.token, runtime.receive, counters, PeerLimits()
+        )
     )
     return runtime
 
@@ -195,7 +220,15 @@
     )
     cherrypy.config.update({"environment": "production", "log.screen": False})
     cherrypy.engine.autoreload.unsubscribe()
+    operators = operator_application(
+        OperatorAdapter(runtime), settings.operators
+    )
     _subscribe(settings.listen.callers, callers, settings.http)
+    _subscribe(
+        settings.listen.operators,
+        operators,
+        attrs.evolve(settings.http, threads=OPERATOR_THREADS),
+    )
     cherrypy.engine.start()
     stack.callback(cherrypy.engine.exit)
 
@@ -209,4 +242,5 @@
         numthreads=http.threads,
         request_queue_size=http.socket_queue_size,
     )
+    server.max_request_body_size = http.body_bytes
     ServerAdapter(cherrypy.engine, server, bind).subscribe()
--- a/anvilford/daemon/_runtime.py
+++ b/anvilford/daemon/_runtime.py
@@ -63,6 +63,7 @@
             seconds.
         job_limits: Bounds on jobs that peers forward.
         stopped: Set when a planned stop is complete.
+        store_reachable: Whether the last read of the table succeeded.
     """
 
     def __init__(
@@ -81,6 +82,7 @@
         self.poll_interval = poll_interval
         self.job_limits = job_limits
         self.stopped = threading.Event()
+        self.store_reachable = False
         self.loop: asyncio.AbstractEventLoop | None = None
         self.targets: Any = None
         self.links: Any = None
@@ -120,8 +122,14 @@
         wakeup = self.core.next_wakeup(now)
         self._timer = self.loop.call_at(wakeup, self.handle, Tick())
 
-    def call(self, function: Callable[[], Any]) -> Any:
-        """Runs a function on the loop's thread and returns its result."""
+    def call(
+        self, function: Callable[[], Any], timeout: float | None = None
+    ) -> Any:
+        """Runs a function on the loop's thread and returns its result.
+
+        Raises:
+            TimeoutError: There was no result within `timeout` seconds.
+        """
         future: concurrent.futures.Future = concurrent.futures.Future()
 
         def run() -> None:
@@ -131,7 +139,7 @@
                 future.set_exception(error)
 
         self.loop.call_soon_threadsafe(run)
-        return future.result()
+        return future.result(timeout)
 
     def request(
         self, make_event: Callable[[str], SubmissionRequested], wait: float
@@ -278,6 +286,7 @@
 
     async def _read_configuration(self) -> None:
         result = await self.platform.read_row(ROW_KEY)
+        self.store_reachable = result.is_ok()
         if result.is_error():
             self.counters.increment("platform_failures", service="table")
         elif result.ok is None:
--- a/anvilford/entry/_core.py
+++ b/anvilford/entry/_core.py
@@ -62,6 +62,23 @@
 PAUSE_LIMIT_ROUNDS = 3
 
 
+@attrs.frozen
+class JobInFlight:
+    """What is kept of an own job besides its record.
+
+    Attributes:
+        service: Service of the job.
+        tasks: Number of tasks.
+        traceparent: Trace context of the request.
+        submitted_at: Loop time of the submission.
+    """
+
+    service: str
+    tasks: int
+    traceparent: str
+    submitted_at: float
+
+
 class EntryCore:
     """State machine of one entry daemon.
 
@@ -78,8 +95,7 @@
         requests: Requesters and submissions.
         gossiper: Exchange of membership.
         drain: Planned stop.
-        traceparents: Trace context of each own job in flight, by sequence.
-        jobs: Submission id and caller of each own job in flight.
+        jobs: Own jobs in flight, by sequence.
     """
 
     def __init__(
@@ -99,8 +115,7 @@
         ledger = Ledger(me, tag_key, options.retention)
         self.requests = Requests(me, options, self.directory, ledger)
         self.gossiper = Gossiper(me, options, self.directory, rng)
-        self.traceparents: dict[int, str] = {}
-        self.jobs: dict[int, tuple[SubmissionId, str]] = {}
+        self.jobs: dict[int, JobInFlight] = {}
         self._handled_at = now
         self._platform_answered = False
         self._configuration_call: str | None = None
@@ -219,8 +234,9 @@
         is_new, effects = self.requests.serve(event, now)
         sequence = event.submission_id.sequence
         if is_new:
-            self.traceparents[sequence] = event.traceparent
-            self.jobs[sequence] = (event.submission_id, event.caller)
+            self.jobs[sequence] = JobInFlight(
+                event.job.service, len(event.job.tasks), event.traceparent, now
+            )
             deadline_ms = min(event.job.deadline_ms, event.deadline_ms)
             job = attrs.evolve(event.job, deadline_ms=max(1, deadline_ms))
             effects += self._translate(
@@ -253,12 +269,11 @@
         for effect in effects:
             match effect:
                 case StartAttempt():
-                    traceparent = self.traceparents.get(effect.job_key, "")
+                    traceparent = self.jobs[effect.job_key].traceparent
                     translated.append(RunAttempt(effect, traceparent))
                 case CancelAttempt():
                     translated.append(StopAttempt(effect))
                 case JobFinished(job_key, answer):
-                    self.traceparents.pop(job_key, None)
                     self.jobs.pop(job_key, None)
                     translated += self.requests.settle(job_key, answer)
         return translated
