Join the whole path: daemon, stand-ins, command line, example

Cause: the packages were written apart and nothing served a request yet. Change: the daemon wires HTTP, peers, targets, platform and telemetry to the core; a site of separate processes serves tests and the example.

--- a/anvilford/daemon/_main.py
+++ b/anvilford/daemon/_main.py
@@ -30,6 +30,7 @@
 from anvilford.peers import PeerServer
 from anvilford.platform import PlatformClient
 from anvilford.platform import PlatformSettings
+from anvilford.protocol import require_acceleration
 from anvilford.settings import describe_failure
 from anvilford.settings import HttpSettings
 from anvilford.settings import load_settings
@@ -163,6 +164,7 @@
     settings: Settings, stack: contextlib.AsyncExitStack
 ) -> EntryRuntime:
     loop = asyncio.get_running_loop()
+    require_acceleration()
     me = Incarnation(
         settings.vm.zone,
         settings.listen.peers,
@@ -220,6 +222,9 @@
     )
     cherrypy.config.update({"environment": "production", "log.screen": False})
     cherrypy.engine.autoreload.unsubscribe()
+    # The listeners below replace CherryPy's default server on port 8080.
+    cherrypy.server.unsubscribe()
+    logging.getLogger("cherrypy").setLevel(logging.WARNING)
     operators = operator_application(
         OperatorAdapter(runtime), settings.operators
     )
--- a/anvilford/daemon/_operators.py
+++ b/anvilford/daemon/_operators.py
@@ -294,7 +294,6 @@
         for vm in core.directory.targets():
             mark = core.directory.marks.get(vm.vm_id)
             dispatcher = core.services.dispatchers.get(vm.service)
-            stats = dispatcher.stats() if dispatcher else None
             target = dispatcher.targets.get(vm.vm_id) if dispatcher else None
             rows.append(
                 {
@@ -304,7 +303,7 @@
                     "service": vm.service,
                     "state": VmState(vm.state).name.lower(),
                     "drained": mark is not None and mark.drained,
-                    "ejected": bool(stats and vm.vm_id in stats.ejected),
+                    "ejected": target is not None and target.ejected,
                     "running": target.in_use if target else 0,
                     "slots": target.view.slots if target else 0,
                 }
--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Runnable examples."""
--- /dev/null
+++ b/examples/quickstart.py
@@ -0,0 +1,23 @@
+"""Runs one job on a small site of separate processes and prints the answer."""
+
+import json
+
+from standins.cluster import job
+from standins.cluster import Site
+
+
+def main() -> None:
+    """Starts a site with two zones, submits one job twice, stops."""
+    with Site(zones=("quimper-a", "lorient-a"), entries_per_zone=1) as site:
+        first, second = site.entries
+        submission_id = site.issue(first)[0]
+        print(f"submission id  {submission_id}")
+        answer = site.submit(first, submission_id, job(count=6, run_ms=80))
+        print(json.dumps(answer, indent=2))
+        again = site.submit(second, submission_id, job(count=6, run_ms=80))
+        print(f"same answer when resubmitted elsewhere: {again == answer}")
+        print(f"tasks started at targets: {len(site.starts())}")
+
+
+if __name__ == "__main__":
+    main()
