--- a/anvilford/targets/_client.py
+++ b/anvilford/targets/_client.py
@@ -32,6 +32,7 @@
         limit: Most connections.
         pool: The connections.
         in_flight: Requests that use or wait for a connection.
+        starts: Those among them that start a task.
         last_used: Monotonic time of the last request's start or end.
     """
 
@@ -39,6 +40,7 @@
     limit: int
     pool: TargetPool
     in_flight: int = 0
+    starts: int = 0
     last_used: float = 0.0
 
 
@@ -108,6 +110,7 @@
             return _NOT_SENT
         exchange = Exchange(attempt.deadline, lease_end, self._lock)
         self.in_flight[attempt.attempt_id] = exchange
+        target.starts += 1
         try:
             return await self._run(
                 target,
@@ -116,16 +119,18 @@
                 Call.start(attempt, traceparent),
             )
         finally:
+            target.starts -= 1
             del self.in_flight[attempt.attempt_id]
 
     async def cancel(self, attempt: CancelledAttempt) -> None:
         """Cancels an attempt, at the target if it may have been sent.
 
-        An attempt of which nothing was sent ends as not sent. When all
-        connections to the target are in use, the attempt's own connection is
+        An attempt of which nothing was sent ends as not sent. When attempts
+        use all connections to the target, the attempt's own connection is
         closed to make room for the cancellation; the attempt then ends as
         unknown. A cancellation that fails is not repeated, since the lease
-        ends the task.
+        ends the task; it is given up after the connect timeout plus the grace
+        period.
 
         Args:
             attempt: The attempt; it may already be over.
@@ -138,9 +143,10 @@
         target = self._target(attempt.target_id, attempt.address, now)
         if target is None:
             return
-        if exchange is not None and target.in_flight >= target.limit:
+        if exchange is not None and target.starts >= target.limit:
             exchange.abort()
-        end = now + self.settings.grace_ms / 1000
+        window_ms = self.settings.connect_timeout_ms + self.settings.grace_ms
+        end = now + window_ms / 1000
         cancellation = Exchange(end, end, self._lock)
         await self._run(
             target,
