--- a/anvilford/shares/_shares.py
+++ b/anvilford/shares/_shares.py
@@ -1,6 +1,6 @@
 """How many connections and slots of a target one entry may use."""
 
-import zlib
+import hashlib
 from collections.abc import Mapping
 
 import attrs
@@ -57,7 +57,14 @@
         weights,
         key=lambda token: (
             -(exact[token] - shares[token]),
-            zlib.crc32(f"{target}\0{token}".encode()),
+            _rank(target, token),
         ),
     )
     return shares[entry] + (1 if entry in ranked[:spare] else 0)
+
+
+def _rank(target: str, token: str) -> bytes:
+    # CRC-32 is linear: with it the same entry lost the tie at every target.
+    return hashlib.blake2b(
+        f"{target}\0{token}".encode(), digest_size=8
+    ).digest()
--- /dev/null
+++ b/anvilford/submissions/tests/test_ledger.py
@@ -0,0 +1,203 @@
+"""Tests of the records that decide who may start a submission."""
+
+import hypothesis
+from hypothesis import strategies
+
+from anvilford.model import Complete
+from anvilford.model import Conflict
+from anvilford.model import encode_answer
+from anvilford.model import Expired
+from anvilford.model import Incarnation
+from anvilford.model import NeverIssued
+from anvilford.model import NotRun
+from anvilford.model import OutcomeUnknown
+from anvilford.model import RefusalReason
+from anvilford.model import SubmissionId
+from anvilford.model import UnknownId
+from anvilford.model import UnknownReason
+from anvilford.protocol import HandoverSeal
+from anvilford.submissions import Accepted
+from anvilford.submissions import Adoptions
+from anvilford.submissions import Finished
+from anvilford.submissions import handover_chunks
+from anvilford.submissions import InFlight
+from anvilford.submissions import Ledger
+from anvilford.submissions import Rejected
+from anvilford.submissions import RetentionLimits
+from testkit import fixture
+from testkit import function_tests
+
+load_tests = function_tests(__name__)
+
+OWNER = Incarnation("quimper-a", "10.0.0.1:7100", "a1")
+ANSWER = encode_answer(Complete(({"ok": True},)))
+SMALL = RetentionLimits(records=3, bytes=10_000)
+
+
+@fixture
+def ledger():
+    """A ledger that keeps three finished records."""
+    yield Ledger(OWNER, b"key", SMALL)
+
+
+def seal_of(ledger, **changes):
+    """Seal of a complete handover."""
+    values = {
+        "owner": OWNER,
+        "floor": ledger.store.floor,
+        "next_sequence": ledger.store.next_sequence,
+        "tag_key": ledger.tag_key,
+        "counter": 1,
+        "complete": True,
+    }
+    return HandoverSeal(**(values | changes))
+
+
+def adopted(ledger, **changes):
+    """A successor that took a ledger over."""
+    adoptions = Adoptions(SMALL)
+    for chunk in handover_chunks(OWNER, ledger.store):
+        adoptions.adopt_chunk(chunk)
+    adoptions.adopt_seal(seal_of(ledger, **changes))
+    return adoptions
+
+
+def test_an_id_is_accepted_once(ledger):
+    """Guards against a second start when a job is resubmitted."""
+    sid = ledger.issue("line-1")[0]
+    assert ledger.submit(sid, "line-1", "d") == Accepted()
+    assert ledger.submit(sid, "line-1", "d") == InFlight()
+    ledger.settle(sid.sequence, ANSWER)
+    assert ledger.submit(sid, "line-1", "d") == Finished(ANSWER)
+    assert ledger.submit(sid, "line-1", "e") == Rejected(Conflict())
+
+
+def test_ids_are_bound_to_their_caller(ledger):
+    """Guards against one caller reading or using another's id."""
+    sid = ledger.issue("line-1")[0]
+    forged = SubmissionId(OWNER, sid.sequence, "0" * len(sid.tag))
+    foreign = SubmissionId(OWNER, sid.sequence, "\ud800")
+    assert ledger.submit(sid, "line-2", "d") == Rejected(UnknownId())
+    assert ledger.submit(forged, "line-1", "d") == Rejected(UnknownId())
+    assert ledger.lookup(foreign, "line-1") == Rejected(UnknownId())
+
+
+def test_ids_that_were_not_issued_are_refused(ledger):
+    """Guards against a valid tag for a sequence of the future."""
+    future = Ledger(OWNER, b"key", SMALL)
+    sid = future.issue("line-1", 5)[4]
+    assert ledger.submit(sid, "line-1", "d") == Rejected(NeverIssued())
+
+
+def test_cancelled_unused_ids_never_run(ledger):
+    """Guards against a delayed submission after a cancel was confirmed."""
+    sid = ledger.issue("line-1")[0]
+    refusal = encode_answer(NotRun(RefusalReason.CANCELLED))
+    ledger.close_unused(sid, "line-1", refusal)
+    assert ledger.submit(sid, "line-1", "d") == Finished(refusal)
+
+
+def test_a_job_finishing_below_the_floor_keeps_its_answer(ledger):
+    """Guards against the loss of a slow job's answer behind newer ones."""
+    slow, *others = ledger.issue("line-1", 6)
+    ledger.submit(slow, "line-1", "d")
+    for sid in others:
+        ledger.submit(sid, "line-1", "d")
+        ledger.settle(sid.sequence, ANSWER)
+    assert ledger.store.floor > slow.sequence
+    ledger.settle(slow.sequence, ANSWER)
+    assert ledger.lookup(slow, "line-1") == Finished(ANSWER)
+
+
+@hypothesis.settings(derandomize=True, max_examples=200, deadline=None)
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from(["submit", "settle", "close"]),
+            strategies.integers(0, 11),
+        ),
+        max_size=60,
+    )
+)
+def check_retention(steps):
+    """Applies random steps and checks that no id is accepted twice."""
+    ledger = Ledger(OWNER, b"key", SMALL)
+    ids = ledger.issue("line-1", 12)
+    accepted = set()
+    closed = set()
+    for step, index in steps:
+        sid = ids[index]
+        record = ledger.store.records.get(index)
+        if step == "submit":
+            if ledger.submit(sid, "line-1", "d") == Accepted():
+                assert index not in accepted | closed
+                accepted.add(index)
+        elif step == "settle" and record and record.answer is None:
+            ledger.settle(index, ANSWER)
+        elif (
+            step == "close" and record is None and index >= (ledger.store.floor)
+        ):
+            ledger.close_unused(sid, "line-1", ANSWER)
+            closed.add(index)
+        finished = ledger.store.finished
+        assert len(finished) <= SMALL.records
+        assert ledger.store.retained_bytes == sum(
+            ledger.store.records[s].retained_bytes() for s in finished
+        )
+
+
+def test_retention_never_reopens_an_id():
+    """Guards against an evicted record whose id could run again."""
+    check_retention()
+
+
+def test_bytes_bound_the_records(ledger):
+    """Guards against answers that fill the memory."""
+    large = encode_answer(Complete(("x" * 6000,)))
+    ids = ledger.issue("line-1", 2)
+    for sid in ids:
+        ledger.submit(sid, "line-1", "d")
+        ledger.settle(sid.sequence, large)
+    assert ledger.lookup(ids[0], "line-1") == Rejected(Expired())
+    assert ledger.lookup(ids[1], "line-1") == Finished(large)
+
+
+def test_a_successor_answers_as_the_owner_would(ledger):
+    """Guards against a planned stop that changes what callers are told."""
+    done, unused = ledger.issue("line-1", 2)
+    ledger.submit(done, "line-1", "d")
+    ledger.settle(done.sequence, ANSWER)
+    adoptions = adopted(ledger)
+    future = SubmissionId(OWNER, 9, "")
+    assert adoptions.answer(done, "line-1", "d") == Finished(ANSWER)
+    assert adoptions.answer(done, "line-1", "e") == Conflict()
+    assert adoptions.answer(done, "line-2", "d") == UnknownId()
+    assert adoptions.answer(future, "line-1", "d") == UnknownId()
+    refusal = NotRun(RefusalReason.OWNER_STOPPED)
+    assert adoptions.answer(unused, "line-1", "d") == refusal
+
+
+def test_incomplete_handovers_never_say_not_run(ledger):
+    """Guards against a false refusal from a successor without all records."""
+    sid = ledger.issue("line-1")[0]
+    unknown = OutcomeUnknown(UnknownReason.HANDOVER_INCOMPLETE)
+    unsealed = Adoptions(SMALL)
+    for chunk in handover_chunks(OWNER, ledger.store):
+        unsealed.adopt_chunk(chunk)
+    assert unsealed.answer(sid, "line-1", "d") is None
+    partial = adopted(ledger, complete=False)
+    assert partial.answer(sid, "line-1", "d") == unknown
+
+
+def test_a_full_successor_expires_what_it_dropped(ledger):
+    """Guards against a false refusal for a record evicted after adoption."""
+    ids = ledger.issue("line-1", 3)
+    for sid in ids:
+        ledger.submit(sid, "line-1", "d")
+        ledger.settle(sid.sequence, ANSWER)
+    adoptions = Adoptions(RetentionLimits(records=1, bytes=10_000))
+    for chunk in handover_chunks(OWNER, ledger.store):
+        adoptions.adopt_chunk(chunk)
+    adoptions.adopt_seal(seal_of(ledger))
+    assert adoptions.answer(ids[0], "line-1", "d") == Expired()
+    assert adoptions.answer(ids[2], "line-1", "d") == Finished(ANSWER)
