Lend idle slots between entries of a zone

Cause: each entry used only its fixed share of a target's slots, so with uneven arrivals one entry refused jobs beside idle slots. Change: entries report their use and backlog to their zone; what an entry without backlog does not use, less one slot, may be used by the others.

--- a/anvilford/entry/_core.py
+++ b/anvilford/entry/_core.py
@@ -35,6 +35,7 @@
 from anvilford.entry._options import CoreOptions
 from anvilford.entry._requests import Requests
 from anvilford.entry._services import Services
+from anvilford.entry._targets import TargetShares
 from anvilford.membership import Directory
 from anvilford.model import AttemptNotStarted
 from anvilford.model import Incarnation
@@ -46,14 +47,12 @@
 from anvilford.protocol import HandoverAck
 from anvilford.protocol import HandoverChunk
 from anvilford.protocol import HandoverSeal
+from anvilford.protocol import LoadReport
 from anvilford.protocol import RequestKind
 from anvilford.protocol import Successor
-from anvilford.protocol import VmInfo
 from anvilford.scheduling import CancelAttempt
 from anvilford.scheduling import JobFinished
 from anvilford.scheduling import StartAttempt
-from anvilford.scheduling import TargetView
-from anvilford.shares import slot_share
 from anvilford.submissions import Ledger
 
 CONFIGURATION_CALL_TIMEOUT_S = 1.0
@@ -94,6 +93,7 @@
         services: Queue and placement of tasks, by service.
         requests: Requesters and submissions.
         gossiper: Exchange of membership.
+        target_shares: Targets that may be used, with their slots.
         drain: Planned stop.
         jobs: Own jobs in flight, by sequence.
     """
@@ -119,8 +119,10 @@
         self._handled_at = now
         self._platform_answered = False
         self._configuration_call: str | None = None
-        self._views_basis: tuple[bytes, dict[str, float]] | None = None
         self._was_ready = False
+        self.target_shares = TargetShares(
+            me, options, self.directory, self.services
+        )
         self.drain = Drain(options, self.requests, self.gossiper)
 
     def handle(self, event: Event, now: float) -> list[Effect]:
@@ -187,6 +189,7 @@
             self.services.next_wakeup(),
             self.requests.next_wakeup(),
             self.drain.next_wakeup(),
+            self.target_shares.next_wakeup(),
         ]
         return max(now, min(time for time in times if time is not None))
 
@@ -224,7 +227,7 @@
     def _advance(self, now: float) -> list[Effect]:
         effects = self.gossiper.advance(now)
         effects += self.requests.advance(now)
-        self._update_targets(now)
+        effects += self.target_shares.advance(now)
         effects += self._translate(self.services.advance(now))
         effects += self._request_configuration()
         effects += self.drain.advance(now)
@@ -282,6 +285,9 @@
         match event.message:
             case Gossip() as gossip:
                 return self.gossiper.receive(gossip, now)
+            case LoadReport() as report:
+                self.target_shares.observe(report, now)
+                return []
             case ConfigurationRequest():
                 version = self.register.version
                 row = encode_row(self.register.row) if version else {}
@@ -371,39 +377,6 @@
             return []
         return self.gossiper.push(now)
 
-    def _update_targets(self, now: float) -> None:
-        """Gives the dispatcher its share of every target."""
-        live = self.directory.live_entries(now, self.options.suspect_after)
-        weights = {
-            entry.incarnation.token: entry.weight
-            for entry in live
-            if entry.incarnation.zone == self.me.zone and not entry.draining
-        }
-        weights[self.me.token] = self.options.weight
-        basis = (self.directory.fingerprint(), weights)
-        if basis == self._views_basis:
-            return
-        self._views_basis = basis
-        views: dict[str, list[TargetView]] = {}
-        for vm in self.directory.targets():
-            views.setdefault(vm.service, []).append(
-                TargetView(
-                    vm.vm_id,
-                    vm.address,
-                    vm.zone,
-                    self._slots(vm, weights),
-                    self.directory.accepts_work(vm),
-                )
-            )
-        self.services.apply_targets(views, now)
-
-    def _slots(self, vm: VmInfo, weights: dict[str, float]) -> int:
-        if vm.zone != self.me.zone:
-            return self.options.connections.limit(is_home=False)
-        return slot_share(self.options.slots, weights, self.me.token, vm.vm_id)
-
     def connection_limit(self, target_id: str) -> int:
         """Connections that this entry may open to a target."""
-        known = self.directory.vms.get(target_id)
-        is_home = known is not None and known.info.zone == self.me.zone
-        return self.options.connections.limit(is_home)
+        return self.target_shares.connection_limit(target_id)
--- a/anvilford/entry/_options.py
+++ b/anvilford/entry/_options.py
@@ -22,6 +22,9 @@
         configuration_wait: After the start, longest wait for the platform
             before a peer's configuration alone is enough.
         slots: Slots of a target.
+        lending: Whether idle slots of other entries of the zone are used.
+        report_interval: Shortest time between two load reports.
+        report_refresh: Longest time between two load reports.
         connections: Split of a target's connections.
         retention: Bounds on finished records.
         max_hops: Most forwards of one request: to the owner, to the successor.
@@ -36,6 +39,9 @@
     handover_timeout: float = 2.0
     configuration_wait: float = 2.0
     slots: int = 8
+    lending: bool = True
+    report_interval: float = 0.1
+    report_refresh: float = 1.0
     connections: ConnectionSplit = ConnectionSplit()
     retention: RetentionLimits = RetentionLimits()
     max_hops: int = 2
--- /dev/null
+++ b/anvilford/entry/_targets.py
@@ -0,0 +1,122 @@
+"""Which targets this entry may use, and how many slots of each."""
+
+from anvilford.entry._events import Effect
+from anvilford.entry._events import SendPeer
+from anvilford.entry._options import CoreOptions
+from anvilford.entry._services import Services
+from anvilford.membership import Directory
+from anvilford.model import Incarnation
+from anvilford.protocol import LoadReport
+from anvilford.protocol import VmInfo
+from anvilford.scheduling import TargetView
+from anvilford.shares import LoadReporter
+from anvilford.shares import LoadReports
+from anvilford.shares import slot_share
+
+
+class TargetShares:
+    """Keeps the dispatchers' view of the targets up to date.
+
+    Attributes:
+        me: This process.
+        options: Slots, connections and report intervals.
+        directory: Known VMs and entries.
+        services: Receives the views.
+        reports: Load of the other entries of the zone.
+        reporter: Tells them about the load of this one.
+    """
+
+    def __init__(
+        self,
+        me: Incarnation,
+        options: CoreOptions,
+        directory: Directory,
+        services: Services,
+    ):
+        self.me = me
+        self.options = options
+        self.directory = directory
+        self.services = services
+        self.reports = LoadReports(options.suspect_after)
+        self.reporter = LoadReporter(
+            me.token, options.report_interval, options.report_refresh
+        )
+        self._basis: tuple | None = None
+
+    def advance(self, now: float) -> list[Effect]:
+        """Applies changes of membership and load; reports the own load."""
+        self.reports.expire(now)
+        zone = [
+            entry
+            for entry in self.directory.live_entries(
+                now, self.options.suspect_after
+            )
+            if entry.incarnation.zone == self.me.zone
+            and entry.incarnation != self.me
+        ]
+        weights = {
+            entry.incarnation.token: entry.weight
+            for entry in zone
+            if not entry.draining
+        }
+        weights[self.me.token] = self.options.weight
+        basis = (self.directory.fingerprint(), weights, self.reports.changes)
+        if basis != self._basis:
+            self._basis = basis
+            self._apply(weights, now)
+        if not self.options.lending or now < self.reporter.next_check:
+            return []
+        report = self.reporter.make(*self._load(), now)
+        if report is None:
+            return []
+        return [SendPeer(entry.incarnation.address, report) for entry in zone]
+
+    def next_wakeup(self) -> float | None:
+        """Loop time at which the own load may have to be reported."""
+        return self.reporter.next_check if self.options.lending else None
+
+    def observe(self, report: LoadReport, now: float) -> None:
+        """Takes the load report of another entry of the zone."""
+        self.reports.observe(report, now)
+
+    def connection_limit(self, target_id: str) -> int:
+        """Connections that this entry may open to a target."""
+        known = self.directory.vms.get(target_id)
+        is_home = known is not None and known.info.zone == self.me.zone
+        return self.options.connections.limit(is_home)
+
+    def _apply(self, weights: dict[str, float], now: float) -> None:
+        views: dict[str, list[TargetView]] = {}
+        for vm in self.directory.targets():
+            views.setdefault(vm.service, []).append(
+                TargetView(
+                    vm.vm_id,
+                    vm.address,
+                    vm.zone,
+                    self._slots(vm, weights),
+                    self.directory.accepts_work(vm),
+                )
+            )
+        self.services.apply_targets(views, now)
+
+    def _slots(self, vm: VmInfo, weights: dict[str, float]) -> int:
+        if vm.zone != self.me.zone:
+            return self.options.connections.limit(is_home=False)
+        shares = {
+            token: slot_share(self.options.slots, weights, token, vm.vm_id)
+            for token in weights
+        }
+        own = shares.pop(self.me.token)
+        return own + self.reports.borrowable(vm.vm_id, shares)
+
+    def _load(self) -> tuple[int, dict[str, int]]:
+        backlog = 0
+        in_use: dict[str, int] = {}
+        for dispatcher in self.services.dispatchers.values():
+            stats = dispatcher.stats()
+            backlog += stats.queued
+            for target_id, used in stats.slots_in_use.items():
+                known = self.directory.vms.get(target_id)
+                if used and known and known.info.zone == self.me.zone:
+                    in_use[target_id] = used
+        return backlog, in_use
--- /dev/null
+++ b/benchmarks/lending.py
@@ -0,0 +1,99 @@
+"""Answers with and without lending of slots, side by side.
+
+`.venv/bin/python -m benchmarks.lending` runs the simulation of the tests on a
+virtual clock with uneven load and prints one line for each variant and skew.
+"""
+
+import argparse
+import collections
+
+import attrs
+from hdrh.histogram import HdrHistogram
+
+from anvilford.entry import CoreOptions
+from anvilford.model import Complete
+from anvilford.protocol import RequestKind
+from testkit.simulation import check
+from testkit.simulation import History
+from testkit.simulation import NetworkOptions
+from testkit.simulation import run_scenario
+from testkit.simulation import Scenario
+from testkit.simulation._history import Answered
+from testkit.simulation._history import Executed
+from testkit.simulation._history import Requested
+from testkit.simulation._history import Sent
+
+HIGHEST_MS = 60_000
+
+
+@attrs.define
+class Totals:
+    """Sums over the seeds of one variant."""
+
+    latencies: HdrHistogram = attrs.field(
+        factory=lambda: HdrHistogram(1, HIGHEST_MS, 3)
+    )
+    outcomes: collections.Counter = attrs.field(factory=collections.Counter)
+    sent: int = 0
+    executed: int = 0
+    violations: int = 0
+
+    def add(self, history: History) -> None:
+        """Adds one run."""
+        requested = {
+            r.request: r
+            for r in history.of(Requested)
+            if r.kind is RequestKind.SUBMIT
+        }
+        for answered in history.of(Answered):
+            request = requested.get(answered.request)
+            if request is None:
+                continue
+            self.outcomes[type(answered.answer).__name__] += 1
+            if isinstance(answered.answer, Complete):
+                elapsed = (answered.at - request.at) * 1000
+                self.latencies.record_value(max(1, round(elapsed)))
+        self.sent += len(history.of(Sent))
+        self.executed += len(history.of(Executed))
+        self.violations += len(check(history))
+
+    def report(self) -> str:
+        """One line of figures."""
+        answered = sum(self.outcomes.values())
+        p50, p99 = (self.latencies.get_value_at_percentile(p) for p in (50, 99))
+        wasted = (self.sent - self.executed) / max(1, self.executed)
+        return (
+            f"complete {self.outcomes['Complete'] / answered:7.2%}  "
+            f"p50 {p50:5d} ms  p99 {p99:5d} ms  "
+            f"refused starts per task {wasted:.4f}  "
+            f"violations {self.violations}"
+        )
+
+
+def main() -> None:
+    """Prints the comparison."""
+    parser = argparse.ArgumentParser(prog="benchmarks.lending")
+    parser.add_argument("--seeds", type=int, default=5)
+    parser.add_argument("--rate", type=float, default=20.0)
+    arguments = parser.parse_args()
+    for skew in (0.0, 0.5, 1.0):
+        for lending in (False, True):
+            scenario = Scenario(
+                duration=20.0,
+                jobs_per_second=arguments.rate,
+                resubmit=0.0,
+                cancel=0.0,
+                skew=skew,
+                network=NetworkOptions(
+                    zones=1, core=CoreOptions(lending=lending)
+                ),
+            )
+            totals = Totals()
+            for seed in range(arguments.seeds):
+                totals.add(run_scenario(scenario, seed))
+            name = "lending" if lending else "fixed  "
+            print(f"skew {skew:.1f}  {name}  {totals.report()}")
+
+
+if __name__ == "__main__":
+    main()
--- a/testkit/simulation/_scenario.py
+++ b/testkit/simulation/_scenario.py
@@ -39,6 +39,7 @@
         max_tasks: Most tasks in a job.
         resubmit: Probability that a caller repeats a request elsewhere.
         cancel: Probability that a caller cancels.
+        skew: Probability that a caller uses the first entry.
         settle: Time after the load until the run ends, in seconds.
         network: Sizes and message faults.
     """
@@ -49,6 +50,7 @@
     max_tasks: int = 6
     resubmit: float = 0.4
     cancel: float = 0.05
+    skew: float = 0.0
     settle: float = 12.0
     network: NetworkOptions = NetworkOptions()
 
@@ -133,7 +135,11 @@
             and node.core.is_ready(now)
             and not node.core.is_draining
         ]
-        return self.rng.choice(nodes) if nodes else None
+        if not nodes:
+            return None
+        if self.scenario.skew and self.rng.random() < self.scenario.skew:
+            return nodes[0]
+        return self.rng.choice(nodes)
 
     def _make_job(
         self, submission_id: SubmissionId, caller: str
