Enforce quotas of tasks in progress by caller

Cause: the configuration document has quotas that nothing enforced. Change: each entry enforces its equal part of a quota, without messages; a job over it is refused as not run with the reason quota. Result: tests of the core cover refusal, recovery, finality of refusals, fetch of a newer configuration from a peer and the limit on live entries.

--- a/anvilford/entry/_core.py
+++ b/anvilford/entry/_core.py
@@ -33,13 +33,16 @@
 from anvilford.entry._events import VmListReceived
 from anvilford.entry._gossip import Gossiper
 from anvilford.entry._options import CoreOptions
+from anvilford.entry._quotas import Quotas
 from anvilford.entry._requests import Requests
 from anvilford.entry._services import Services
 from anvilford.entry._targets import TargetShares
 from anvilford.membership import Directory
 from anvilford.model import AttemptNotStarted
 from anvilford.model import Incarnation
+from anvilford.model import NotRun
 from anvilford.model import NotStartedReason
+from anvilford.model import RefusalReason
 from anvilford.model import SubmissionId
 from anvilford.protocol import ConfigurationReply
 from anvilford.protocol import ConfigurationRequest
@@ -67,12 +70,14 @@
 
     Attributes:
         service: Service of the job.
+        caller: Caller of the job.
         tasks: Number of tasks.
         traceparent: Trace context of the request.
         submitted_at: Loop time of the submission.
     """
 
     service: str
+    caller: str
     tasks: int
     traceparent: str
     submitted_at: float
@@ -92,6 +97,7 @@
         register: Configuration in force.
         services: Queue and placement of tasks, by service.
         requests: Requesters and submissions.
+        quotas: Limits by caller.
         gossiper: Exchange of membership.
         target_shares: Targets that may be used, with their slots.
         drain: Planned stop.
@@ -113,6 +119,7 @@
         self.register = Register()
         self.services = Services(me.zone, me.token, rng)
         ledger = Ledger(me, tag_key, options.retention)
+        self.quotas = Quotas()
         self.requests = Requests(me, options, self.directory, ledger)
         self.gossiper = Gossiper(me, options, self.directory, rng)
         self.jobs: dict[int, JobInFlight] = {}
@@ -237,14 +244,7 @@
         is_new, effects = self.requests.serve(event, now)
         sequence = event.submission_id.sequence
         if is_new:
-            self.jobs[sequence] = JobInFlight(
-                event.job.service, len(event.job.tasks), event.traceparent, now
-            )
-            deadline_ms = min(event.job.deadline_ms, event.deadline_ms)
-            job = attrs.evolve(event.job, deadline_ms=max(1, deadline_ms))
-            effects += self._translate(
-                self.services.submit(sequence, job, event.caller, now)
-            )
+            effects += self._submit(event, now)
         elif (
             event.kind is RequestKind.CANCEL
             and event.submission_id.owner == self.me
@@ -253,6 +253,24 @@
             effects += self._translate(self.services.cancel(sequence, now))
         return effects
 
+    def _submit(self, event: SubmissionRequested, now: float) -> list[Effect]:
+        """Dispatches a job whose record was just created."""
+        sequence = event.submission_id.sequence
+        tasks = len(event.job.tasks)
+        live = self.directory.live_entries(now, self.options.suspect_after)
+        if not self.quotas.admits(event.caller, tasks, max(1, len(live))):
+            refusal = JobFinished(sequence, NotRun(RefusalReason.QUOTA))
+            return self._translate([refusal])
+        self.quotas.start(event.caller, tasks)
+        self.jobs[sequence] = JobInFlight(
+            event.job.service, event.caller, tasks, event.traceparent, now
+        )
+        deadline_ms = min(event.job.deadline_ms, event.deadline_ms)
+        job = attrs.evolve(event.job, deadline_ms=max(1, deadline_ms))
+        return self._translate(
+            self.services.submit(sequence, job, event.caller, now)
+        )
+
     def _finish(self, event: AttemptFinished, now: float) -> list[Effect]:
         effects: list[Effect] = []
         if event.outcome == AttemptNotStarted(NotStartedReason.LEAVING):
@@ -277,7 +295,9 @@
                 case CancelAttempt():
                     translated.append(StopAttempt(effect))
                 case JobFinished(job_key, answer):
-                    self.jobs.pop(job_key, None)
+                    job = self.jobs.pop(job_key, None)
+                    if job is not None:
+                        self.quotas.finish(job.caller, job.tasks)
                     translated += self.requests.settle(job_key, answer)
         return translated
 
@@ -343,6 +363,7 @@
         if not self.register.apply(parsed.ok):
             return []
         self.services.apply_document(parsed.ok.document, now)
+        self.quotas.quotas = parsed.ok.document.quotas
         self.gossiper.configuration_version = self.register.version
         return [
             Count("configurations_applied"),
--- /dev/null
+++ b/anvilford/entry/_quotas.py
@@ -0,0 +1,46 @@
+"""Limits on the tasks that one caller has in progress."""
+
+import collections
+import math
+from collections.abc import Mapping
+
+
+class Quotas:
+    """Counts tasks in progress by caller and compares them with quotas.
+
+    A quota holds for all entries together. Each entry enforces an equal part
+    of it, rounded up, so that no message is needed for a decision; the sum may
+    exceed the quota by less than one task for each entry.
+
+    Attributes:
+        quotas: Most tasks in progress by caller; absent callers have none.
+        in_progress: Tasks in progress at this entry by caller.
+    """
+
+    def __init__(self):
+        self.quotas: Mapping[str, int] = {}
+        self.in_progress: collections.Counter[str] = collections.Counter()
+
+    def admits(self, caller: str, tasks: int, entries: int) -> bool:
+        """Tells whether a job fits the caller's quota.
+
+        Args:
+            caller: Name of the caller.
+            tasks: Number of tasks of the job.
+            entries: Live entries that share the quota, this one included.
+        """
+        quota = self.quotas.get(caller)
+        if quota is None:
+            return True
+        part = math.ceil(quota / entries)
+        return self.in_progress[caller] + tasks <= part
+
+    def start(self, caller: str, tasks: int) -> None:
+        """Counts the tasks of an admitted job."""
+        self.in_progress[caller] += tasks
+
+    def finish(self, caller: str, tasks: int) -> None:
+        """Releases the tasks of a job that was answered."""
+        self.in_progress[caller] -= tasks
+        if not self.in_progress[caller]:
+            del self.in_progress[caller]
--- a/anvilford/entry/tests/test_checker.py
+++ b/anvilford/entry/tests/test_checker.py
@@ -61,7 +61,7 @@
             is_own = event.submission_id.owner == self.me
             if event.job is not None and is_own:
                 key = next(extra)
-                self.jobs[key] = JobInFlight("", 0, "", now)
+                self.jobs[key] = JobInFlight("", "", 0, "", now)
                 again = self.services.submit(key, event.job, event.caller, now)
                 effects += self._translate(again)
             return effects
--- /dev/null
+++ b/anvilford/entry/tests/test_core.py
@@ -0,0 +1,185 @@
+"""Tests of single decisions of an entry."""
+
+import json
+import random
+
+from anvilford.entry import AttemptFinished
+from anvilford.entry import CallPeer
+from anvilford.entry import ConfigurationReceived
+from anvilford.entry import CoreOptions
+from anvilford.entry import EntryCore
+from anvilford.entry import PeerMessage
+from anvilford.entry import Respond
+from anvilford.entry import RunAttempt
+from anvilford.entry import SubmissionRequested
+from anvilford.entry import Tick
+from anvilford.entry import VmListReceived
+from anvilford.model import AttemptSucceeded
+from anvilford.model import Complete
+from anvilford.model import decode_answer
+from anvilford.model import Incarnation
+from anvilford.model import NotRun
+from anvilford.model import parse_job
+from anvilford.model import RefusalReason
+from anvilford.protocol import EntryInfo
+from anvilford.protocol import Gossip
+from anvilford.protocol import RequestKind
+from anvilford.protocol import VmInfo
+from anvilford.protocol import VmRole
+from anvilford.protocol import VmState
+from testkit import fixture
+from testkit import function_tests
+
+load_tests = function_tests(__name__)
+
+ME = Incarnation("z", "10.0.0.1:7100", "a1")
+PEER = Incarnation("z", "10.0.0.2:7100", "b2")
+TARGET = VmInfo("t1", VmRole.TARGET, "z", "10.1.0.1:1", "seal", VmState.LIVE)
+
+
+def row_of(document, version=1):
+    """A configuration row as the platform returns it."""
+    entry = {
+        "version": version,
+        "operation": f"op{version}",
+        "author": "ana",
+        "preset": document["preset"],
+    }
+    return {
+        "document": document,
+        "operation": entry["operation"],
+        "author": "ana",
+        "history": [entry],
+    }
+
+
+def configure(core, now=0.0, version=1, **document):
+    """Puts a configuration in force."""
+    document = {"preset": "ordinary"} | document
+    event = ConfigurationReceived(version, row_of(document, version))
+    return core.handle(event, now)
+
+
+def request_of(core, submission_id, count=1, caller="line-1", service="seal"):
+    """A submission of a job with `count` tasks."""
+    del core
+    body = json.dumps(
+        {
+            "service": service,
+            "deadline_ms": 1000,
+            "tasks": [{"operation": "check"}] * count,
+        }
+    ).encode()
+    return SubmissionRequested(
+        f"r-{submission_id.sequence}",
+        caller,
+        submission_id,
+        RequestKind.SUBMIT,
+        parse_job(body).ok,
+        body,
+        1000,
+    )
+
+
+def answers_in(effects):
+    """Decoded answers among effects."""
+    return [decode_answer(e.answer) for e in effects if isinstance(e, Respond)]
+
+
+@fixture
+def core():
+    """An entry with one target and a configuration in force."""
+    core = EntryCore(ME, b"key", CoreOptions(), random.Random(1), 0.0)
+    core.handle(VmListReceived(1, (TARGET,)), 0.0)
+    configure(core, quotas={"line-2": 2})
+    yield core
+
+
+def test_a_job_runs_and_is_answered(case, core):
+    """Guards against a whole path that does not join up."""
+    sid = core.issue("line-1", 1)[0]
+    effects = core.handle(request_of(core, sid), 0.1)
+    (start,) = (e.start for e in effects if isinstance(e, RunAttempt))
+    finished = AttemptFinished(start.attempt_id, "t1", AttemptSucceeded(7))
+    case.assertEqual(answers_in(core.handle(finished, 0.2)), [Complete((7,))])
+    case.assertEqual(answers_in(core.handle(finished, 0.3)), [])
+
+
+def test_quotas_refuse_truthfully_and_recover(case, core):
+    """Guards against a caller that takes more than its quota."""
+    first, second, third = core.issue("line-2", 3)
+    effects = core.handle(request_of(core, first, 2, "line-2"), 0.1)
+    starts = [e.start for e in effects if isinstance(e, RunAttempt)]
+    refused = core.handle(request_of(core, second, 1, "line-2"), 0.2)
+    (answer,) = answers_in(refused)
+    case.assertEqual(answer.reason, RefusalReason.QUOTA)
+    case.assertFalse([e for e in refused if isinstance(e, RunAttempt)])
+    for start in starts:
+        outcome = AttemptSucceeded(1)
+        core.handle(AttemptFinished(start.attempt_id, "t1", outcome), 0.3)
+    accepted = core.handle(request_of(core, third, 2, "line-2"), 0.4)
+    case.assertEqual(answers_in(accepted), [])
+
+
+def test_refusals_are_final_for_their_id(case, core):
+    """Guards against a delayed submission that runs after a refusal."""
+    configure(core, 0.1, 2, preset="maintenance")
+    sid = core.issue("line-1", 1)[0]
+    (first,) = answers_in(core.handle(request_of(core, sid), 0.2))
+    case.assertIsInstance(first, NotRun)
+    configure(core, 0.3, 3)
+    (second,) = answers_in(core.handle(request_of(core, sid), 0.4))
+    case.assertEqual(second, first)
+    retry = core.handle(
+        SubmissionRequested(
+            "retry",
+            "line-1",
+            core.issue("line-1", 1)[0],
+            RequestKind.STATUS,
+        ),
+        0.5,
+    )
+    case.assertEqual(len(answers_in(retry)), 1)
+    case.assertTrue(first.retry_id)
+
+
+def test_unknown_services_are_refused(case, core):
+    """Guards against tasks sent to targets of another service."""
+    sid = core.issue("line-1", 1)[0]
+    request = request_of(core, sid, service="orders")
+    (answer,) = answers_in(core.handle(request, 0.1))
+    case.assertEqual(answer.reason, RefusalReason.UNKNOWN_SERVICE)
+
+
+def test_a_fresh_entry_waits_for_a_configuration(case):
+    """Guards against serving before a configuration is in force."""
+    core = EntryCore(ME, b"key", CoreOptions(), random.Random(1), 0.0)
+    core.handle(Tick(), 5.0)
+    case.assertFalse(core.is_ready(5.0))
+    configure(core, 5.0)
+    case.assertTrue(core.is_ready(5.0))
+
+
+def test_a_newer_configuration_is_fetched_from_a_peer(case, core):
+    """Guards against a zone without platform that keeps an old version."""
+    info = EntryInfo(PEER, 1, 1.0, False, 7)
+    gossip = Gossip(PEER.address, (info,), b"")
+    effects = core.handle(PeerMessage(PEER, gossip), 0.1)
+    calls = [e.address for e in effects if isinstance(e, CallPeer)]
+    case.assertEqual(calls, [PEER.address])
+
+
+def test_more_entries_than_connections_allow_stay_out(case):
+    """Guards against a 65th connection when too many entries start."""
+    core = EntryCore(ME, b"key", CoreOptions(), random.Random(1), 0.0)
+    others = tuple(
+        EntryInfo(
+            Incarnation("z", f"10.0.0.{n}:7100", f"t{n}"), 1, 1.0, False, 1
+        )
+        for n in range(2, 6)
+    )
+    gossip = Gossip(PEER.address, others, b"")
+    core.handle(PeerMessage(PEER, gossip), 0.1)
+    configure(core, 0.2)
+    case.assertFalse(core.is_ready(0.3))
+    case.assertTrue(core.is_ready(10.0))
