--- a/anvilford/targets/tests/test_client.py
+++ b/anvilford/targets/tests/test_client.py
@@ -199,7 +199,7 @@
 def test_connection_of_a_bad_answer_is_replaced(case):
     """Guards against a target that is unusable after one bad answer."""
     ok = ["read", answer(200, {"result": 1})]
-    for bad in (answer(200, "x" * 3000), answer(200, "{}", length=9), b""):
+    for bad in (answer(200, "x" * 300_000), answer(200, "{}", length=9), b""):
         with RawTarget(["read", bad], ok) as target:
             outcomes = run(target.address, *[(2.0, None)] * 2, connections=1)
         case.assertIsInstance(outcomes[0], AttemptUnknown)
@@ -270,6 +270,33 @@
         case.assertEqual(len(target.requests), 1)
 
 
+def test_cancelled_attempt_is_never_sent(case):
+    """Guards against a task sent after it was reported as not sent."""
+
+    async def start(target):
+        with TargetClient(SETTINGS, lambda _: 1) as client:
+            now = time.monotonic()
+            first = Attempt(target.address, now + 2)
+            second = attrs.evolve(first, attempt_id="a/2")
+            running = asyncio.create_task(client.start(first, 9000, ""))
+            waiting = asyncio.create_task(client.start(second, 9000, ""))
+            await asyncio.sleep(0.05)
+            await client.cancel(second)
+            outcome = await waiting
+            taken = time.monotonic() - now
+            await running
+            # Here the thread of the second attempt gets the connection.
+            await asyncio.sleep(0.05)
+            return outcome, taken
+
+    ok = answer(200, {"result": 1})
+    with RawTarget(["read", 0.3, ok, "read", ok], ["read", ok]) as target:
+        outcome, taken = asyncio.run(start(target))
+    case.assertEqual(outcome, NOT_SENT)
+    case.assertLess(taken, 0.25)
+    case.assertEqual(len(target.requests), 1)
+
+
 def test_idle_connections_are_not_reused(case):
     """Guards against a close by the target that crosses a request."""
     ok = answer(200, {"result": 1})
