--- a/anvilford/platform/_operations.py
+++ b/anvilford/platform/_operations.py
@@ -109,6 +109,19 @@
         expected_version + 1,
     ):
         raise ValueError("the history must end with this operation")
+    return await _write_until_settled(
+        client, key, expected_version, value, operation_id, attempts
+    )
+
+
+async def _write_until_settled(
+    client: PlatformClient,
+    key: str,
+    expected_version: int,
+    value: dict[str, Any],
+    operation_id: str,
+    attempts: int,
+) -> Result[OperationAccepted, OperationFailure]:
     may_be_written = False
     failure = None
     for attempt in range(attempts):
--- a/anvilford/targets/tests/test_client.py
+++ b/anvilford/targets/tests/test_client.py
@@ -1,12 +1,8 @@
 """Tests of the target client over real sockets."""
 
 import asyncio
-import contextlib
 import json
 import random
-import socket
-import struct
-import threading
 import time
 
 import attrs
@@ -14,236 +10,19 @@
 from anvilford.model import AttemptFailed
 from anvilford.model import AttemptNotStarted
 from anvilford.model import AttemptSucceeded
-from anvilford.model import AttemptUnknown
-from anvilford.model import NotStartedReason
-from anvilford.model import TaskSpec
-from anvilford.model import UnknownAttemptReason
 from anvilford.targets import TargetClient
-from anvilford.targets import TargetSettings
+from anvilford.targets.tests._raw_target import answer
+from anvilford.targets.tests._raw_target import Attempt
+from anvilford.targets.tests._raw_target import LOST
+from anvilford.targets.tests._raw_target import NOT_SENT
+from anvilford.targets.tests._raw_target import RawTarget
+from anvilford.targets.tests._raw_target import run
+from anvilford.targets.tests._raw_target import SETTINGS
 from standins import TargetStandin
 from testkit import function_tests
 
 load_tests = function_tests(__name__)
 
-SETTINGS = TargetSettings(grace_ms=40, response_bytes=2000, threads=16)
-NOT_SENT = AttemptNotStarted(NotStartedReason.NOT_SENT)
-REFUSED = AttemptNotStarted(NotStartedReason.CONNECTION_REFUSED)
-LOST = AttemptUnknown(UnknownAttemptReason.CONNECTION_LOST)
-TIMEOUT = AttemptUnknown(UnknownAttemptReason.TIMEOUT)
-BAD = AttemptUnknown(UnknownAttemptReason.BAD_RESPONSE)
-MISMATCH = AttemptUnknown(UnknownAttemptReason.ATTEMPT_MISMATCH)
-
-
-@attrs.frozen
-class Attempt:
-    """Stands for the scheduler's effects."""
-
-    address: str
-    deadline: float
-    payload: object = None
-    attempt_id: str = "a/1"
-    target_id: str = "t1"
-
-    @property
-    def task(self):
-        """The task to run."""
-        return TaskSpec("op", self.payload)
-
-
-class RawTarget:
-    """Accepts connections and plays one script for each request.
-
-    A script is a list of bytes to send and of steps: "read" reads a request,
-    "hold" waits until the client closes, "reset" resets the connection, a
-    number sleeps. The connection is closed at the end of the script.
-    """
-
-    def __init__(self, *scripts):
-        self.scripts = list(scripts)
-        self.requests = []
-        self.connections = 0
-
-    def __enter__(self):
-        self.listener = socket.create_server(("127.0.0.1", 0))
-        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
-        threading.Thread(target=self._accept, daemon=True).start()
-        return self
-
-    def __exit__(self, *exc_info):
-        self.listener.shutdown(socket.SHUT_RDWR)
-        self.listener.close()
-
-    def _accept(self):
-        with contextlib.suppress(OSError):
-            for script in self.scripts:
-                sock, _ = self.listener.accept()
-                self.connections += 1
-                threading.Thread(
-                    target=self._play, args=(sock, script), daemon=True
-                ).start()
-
-    def _play(self, sock, script):
-        with sock, contextlib.suppress(OSError):
-            for step in script:
-                match step:
-                    case "read":
-                        self.requests.append(read_request(sock))
-                    case "hold":
-                        sock.recv(1)
-                    case "reset":
-                        linger = struct.pack("ii", 1, 0)
-                        sock.setsockopt(
-                            socket.SOL_SOCKET, socket.SO_LINGER, linger
-                        )
-                    case bytes():
-                        sock.sendall(step)
-                    case _:
-                        time.sleep(step)
-
-
-def read_request(sock):
-    """Reads one request and returns it as text."""
-    data = b""
-    while b"\r\n\r\n" not in data:
-        received = sock.recv(65536)
-        if not received:
-            raise OSError
-        data += received
-    head, _, body = data.partition(b"\r\n\r\n")
-    length = 0
-    for line in head.lower().split(b"\r\n"):
-        if line.startswith(b"content-length:"):
-            length = int(line.partition(b":")[2])
-    while len(body) < length:
-        body += sock.recv(65536)
-    return (head + b"\r\n\r\n" + body).decode()
-
-
-def answer(status, document, extra="", length=None, **changes):
-    """Encodes an answer; `length` overrides the true length."""
-    if isinstance(document, dict):
-        document = json.dumps({"attempt": "a/1", **document, **changes})
-    body = document.encode()
-    length = len(body) if length is None else length
-    head = f"HTTP/1.1 {status} X\r\nContent-Length: {length}\r\n{extra}\r\n"
-    return head.encode() + body
-
-
-def run(address, *attempts, settings=SETTINGS, connections=4, lease_ms=9000):
-    """Starts attempts one after the other and returns their outcomes."""
-
-    async def start():
-        outcomes = []
-        with TargetClient(settings, lambda _: connections) as client:
-            for deadline, payload in attempts or ((2.0, None),):
-                attempt = Attempt(address, time.monotonic() + deadline, payload)
-                outcomes.append(await client.start(attempt, lease_ms, "00-t"))
-        return outcomes
-
-    return asyncio.run(start())
-
-
-def test_answers_are_classified_exactly(case):
-    """Guards against a task that is run again, or reported wrongly."""
-    ok = {"result": {"x": 1}}
-    failed = {"type": "task_failed", "message": "no"}
-    busy = {"type": "not_run", "reason": "busy"}
-    chunk = b"7d0\r\n" + b"x" * 2000 + b"\r\n"
-    chunked = b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n"
-    table = [
-        (answer(200, ok), AttemptSucceeded({"x": 1})),
-        (answer(200, {"result": None}), AttemptSucceeded(None)),
-        (answer(500, failed), AttemptFailed("no")),
-        (answer(503, busy), AttemptNotStarted(NotStartedReason.BUSY)),
-        (
-            answer(503, busy, reason="leaving"),
-            AttemptNotStarted(NotStartedReason.LEAVING),
-        ),
-        (
-            answer(503, busy, reason="lease"),
-            AttemptNotStarted(NotStartedReason.LEASE),
-        ),
-        (answer(503, busy, reason="not_sent"), BAD),
-        (answer(503, busy, attempt="a/2"), MISMATCH),
-        (answer(200, ok, attempt="a/2"), MISMATCH),
-        (answer(200, ok, attempt=None), MISMATCH),
-        (answer(500, busy), BAD),
-        (answer(503, failed), BAD),
-        (answer(503, "busy"), BAD),
-        (answer(200, {}), BAD),
-        (answer(200, "[1]"), BAD),
-        (answer(200, '{"attempt": "a/1", "result": NaN}'), BAD),
-        (answer(200, "[" * 1900), BAD),
-        (answer(200, ok, length=100), BAD),
-        (answer(200, {"result": "x" * 2000}), BAD),
-        (chunked + chunk + b"0\r\n\r\n", BAD),
-        (chunked + chunk[:90], BAD),
-        (answer(302, ok, "Location: /v1/tasks\r\n"), BAD),
-        (answer(429, ok), BAD),
-        (answer(200, ok, "Content-Encoding: gzip\r\n"), AttemptSucceeded),
-        (b"SSH-2.0-x\r\n\r\n", BAD),
-        (b"HTTP/1.1 200 X\r\n" + b"A: b\r\n" * 200, BAD),
-        (b"", LOST),
-        (b"HTTP/1.1 20", BAD),
-    ]
-    for sent, expected in table:
-        with RawTarget(["read", sent]) as target:
-            (outcome,) = run(target.address)
-        if isinstance(expected, type):
-            case.assertIsInstance(outcome, expected)
-        else:
-            case.assertEqual(outcome, expected, sent)
-        case.assertEqual(target.connections, 1, sent)
-
-
-def test_connection_of_a_bad_answer_is_replaced(case):
-    """Guards against a target that is unusable after one bad answer."""
-    ok = ["read", answer(200, {"result": 1})]
-    for bad in (answer(200, "x" * 300_000), answer(200, "{}", length=9), b""):
-        with RawTarget(["read", bad], ok) as target:
-            outcomes = run(target.address, *[(2.0, None)] * 2, connections=1)
-        case.assertIsInstance(outcomes[0], AttemptUnknown)
-        case.assertEqual(outcomes[1], AttemptSucceeded(1))
-
-
-def test_lost_connections_are_unknown(case):
-    """Guards against a retry of a task that may have run."""
-    big = "x" * 8_000_000
-    table = [
-        # A reset that arrives during the connect proves that nothing was sent.
-        (["reset"], None, {LOST, NOT_SENT}),
-        (["read", "reset"], None, {LOST}),
-        (["read", "hold"], None, {TIMEOUT}),
-        (["read", *[b"H", 0.05] * 40], None, {TIMEOUT}),
-        ([1.0], big, {TIMEOUT}),
-        ([0.05, "reset"], big, {LOST}),
-        (["read", answer(200, {}, length=900), "reset"], None, {LOST, BAD}),
-    ]
-    for script, payload, expected in table:
-        started = time.monotonic()
-        with RawTarget(script) as target:
-            (outcome,) = run(target.address, (0.2, payload))
-        case.assertIn(outcome, expected, script)
-        case.assertLess(time.monotonic() - started, 0.8)
-
-
-def test_nothing_sent_is_provable(case):
-    """Guards against `unknown` for tasks that were certainly not sent."""
-    with socket.create_server(("127.0.0.1", 0)) as closed:
-        address = f"127.0.0.1:{closed.getsockname()[1]}"
-    case.assertEqual(run(address), [REFUSED])
-    with RawTarget() as target:
-        case.assertEqual(run(target.address, (-0.01, None)), [NOT_SENT])
-        case.assertEqual(run(target.address, lease_ms=0), [NOT_SENT])
-        case.assertEqual(run(target.address, connections=0), [NOT_SENT])
-        case.assertEqual(run(target.address, (1, object())), [NOT_SENT])
-    # The queue of a listener of length 0 holds one connection; the next one is
-    # never established.
-    with socket.create_server(("127.0.0.1", 0), backlog=0) as full:
-        host, port = full.getsockname()
-        with socket.create_connection((host, port)):
-            case.assertEqual(run(f"{host}:{port}", (0.1, None)), [NOT_SENT])
-
 
 def test_waiting_attempts_end_unsent_at_the_deadline(case):
     """Guards against an expired task that is still sent from a queue."""
--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -104,18 +104,18 @@
         await asyncio.gather(
             *(drive(arguments, name, load.run) for name, load in loads.items())
         )
-        report = {name: load.report() for name, load in loads.items()}
-    if "direct" in report:
-        report["added_ms"] = added_latency(
-            loads["entry"].measures, loads["direct"].measures
-        )
     parameters = {k: v for k, v in vars(arguments).items() if k != "token"}
-    return {
+    report = {
         "started": started.isoformat(timespec="seconds"),
         "python": sys.version.split()[0],
         "parameters": parameters,
-        **report,
+        **{name: load.report() for name, load in loads.items()},
     }
+    if "direct" in loads:
+        report["added_ms"] = added_latency(
+            loads["entry"].measures, loads["direct"].measures
+        )
+    return report
 
 
 Run = Callable[[JobPlan, float], Awaitable[None]]
