--- a/benchmarks/_jobs.py
+++ b/benchmarks/_jobs.py
@@ -91,7 +91,7 @@
         loop = asyncio.get_running_loop()
         number = next(self._sequence)
         index = number % len(self.entries)
-        self.measures.sent += 1
+        self.measures.begin(arrival)
         submission_id = await self._take_id(index)
         if submission_id is None:
             self.measures.counts["no_id"] += 1
@@ -106,7 +106,7 @@
         outcome = _outcome(reply, echoes)
         self.measures.counts[outcome] += 1
         kind = plan.kind if outcome == "complete" else outcome
-        self.measures.observe(kind, loop.time() - arrival)
+        self.measures.observe(kind, arrival, loop.time())
 
     def report(self) -> dict[str, Any]:
         """Returns measures, connection events and the verdict."""
@@ -202,7 +202,7 @@
     async def run(self, plan: JobPlan, arrival: float) -> None:
         """Runs one task and records what came of it."""
         loop = asyncio.get_running_loop()
-        self.measures.sent += 1
+        self.measures.begin(arrival)
         attempt = f"direct/{self.measures.sent}"
         headers = {
             "Anvilford-Attempt": attempt,
@@ -221,7 +221,7 @@
         outcome = "complete" if reply.status == 200 else f"http_{reply.status}"
         self.measures.counts[outcome] += 1
         kind = plan.kind if outcome == "complete" else outcome
-        self.measures.observe(kind, loop.time() - arrival)
+        self.measures.observe(kind, arrival, loop.time())
 
     def report(self) -> dict[str, Any]:
         """Returns measures and connection events."""
--- a/benchmarks/_measures.py
+++ b/benchmarks/_measures.py
@@ -4,6 +4,7 @@
 import random
 from typing import Any
 
+import attrs
 from hdrh.histogram import HdrHistogram
 
 # One microsecond to ten minutes with three significant digits.
@@ -11,32 +12,60 @@
 PERCENTILES = {"p50": 50.0, "p90": 90.0, "p99": 99.0, "p99_9": 99.9}
 
 
+@attrs.define
+class Window:
+    """Jobs that arrived in one stretch of time.
+
+    Attributes:
+        sent: Jobs begun.
+        in_time: Jobs completed within the deadline.
+        short_seconds: Latency of complete short jobs.
+    """
+
+    sent: int = 0
+    in_time: int = 0
+    short_seconds: list[float] = attrs.field(factory=list)
+
+
 class Measures:
     """What the callers of one load saw.
 
     Attributes:
         deadline_ms: Time in which an answer is due.
+        window_seconds: Length of the windows of which the worst is reported.
         counts: Jobs by outcome; also "lost", "resubmitted" and "wrong".
         histograms: Latency in microseconds by kind, e.g. "complete_short".
         in_time: Jobs completed within the deadline.
         sent: Jobs begun.
     """
 
-    def __init__(self, deadline_ms: float):
+    def __init__(self, deadline_ms: float, window_seconds: float):
         self.deadline_ms = deadline_ms
+        self.window_seconds = window_seconds
         self.counts: collections.Counter[str] = collections.Counter()
         self.histograms: dict[str, HdrHistogram] = {}
         self.in_time = 0
         self.sent = 0
+        self._windows: dict[int, Window] = collections.defaultdict(Window)
+
+    def begin(self, arrival: float) -> None:
+        """Counts a job that arrived at this loop time."""
+        self.sent += 1
+        self._window(arrival).sent += 1
 
-    def observe(self, kind: str, seconds: float) -> None:
+    def observe(self, kind: str, arrival: float, now: float) -> None:
         """Records the latency of one answer."""
         histogram = self.histograms.get(kind)
         if histogram is None:
             histogram = self.histograms[kind] = HdrHistogram(*_RANGE_US)
+        seconds = now - arrival
         histogram.record_value(max(1, round(seconds * 1e6)))
+        window = self._window(arrival)
+        if kind == "complete_short":
+            window.short_seconds.append(seconds)
         if kind.startswith("complete") and seconds * 1e3 <= self.deadline_ms:
             self.in_time += 1
+            window.in_time += 1
 
     def report(self) -> dict[str, Any]:
         """Returns counts and latency in milliseconds."""
@@ -46,6 +75,7 @@
             "in_time_share": round(self.in_time / self.sent, 5)
             if self.sent
             else None,
+            "worst_window": self._worst_window(),
             "counts": dict(sorted(self.counts.items())),
             "latency_ms": {
                 kind: _summary(histogram)
@@ -53,6 +83,27 @@
             },
         }
 
+    def _window(self, arrival: float) -> Window:
+        return self._windows[int(arrival / self.window_seconds)]
+
+    def _worst_window(self) -> dict[str, Any]:
+        windows = self._windows.values()
+        shares = [w.in_time / w.sent for w in windows if w.sent]
+        short = [sorted(w.short_seconds) for w in windows if w.short_seconds]
+        worst = {
+            name: max(
+                seconds[min(len(seconds) - 1, int(len(seconds) * p / 100))]
+                for seconds in short
+            )
+            for name, p in PERCENTILES.items()
+            if short
+        }
+        return {
+            "seconds": self.window_seconds,
+            "in_time_share": round(min(shares), 5) if shares else None,
+            "short_ms": {k: round(v * 1000, 3) for k, v in worst.items()},
+        }
+
 
 def added_latency(entry: Measures, direct: Measures) -> dict[str, Any]:
     """Returns by how many ms the entry's percentiles exceed the direct ones.
--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -67,6 +67,9 @@
     parser.add_argument(
         "--connections", type=int, default=64, help="per entry and target"
     )
+    parser.add_argument(
+        "--window-seconds", type=float, default=60.0, help="worst window"
+    )
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--target", help="IP:port of a target called directly")
     parser.add_argument("--report", help="file for the report")
@@ -76,6 +79,7 @@
 async def measure(arguments: argparse.Namespace) -> dict:
     """Runs the load and returns the report."""
     started = datetime.datetime.now(datetime.UTC)
+    deadline_ms = arguments.deadline_ms
     async with contextlib.AsyncExitStack() as stack:
 
         async def connect(address: str) -> Connections:
@@ -91,15 +95,15 @@
             arguments.token,
             arguments.service,
             arguments.operation,
-            arguments.deadline_ms,
-            Measures(arguments.deadline_ms),
+            deadline_ms,
+            Measures(deadline_ms, arguments.window_seconds),
         )
         if arguments.target:
             loads["direct"] = DirectCalls(
                 await connect(arguments.target),
                 arguments.operation,
-                arguments.deadline_ms,
-                Measures(arguments.deadline_ms),
+                deadline_ms,
+                Measures(deadline_ms, arguments.window_seconds),
             )
         await asyncio.gather(
             *(drive(arguments, name, load.run) for name, load in loads.items())
--- a/benchmarks/tests/test_load.py
+++ b/benchmarks/tests/test_load.py
@@ -93,9 +93,11 @@
     status, report = run(
         entry,
         *("--rate", "40", "--seconds", "0.5", "--run-ms", "100"),
-        *("--connections", "1", "--deadline-ms", "9000"),
+        *("--connections", "1", "--deadline-ms", "400"),
+        *("--window-seconds", "0.1"),
     )
     case.assertEqual(status, 0)
+    case.assertLess(report["entry"]["worst_window"]["in_time_share"], 0.2)
     latency = report["entry"]["latency_ms"]["complete_short"]
     case.assertGreater(latency["max"], 400)
 
