--- a/anvilford/targets/tests/test_classification.py
+++ b/anvilford/targets/tests/test_classification.py
@@ -8,15 +8,15 @@
 from anvilford.model import AttemptSucceeded
 from anvilford.model import AttemptUnknown
 from anvilford.model import NotStartedReason
-from anvilford.targets.tests._raw_target import answer
-from anvilford.targets.tests._raw_target import BAD
-from anvilford.targets.tests._raw_target import LOST
-from anvilford.targets.tests._raw_target import MISMATCH
-from anvilford.targets.tests._raw_target import NOT_SENT
-from anvilford.targets.tests._raw_target import RawTarget
-from anvilford.targets.tests._raw_target import REFUSED
-from anvilford.targets.tests._raw_target import run
-from anvilford.targets.tests._raw_target import TIMEOUT
+from anvilford.targets.tests._shared import answer
+from anvilford.targets.tests._shared import BAD
+from anvilford.targets.tests._shared import LOST
+from anvilford.targets.tests._shared import MISMATCH
+from anvilford.targets.tests._shared import NOT_SENT
+from anvilford.targets.tests._shared import REFUSED
+from anvilford.targets.tests._shared import run
+from anvilford.targets.tests._shared import TIMEOUT
+from standins import RawServer
 from testkit import function_tests
 
 load_tests = function_tests(__name__)
@@ -70,7 +70,7 @@
 def test_answers_are_classified_exactly(case):
     """Guards against a task that is run again, or reported wrongly."""
     for sent, expected in ANSWERS:
-        with RawTarget(["read", sent]) as target:
+        with RawServer(["read", sent]) as target:
             (outcome,) = run(target.address)
         if isinstance(expected, type):
             case.assertIsInstance(outcome, expected)
@@ -83,7 +83,7 @@
     """Guards against a target that is unusable after one bad answer."""
     ok = ["read", answer(200, {"result": 1})]
     for bad in (answer(200, "x" * 300_000), answer(200, "{}", length=9), b""):
-        with RawTarget(["read", bad], ok) as target:
+        with RawServer(["read", bad], ok) as target:
             outcomes = run(target.address, *[(2.0, None)] * 2, connections=1)
         case.assertIsInstance(outcomes[0], AttemptUnknown)
         case.assertEqual(outcomes[1], AttemptSucceeded(1))
@@ -104,7 +104,7 @@
     ]
     for script, payload, expected in table:
         started = time.monotonic()
-        with RawTarget(script) as target:
+        with RawServer(script) as target:
             (outcome,) = run(target.address, (0.2, payload))
         case.assertIn(outcome, expected, script)
         case.assertLess(time.monotonic() - started, 0.8)
@@ -115,7 +115,7 @@
     with socket.create_server(("127.0.0.1", 0)) as closed:
         address = f"127.0.0.1:{closed.getsockname()[1]}"
     case.assertEqual(run(address), [REFUSED])
-    with RawTarget() as target:
+    with RawServer() as target:
         case.assertEqual(run(target.address, (-0.01, None)), [NOT_SENT])
         case.assertEqual(run(target.address, lease_ms=0), [NOT_SENT])
         case.assertEqual(run(target.address, connections=0), [NOT_SENT])
--- a/anvilford/targets/tests/test_client.py
+++ b/anvilford/targets/tests/test_client.py
@@ -11,13 +11,13 @@
 from anvilford.model import AttemptNotStarted
 from anvilford.model import AttemptSucceeded
 from anvilford.targets import TargetClient
-from anvilford.targets.tests._raw_target import answer
-from anvilford.targets.tests._raw_target import Attempt
-from anvilford.targets.tests._raw_target import LOST
-from anvilford.targets.tests._raw_target import NOT_SENT
-from anvilford.targets.tests._raw_target import RawTarget
-from anvilford.targets.tests._raw_target import run
-from anvilford.targets.tests._raw_target import SETTINGS
+from anvilford.targets.tests._shared import answer
+from anvilford.targets.tests._shared import Attempt
+from anvilford.targets.tests._shared import LOST
+from anvilford.targets.tests._shared import NOT_SENT
+from anvilford.targets.tests._shared import run
+from anvilford.targets.tests._shared import SETTINGS
+from standins import RawServer
 from standins import TargetStandin
 from testkit import function_tests
 
@@ -29,7 +29,7 @@
     for limits in ({"connections": 1}, {"threads": 1}):
         threads = limits.get("threads", 16)
         settings = attrs.evolve(SETTINGS, threads=threads)
-        with RawTarget(["read", 0.5, answer(200, {"result": 1})]) as target:
+        with RawServer(["read", 0.5, answer(200, {"result": 1})]) as target:
 
             async def start(limit=limits, settings=settings, target=target):
                 connections = limit.get("connections", 4)
@@ -69,7 +69,7 @@
             return outcome, taken
 
     ok = answer(200, {"result": 1})
-    with RawTarget(["read", 0.3, ok, "read", ok], ["read", ok]) as target:
+    with RawServer(["read", 0.3, ok, "read", ok], ["read", ok]) as target:
         outcome, taken = asyncio.run(start(target))
     case.assertEqual(outcome, NOT_SENT)
     case.assertLess(taken, 0.25)
@@ -98,7 +98,7 @@
         (["read", ok], 0.02, 2),
     ]
     for script, pause, connections in table:
-        with RawTarget(script, script) as target:
+        with RawServer(script, script) as target:
             outcomes = asyncio.run(start(pause, target))
         case.assertEqual(outcomes, [AttemptSucceeded(1)] * 2)
         case.assertEqual(target.connections, connections, script)
@@ -106,7 +106,7 @@
 
 def test_request_carries_attempt_lease_and_trace(case):
     """Guards against a lease beyond the deadline and lost trace context."""
-    with RawTarget(["read", answer(200, {"result": 1})]) as target:
+    with RawServer(["read", answer(200, {"result": 1})]) as target:
         run(target.address, (0.5, {"k": "é"}))
     head, _, body = target.requests[0].partition("\r\n\r\n")
     case.assertEqual(
--- a/standins/__init__.py
+++ b/standins/__init__.py
@@ -6,6 +6,7 @@
 from standins._http import Response
 from standins._platform import PlatformFaults
 from standins._platform import PlatformStandin
+from standins._raw import RawServer
 from standins._target import TargetFaults
 from standins._target import TargetStandin
 
@@ -13,6 +14,7 @@
     "HttpServer",
     "PlatformFaults",
     "PlatformStandin",
+    "RawServer",
     "Request",
     "Response",
     "TargetFaults",
--- /dev/null
+++ b/standins/_raw.py
@@ -0,0 +1,85 @@
+"""A scripted server for answers that no HTTP server would send."""
+
+import contextlib
+import socket
+import struct
+import threading
+import time
+from typing import Any
+
+
+class RawServer:
+    """Accepts connections and plays one script on each.
+
+    A script is a list of bytes to send and of steps: "read" reads a request,
+    "hold" waits until the client closes, "reset" resets the connection, a
+    number sleeps. The connection is closed at the end of the script.
+
+    Attributes:
+        address: "IP:port", once entered.
+        scripts: One script for each connection, in the order of acceptance;
+            further connections stay in the listener's queue.
+        requests: Every request read, as text.
+        connections: Connections accepted.
+    """
+
+    def __init__(self, *scripts: list[Any]):
+        self.scripts = list(scripts)
+        self.address = ""
+        self.requests: list[str] = []
+        self.connections = 0
+
+    def __enter__(self) -> "RawServer":
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        threading.Thread(target=self._accept, daemon=True).start()
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+
+    def _accept(self) -> None:
+        with contextlib.suppress(OSError):
+            for script in self.scripts:
+                sock, _ = self.listener.accept()
+                self.connections += 1
+                threading.Thread(
+                    target=self._play, args=(sock, script), daemon=True
+                ).start()
+
+    def _play(self, sock: socket.socket, script: list[Any]) -> None:
+        with sock, contextlib.suppress(OSError):
+            for step in script:
+                match step:
+                    case "read":
+                        self.requests.append(read_request(sock))
+                    case "hold":
+                        sock.recv(1)
+                    case "reset":
+                        linger = struct.pack("ii", 1, 0)
+                        sock.setsockopt(
+                            socket.SOL_SOCKET, socket.SO_LINGER, linger
+                        )
+                    case bytes():
+                        sock.sendall(step)
+                    case _:
+                        time.sleep(step)
+
+
+def read_request(sock: socket.socket) -> str:
+    """Reads one request and returns it as text."""
+    data = b""
+    while b"\r\n\r\n" not in data:
+        received = sock.recv(65536)
+        if not received:
+            raise OSError
+        data += received
+    head, _, body = data.partition(b"\r\n\r\n")
+    length = 0
+    for line in head.lower().split(b"\r\n"):
+        if line.startswith(b"content-length:"):
+            length = int(line.partition(b":")[2])
+    while len(body) < length:
+        body += sock.recv(65536)
+    return (head + b"\r\n\r\n" + body).decode()
