--- a/anvilford/daemon/_runtime.py
+++ b/anvilford/daemon/_runtime.py
@@ -281,6 +281,10 @@
         result = await self.platform.list_vms()
         if result.is_ok():
             self.handle(VmListReceived(result.ok.revision, result.ok.vms))
+            # Entry VMs are replaced all the time; links to old ones would pile
+            # up otherwise.
+            addresses = self.core.directory.entry_addresses()
+            self.links.retain(addresses | set(self.core.options.seeds))
         else:
             self.counters.increment("platform_failures", service="vms")
 
