Bound adopted records, old marks and checks of forwards

Cause: read-through of the state that outlives what it describes. Each adopted daemon could bring its own byte limit, marks of replaced VMs returned from peers after their tombstones, and every event walked over all forwards. Change: the byte limit holds for all adopted daemons together, only marks of known VMs are passed on, and forwards are checked every 100 ms.

--- a/anvilford/entry/_gossip.py
+++ b/anvilford/entry/_gossip.py
@@ -120,7 +120,7 @@
             entries,
             fingerprint,
             tuple(known.info for known in directory.vms.values()),
-            tuple(directory.marks.values()),
+            tuple(directory.current_marks()),
             tuple(directory.successors.values()),
             full=True,
         )
--- a/anvilford/entry/_requests.py
+++ b/anvilford/entry/_requests.py
@@ -36,6 +36,8 @@
 # Added to the caller's remaining time, so that the owner's own answer at the
 # deadline arrives before the forward times out.
 FORWARD_GRACE_S = 0.5
+# Forwards are checked all together, so not on every event.
+FORWARD_CHECK_S = 0.1
 # Status and cancel are answered by the owner at once.
 SHORT_FORWARD_S = 2.0
 
@@ -86,6 +88,7 @@
         self.forwards: dict[str, Forward] = {}
         self.refusing = False
         self.closing = False
+        self._next_check = 0.0
 
     def serve(
         self, request: SubmissionRequested, now: float
@@ -272,6 +275,9 @@
     def advance(self, now: float) -> list[Effect]:
         """Ends forwards whose owner became suspect or whose time is over."""
         effects: list[Effect] = []
+        if not self.forwards or now < self._next_check:
+            return effects
+        self._next_check = now + FORWARD_CHECK_S
         for request_id, forward in list(self.forwards.items()):
             newest = self.directory.newest_incarnation(forward.address)
             is_lost = newest is not None and self.directory.is_suspect(
@@ -283,8 +289,8 @@
         return effects
 
     def next_wakeup(self) -> float | None:
-        """Loop time at which the next forward expires."""
-        return min((f.expires_at for f in self.forwards.values()), default=None)
+        """Loop time at which the forwards must be checked."""
+        return self._next_check if self.forwards else None
 
     def _unreachable(self, request_id: str) -> list[Effect]:
         reason = UnknownReason.OWNER_UNREACHABLE
--- a/anvilford/membership/_directory.py
+++ b/anvilford/membership/_directory.py
@@ -137,6 +137,19 @@
             self.marks[mark.vm_id] = mark
             self._fingerprint = None
 
+    def current_marks(self) -> list[Mark]:
+        """Marks of VMs that are not gone; only these are passed on.
+
+        Entries drop tombstones at different times. A mark that outlived its VM
+        at one of them would otherwise return to the others again and again.
+        """
+        return [
+            mark
+            for vm_id, mark in self.marks.items()
+            if vm_id in self.vms
+            and self.vms[vm_id].info.state is not VmState.GONE
+        ]
+
     def observe_successor(self, successor: Successor) -> None:
         """Merges a handover: a sealed one wins, then the larger counter."""
         token = successor.owner.token
@@ -162,8 +175,9 @@
                 and now - known.seen_at > TOMBSTONE_S
             ):
                 del self.vms[vm_id]
-                self.marks.pop(vm_id, None)
                 self._fingerprint = None
+        for vm_id in [v for v in self.marks if v not in self.vms]:
+            del self.marks[vm_id]
         for token, entry in list(self.entries.items()):
             if now - entry.heard_at > TOMBSTONE_S:
                 del self.entries[token]
@@ -241,7 +255,7 @@
             )
             parts += sorted(
                 f"{m.vm_id}\0{m.drained}\0{m.counter}\0{m.author}"
-                for m in self.marks.values()
+                for m in self.current_marks()
             )
             parts += sorted(
                 f"{t}\0{s.holder.token}\0{_rank(s)}"
--- a/anvilford/membership/tests/test_directory.py
+++ b/anvilford/membership/tests/test_directory.py
@@ -85,6 +85,19 @@
     assert directory.vms == {}
 
 
+def test_marks_end_with_their_vm(directory):
+    """Guards against marks of replaced VMs that are kept and sent forever."""
+    directory.observe_vm(TARGET, 0.0)
+    mark = directory.mark("t1", True, "x")
+    assert directory.current_marks() == [mark]
+    directory.observe_vm(attrs.evolve(TARGET, state=VmState.GONE), 1.0)
+    assert directory.current_marks() == []
+    directory.expire(2000.0)
+    directory.observe_mark(mark)
+    directory.expire(2001.0)
+    assert directory.marks == {}
+
+
 def test_marks_and_leaving_stop_new_work(directory):
     """Guards against new work for a drained or leaving target."""
     directory.observe_vm(TARGET, 0.0)
--- a/anvilford/submissions/_adopted.py
+++ b/anvilford/submissions/_adopted.py
@@ -45,7 +45,8 @@
     """Outcomes of stopped daemons that this daemon answers for.
 
     Attributes:
-        limits: Bounds on the records of each stopped daemon.
+        limits: Bounds on the records of each stopped daemon; the bytes also
+            bound all of them together.
         max_owners: Stopped daemons kept; the oldest is dropped first.
         owners: Adopted daemons by incarnation token, oldest first.
     """
@@ -65,6 +66,17 @@
                 store.add(
                     Record(item.sequence, item.caller, item.digest, item.answer)
                 )
+        # Daemons are replaced many times a day, and each of them could bring
+        # as many bytes as one is allowed to keep.
+        while len(self.owners) > 1 and (
+            self.retained_bytes > self.limits.bytes
+        ):
+            del self.owners[next(iter(self.owners))]
+
+    @property
+    def retained_bytes(self) -> int:
+        """Bytes held for all stopped daemons."""
+        return sum(o.store.retained_bytes for o in self.owners.values())
 
     def adopt_seal(self, seal: HandoverSeal) -> None:
         """Completes a handover."""
--- a/anvilford/submissions/tests/test_ledger.py
+++ b/anvilford/submissions/tests/test_ledger.py
@@ -189,6 +189,24 @@
     assert partial.answer(sid, "line-1", "d") == unknown
 
 
+def test_adopted_records_are_bounded_together():
+    """Guards against memory that grows with each replaced daemon."""
+    adoptions = Adoptions(RetentionLimits(records=10, bytes=10_000))
+    large = encode_answer(Complete(("x" * 4000,)))
+    for number in range(5):
+        owner = Incarnation("quimper-a", f"10.0.0.{number}:7100", f"a{number}")
+        stopped = Ledger(owner, b"key", SMALL)
+        sid = stopped.issue("line-1")[0]
+        stopped.submit(sid, "line-1", "d")
+        stopped.settle(sid.sequence, large)
+        for chunk in handover_chunks(owner, stopped.store):
+            adoptions.adopt_chunk(chunk)
+        adoptions.adopt_seal(seal_of(stopped, owner=owner))
+        assert adoptions.retained_bytes <= 10_000
+        assert adoptions.answer(sid, "line-1", "d") == Finished(large)
+    assert len(adoptions.owners) == 2
+
+
 def test_a_full_successor_expires_what_it_dropped(ledger):
     """Guards against a false refusal for a record evicted after adoption."""
     ids = ledger.issue("line-1", 3)
