Keep operator marks in the platform's table; fresh entries hear peers first

Ruled out: loss of gossip; pushes to full peers arrived in every case. Change: a fresh entry is ready only after the platform answered and a peer's whole membership was merged, or after the wait; marks are written to a table row by compare-and-set and read at the start.

--- a/anvilford/daemon/_runtime.py
+++ b/anvilford/daemon/_runtime.py
@@ -11,6 +11,9 @@
 from typing import Any
 
 from anvilford.configuration import ROW_KEY
+from anvilford.daemon._marks import encode_marks
+from anvilford.daemon._marks import MARKS_KEY
+from anvilford.daemon._marks import parse_marks
 from anvilford.entry import AttemptFinished
 from anvilford.entry import CallPeer
 from anvilford.entry import ConfigurationReceived
@@ -20,9 +23,11 @@
 from anvilford.entry import EntryCore
 from anvilford.entry import Event
 from anvilford.entry import LogChange
+from anvilford.entry import MarksReceived
 from anvilford.entry import PeerFailed
 from anvilford.entry import PeerMessage
 from anvilford.entry import PeerReplied
+from anvilford.entry import ReadMarks
 from anvilford.entry import RequesterGone
 from anvilford.entry import Respond
 from anvilford.entry import RespondPeer
@@ -33,6 +38,7 @@
 from anvilford.entry import SubmissionRequested
 from anvilford.entry import Tick
 from anvilford.entry import VmListReceived
+from anvilford.entry import WriteMarks
 from anvilford.model import EncodedAnswer
 from anvilford.model import Incarnation
 from anvilford.model import JobLimits
@@ -45,6 +51,9 @@
 from anvilford.telemetry import Counters
 from anvilford.telemetry import Tracing
 
+# Marks arrive by gossip within a second; the row is only for fresh entries.
+MARKS_POLL_FACTOR = 5
+
 logger = logging.getLogger("anvilford.entry")
 
 
@@ -110,6 +119,7 @@
         stack.push_async_callback(self._cancel_tasks)
         self._spawn(self._poll(self._read_vm_list))
         self._spawn(self._poll(self._read_configuration))
+        self._spawn(self._poll_marks())
         self.handle(Tick())
 
     def handle(self, event: Event) -> None:
@@ -234,6 +244,10 @@
                 self._resolve(request_id, message)
             case CallPeer():
                 self._spawn(self._call_peer(effect))
+            case ReadMarks():
+                self._spawn(self._read_marks())
+            case WriteMarks():
+                self._spawn(self._write_marks(effect))
             case SendPeer(address, message):
                 self.links.send(address, message)
             case Count(name, labels, amount):
@@ -277,6 +291,34 @@
             await read()
             await asyncio.sleep(self.poll_interval)
 
+    async def _poll_marks(self) -> None:
+        while True:
+            await self._read_marks()
+            marks = self.core.marks
+            is_settled = marks.was_read and marks.is_stored
+            factor = MARKS_POLL_FACTOR if is_settled else 1
+            await asyncio.sleep(self.poll_interval * factor)
+
+    async def _read_marks(self) -> None:
+        result = await self.platform.read_row(MARKS_KEY)
+        if result.is_error():
+            self.counters.increment("platform_failures", service="table")
+            return
+        version, marks = parse_marks(result.ok)
+        self.handle(MarksReceived(version, marks))
+
+    async def _write_marks(self, effect: WriteMarks) -> None:
+        value = encode_marks(effect.marks)
+        result = await self.platform.write_row(
+            MARKS_KEY, effect.expected_version, value
+        )
+        if result.is_ok():
+            self.counters.increment("marks_stored")
+        else:
+            # Another entry may have written first; the next read shows it.
+            await asyncio.sleep(self.poll_interval)
+        await self._read_marks()
+
     async def _read_vm_list(self) -> None:
         result = await self.platform.list_vms()
         if result.is_ok():
--- a/anvilford/entry/__init__.py
+++ b/anvilford/entry/__init__.py
@@ -9,9 +9,11 @@
 from anvilford.entry._events import Effect
 from anvilford.entry._events import Event
 from anvilford.entry._events import LogChange
+from anvilford.entry._events import MarksReceived
 from anvilford.entry._events import PeerFailed
 from anvilford.entry._events import PeerMessage
 from anvilford.entry._events import PeerReplied
+from anvilford.entry._events import ReadMarks
 from anvilford.entry._events import RequesterGone
 from anvilford.entry._events import Respond
 from anvilford.entry._events import RespondPeer
@@ -23,6 +25,7 @@
 from anvilford.entry._events import TargetMarked
 from anvilford.entry._events import Tick
 from anvilford.entry._events import VmListReceived
+from anvilford.entry._events import WriteMarks
 from anvilford.entry._options import CoreOptions
 
 __all__ = [
@@ -36,9 +39,11 @@
     "EntryCore",
     "Event",
     "LogChange",
+    "MarksReceived",
     "PeerFailed",
     "PeerMessage",
     "PeerReplied",
+    "ReadMarks",
     "RequesterGone",
     "Respond",
     "RespondPeer",
@@ -50,4 +55,5 @@
     "TargetMarked",
     "Tick",
     "VmListReceived",
+    "WriteMarks",
 ]
--- a/anvilford/entry/_core.py
+++ b/anvilford/entry/_core.py
@@ -20,9 +20,11 @@
 from anvilford.entry._events import ForwardCall
 from anvilford.entry._events import HandoverCall
 from anvilford.entry._events import LogChange
+from anvilford.entry._events import MarksReceived
 from anvilford.entry._events import PeerFailed
 from anvilford.entry._events import PeerMessage
 from anvilford.entry._events import PeerReplied
+from anvilford.entry._events import ReadMarks
 from anvilford.entry._events import RequesterGone
 from anvilford.entry._events import RespondPeer
 from anvilford.entry._events import RunAttempt
@@ -32,6 +34,7 @@
 from anvilford.entry._events import Tick
 from anvilford.entry._events import VmListReceived
 from anvilford.entry._gossip import Gossiper
+from anvilford.entry._marks import MarkStore
 from anvilford.entry._options import CoreOptions
 from anvilford.entry._quotas import Quotas
 from anvilford.entry._requests import Requests
@@ -94,6 +97,7 @@
         options: Parameters of the decisions.
         started_at: Loop time of the start.
         directory: Membership.
+        marks: Durable copy of the operator marks.
         register: Configuration in force.
         services: Queue and placement of tasks, by service.
         requests: Requesters and submissions.
@@ -116,6 +120,7 @@
         self.options = options
         self.started_at = now
         self.directory = Directory()
+        self.marks = MarkStore(self.directory)
         self.register = Register()
         self.services = Services(me.zone, me.token, rng)
         ledger = Ledger(me, tag_key, options.retention)
@@ -155,17 +160,20 @@
     def is_ready(self, now: float) -> bool:
         """Tells whether requests may be served.
 
-        A fresh process first takes the newest configuration of the platform
-        and its peers; a peer alone is enough once the platform had its time.
-        It stays out of service while more entries are live than the static
-        split of a target's connections allows for.
+        A fresh process first takes the newest configuration, the operator
+        marks and the membership of the platform and its peers. What it can
+        reach is enough once `configuration_wait` is over. It stays out of
+        service while more entries are live than the static split of a
+        target's connections allows for.
         """
         if self._was_ready:
             return True
         waited = now - self.started_at >= self.options.configuration_wait
+        heard_platform = self._platform_answered and self.marks.was_read
+        heard_peers = self.gossiper.heard_full or not self.gossiper.has_peers()
         self._was_ready = (
             self.register.version > 0
-            and (self._platform_answered or waited)
+            and (waited or (heard_platform and heard_peers))
             and self._fits_connection_split(now)
         )
         return self._was_ready
@@ -215,22 +223,35 @@
             case RequesterGone(request_id):
                 self.requests.abandon(request_id)
                 return []
-            case VmListReceived(revision, vms):
-                before = self.directory.fingerprint()
-                self.directory.observe_list(revision, vms, now)
-                return self._push_if_changed(before, now)
-            case ConfigurationReceived(version, row):
-                self._platform_answered = True
-                return self._apply_configuration(version, row, now)
+            case VmListReceived() | ConfigurationReceived() | MarksReceived():
+                return self._apply_platform(event, now)
             case TargetMarked(vm_id, drained):
-                before = self.directory.fingerprint()
                 self.directory.mark(vm_id, drained, self.me.token)
-                return self._push_if_changed(before, now)
+                self.marks.is_stored = False
+                return [ReadMarks(), *self.gossiper.push(now)]
             case DrainRequested():
                 return self.drain.start(now)
             case Tick():
                 return []
 
+    def _apply_platform(
+        self,
+        event: VmListReceived | ConfigurationReceived | MarksReceived,
+        now: float,
+    ) -> list[Effect]:
+        """Applies what was read from the platform."""
+        before = self.directory.fingerprint()
+        match event:
+            case VmListReceived(revision, vms):
+                self.directory.observe_list(revision, vms, now)
+                return self._push_if_changed(before, now)
+            case MarksReceived(version, marks):
+                effects = self.marks.observe(version, marks)
+                return effects + self._push_if_changed(before, now)
+            case ConfigurationReceived(version, row):
+                self._platform_answered = True
+                return self._apply_configuration(version, row, now)
+
     def _advance(self, now: float) -> list[Effect]:
         effects = self.gossiper.advance(now)
         effects += self.requests.advance(now)
--- a/anvilford/entry/_events.py
+++ b/anvilford/entry/_events.py
@@ -9,6 +9,7 @@
 from anvilford.model import Incarnation
 from anvilford.model import JobSpec
 from anvilford.model import SubmissionId
+from anvilford.protocol import Mark
 from anvilford.protocol import Message
 from anvilford.protocol import RequestKind
 from anvilford.protocol import VmInfo
@@ -134,6 +135,19 @@
     row: dict[str, Any]
 
 
+@attrs.frozen
+class MarksReceived:
+    """The platform's row of operator marks was read.
+
+    Attributes:
+        version: Version of the row; 0 if there is none.
+        marks: Marks in the row.
+    """
+
+    version: int
+    marks: tuple[Mark, ...]
+
+
 @attrs.frozen
 class TargetMarked:
     """An operator drained or resumed a target."""
@@ -161,6 +175,7 @@
     | PeerMessage
     | VmListReceived
     | ConfigurationReceived
+    | MarksReceived
     | TargetMarked
     | DrainRequested
     | Tick
@@ -216,6 +231,24 @@
     message: Message
 
 
+@attrs.frozen
+class ReadMarks:
+    """Read the row of operator marks now."""
+
+
+@attrs.frozen
+class WriteMarks:
+    """Replace the row of operator marks, then read it again.
+
+    Attributes:
+        expected_version: Version that the row must have; 0 creates it.
+        marks: New content.
+    """
+
+    expected_version: int
+    marks: tuple[Mark, ...]
+
+
 @attrs.frozen
 class Count:
     """Increment a counter."""
@@ -245,6 +278,8 @@
     | CallPeer
     | SendPeer
     | RespondPeer
+    | ReadMarks
+    | WriteMarks
     | Count
     | LogChange
     | Stopped
--- a/anvilford/entry/_gossip.py
+++ b/anvilford/entry/_gossip.py
@@ -29,6 +29,7 @@
         heartbeat: Grows with each message sent.
         draining: True once a planned stop began.
         configuration_version: Version in force here.
+        heard_full: True once a peer's view was merged or equal to this one.
         next_round: Loop time of the next periodic round.
     """
 
@@ -46,6 +47,7 @@
         self.heartbeat = 0
         self.draining = False
         self.configuration_version = 0
+        self.heard_full = False
         self.next_round = 0.0
 
     def advance(self, now: float) -> list[Effect]:
@@ -74,12 +76,18 @@
         for successor in gossip.successors:
             self.directory.observe_successor(successor)
         after = self.directory.fingerprint()
+        if gossip.full or after == gossip.fingerprint:
+            self.heard_full = True
         if after != before:
             return self._send(self._sample(), True, now)
         if after != gossip.fingerprint:
             return self._send([gossip.sender], True, now)
         return []
 
+    def has_peers(self) -> bool:
+        """Tells whether any other entry is known or configured."""
+        return bool(self._candidates())
+
     def _sample(self) -> list[str]:
         peers = self._candidates()
         count = min(len(peers), self.options.gossip_fanout)
--- a/testkit/simulation/_history.py
+++ b/testkit/simulation/_history.py
@@ -59,6 +59,15 @@
     target: str
 
 
+@attrs.frozen
+class EntryStarted:
+    """A process started while `peers` other entries were alive."""
+
+    at: float
+    entry: str
+    peers: int
+
+
 @attrs.frozen
 class EntryDied:
     """An entry was killed; its requests may stay without an answer."""
@@ -108,6 +117,7 @@
     | Sent
     | Executed
     | TargetLeft
+    | EntryStarted
     | EntryDied
     | EntryStopped
     | EntryFroze
--- a/testkit/simulation/_platform.py
+++ b/testkit/simulation/_platform.py
@@ -5,6 +5,7 @@
 from anvilford.configuration import next_row
 from anvilford.configuration import parse_document
 from anvilford.configuration import parse_row
+from anvilford.protocol import Mark
 from anvilford.protocol import VmInfo
 from anvilford.protocol import VmRole
 from anvilford.protocol import VmState
@@ -20,6 +21,7 @@
         is_down: True during an outage.
         lag: Age of the list that is served, in seconds.
         row: Version and value of the configuration row.
+        marks: Version and content of the row of operator marks.
     """
 
     def __init__(self, history: History):
@@ -27,6 +29,7 @@
         self.is_down = False
         self.lag = 0.8
         self.row: tuple[int, dict] = (0, {})
+        self.marks: tuple[int, tuple[Mark, ...]] = (0, ())
         self._vms: dict[str, VmInfo] = {}
         self._versions: list[tuple[float, int, tuple[VmInfo, ...]]] = []
         self._revision = 0
@@ -82,6 +85,13 @@
         self.history.record(ConfigurationAccepted(now, version + 1))
         return True
 
+    def write_marks(
+        self, expected_version: int, marks: tuple[Mark, ...]
+    ) -> None:
+        """Writes the operator marks by compare-and-set."""
+        if not self.is_down and self.marks[0] == expected_version:
+            self.marks = (expected_version + 1, marks)
+
     def _put(self, vm: VmInfo, now: float = 0.0) -> None:
         self._vms[vm.vm_id] = vm
         self._revision += 1
--- a/testkit/simulation/_scenario.py
+++ b/testkit/simulation/_scenario.py
@@ -299,12 +299,14 @@
         if by == "answer":
             target.says_leaving = True
             return
-        network.history.record(TargetLeft(network.now, target.vm_id))
+        left = TargetLeft(network.now, target.vm_id)
         if by == "list":
+            network.history.record(left)
             network.platform.set_leaving(target.vm_id, network.now)
             return
         node = self._pick_entry()
         if node is not None:
+            network.history.record(left)
             network.deliver(node, TargetMarked(target.vm_id, True))
 
     def _cancel_wave(self, share: float) -> None:
