--- /dev/null
+++ b/benchmarks/real_path.py
@@ -0,0 +1,195 @@
+"""Measures the real path against its targets and prints a report.
+
+    python -m benchmarks.real_path [--json FILE] [--seconds N]
+
+Starts a site of separate processes on loopback, runs the load tool against its
+daemon beside direct calls to the same targets, and states for each target of
+the design, section 1.3, whether it is met.
+"""
+
+import argparse
+import datetime
+import json
+import os
+import sys
+from typing import Any
+
+import attrs
+
+from benchmarks import _real_sections as sections
+from benchmarks._real_site import wait_for_targets
+
+SECTIONS = ("added", "connections", "cpu", "waste")
+ADDED_LIMITS_MS = {"p50": 4.0, "p99": 15.0}
+WASTE_LIMIT = 0.05
+
+
+@attrs.frozen
+class Verdict:
+    """A figure beside its target.
+
+    Attributes:
+        name: What was measured.
+        figure: The value.
+        limit: Largest value allowed.
+    """
+
+    name: str
+    figure: float
+    limit: float
+
+    @property
+    def is_met(self) -> bool:
+        """Tells whether the target is met."""
+        return self.figure <= self.limit
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Runs the measurement.
+
+    Returns:
+        0 if every target measured is met, else 1.
+    """
+    arguments = parse_arguments(argv)
+    report = measure(arguments)
+    verdicts = judge(report)
+    report["verdicts"] = [
+        {**attrs.asdict(v), "met": v.is_met} for v in verdicts
+    ]
+    if arguments.json:
+        with open(arguments.json, "w", encoding="utf-8") as file:
+            json.dump(report, file, indent=2)
+    print_report(report, verdicts)
+    return 0 if all(v.is_met for v in verdicts) else 1
+
+
+def parse_arguments(argv: list[str] | None) -> argparse.Namespace:
+    """Reads the command line."""
+    parser = argparse.ArgumentParser(prog="benchmarks.real_path")
+    parser.add_argument("--json", help="file for the report")
+    parser.add_argument(
+        "--seconds", type=float, default=4.0, help="time of each load"
+    )
+    parser.add_argument(
+        "--rounds", type=int, default=3, help="rounds of added latency"
+    )
+    parser.add_argument("--only", nargs="+", choices=SECTIONS, default=SECTIONS)
+    return parser.parse_args(argv)
+
+
+def measure(arguments: argparse.Namespace) -> dict[str, Any]:
+    """Runs the chosen sections; the site ends with them."""
+    seconds, chosen = arguments.seconds, arguments.only
+    report: dict[str, Any] = {
+        "started": datetime.datetime.now(datetime.UTC).isoformat(
+            "T", "seconds"
+        ),
+        "python": sys.version.split()[0],
+        "load_average": os.getloadavg(),
+        "seconds": seconds,
+    }
+    if set(chosen) != {"waste"}:
+        with sections.wide_site() as site:
+            wait_for_targets(site)
+            if "added" in chosen:
+                report["added"] = sections.measure_added(
+                    site, seconds, arguments.rounds
+                )
+            if "connections" in chosen:
+                report["connections"] = sections.measure_connections(
+                    site, seconds
+                )
+            if "cpu" in chosen:
+                report["cpu"] = sections.measure_cpu(site, seconds)
+    if "waste" in chosen:
+        report["waste"] = sections.measure_waste(seconds)
+    return report
+
+
+def judge(report: dict[str, Any]) -> list[Verdict]:
+    """Compares the figures with the targets; the worst round counts."""
+    verdicts = []
+    for loop in ("closed", "open"):
+        rounds = report.get("added", {}).get(loop, ())
+        for name, limit in ADDED_LIMITS_MS.items() if rounds else ():
+            worst = max(row["added_ms"][name] for row in rounds)
+            title = f"added {name} ms, {loop} loop, worst round"
+            verdicts.append(Verdict(title, worst, limit))
+    for row in report.get("connections", ()):
+        count = row["connections"]
+        resets = row["resets"] + row["refused"]
+        lost = row["lost"] + row["wrong"] + row["no_id"] + row["timeouts"]
+        lost += row["sent"] - row["answered"]
+        verdicts.append(Verdict(f"resets at {count} connections", resets, 0))
+        verdicts.append(Verdict(f"lost answers at {count}", lost, 0))
+    if "waste" in report:
+        wasted = report["waste"]["per_task_total"]
+        verdicts.append(
+            Verdict("wasted messages per task", wasted, WASTE_LIMIT)
+        )
+    return verdicts
+
+
+def print_report(report: dict[str, Any], verdicts: list[Verdict]) -> None:
+    """Prints the figures, then each target."""
+    load = " ".join(f"{value:.1f}" for value in report["load_average"])
+    print(f"{report['started']}  Python {report['python']}  load {load}")
+    for loop in ("closed", "open"):
+        for row in report.get("added", {}).get(loop, ()):
+            print(f"added, {loop}: {_added_text(row)}")
+    for row in report.get("connections", ()):
+        print("connections: " + _pairs(row, ("latency_ms", "outcomes")))
+        print(f"    {row['latency_ms']} {row['outcomes']}")
+    if "cpu" in report:
+        _print_cpu(report["cpu"])
+    if "waste" in report:
+        waste = report["waste"]
+        print(f"waste per task: {_pairs(waste['per_task'])}")
+        print(f"    {waste['answered']} of {waste['sent']} answered")
+    for verdict in verdicts:
+        state = "met" if verdict.is_met else "NOT MET"
+        print(
+            f"{verdict.name:<42}{verdict.figure:>9.3f}"
+            f"  at most {verdict.limit:<6g}{state}"
+        )
+
+
+def _print_cpu(cpu: dict[str, Any]) -> None:
+    print(f"daemon idle: {cpu['idle_ms_per_second']} ms CPU per second")
+    units = {
+        "rate": "ms CPU per second over jobs per second",
+        "job_size": "ms CPU per job over tasks per job",
+        "targets": "ms CPU per job over targets",
+    }
+    for name, unit in units.items():
+        row = cpu[name]
+        points = ", ".join(
+            f"{x:g}: {y:g}"
+            for x, y in zip(row["x"], row["cpu_ms"], strict=True)
+        )
+        print(f"{unit}: {points}")
+        print(
+            f"    slope {row['slope']:.4f}, intercept {row['intercept']:.3f},"
+            f" residual rms {row['residual_rms']:.1%},"
+            f" worst {row['residual_worst']:.1%}"
+        )
+
+
+def _added_text(row: dict[str, Any]) -> str:
+    return (
+        "  ".join(
+            f"{name} +{row['added_ms'][name]:.2f}"
+            f" ({row['entry'][name]:.1f} - {row['direct'][name]:.1f})"
+            for name in ADDED_LIMITS_MS
+        )
+        + f"  {row['counts']}"
+    )
+
+
+def _pairs(values: dict[str, Any], without: tuple[str, ...] = ()) -> str:
+    shown = {k: v for k, v in values.items() if k not in without}
+    return ", ".join(f"{name} {value}" for name, value in shown.items())
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -93,6 +93,7 @@
         entries_per_zone: Entry daemons in each zone.
         targets_per_zone: Targets in each zone.
         changes: Settings that replace the defaults, by group.
+        target_options: Options of `standins.target` for every target.
         http: Client for all requests of the tests.
         entries: Running entry daemons.
         targets: Address and process of each target, by VM id.
@@ -105,11 +106,13 @@
         entries_per_zone: int = 1,
         targets_per_zone: int = 2,
         changes: dict[str, dict[str, Any]] | None = None,
+        target_options: tuple[str, ...] = (),
     ):
         self.zones = zones
         self.entries_per_zone = entries_per_zone
         self.targets_per_zone = targets_per_zone
         self.changes = changes or {}
+        self.target_options = target_options
         self.http = urllib3.PoolManager(maxsize=64, retries=False)
         self.entries: list[Entry] = []
         self.targets: dict[str, tuple[str, Member]] = {}
@@ -162,6 +165,7 @@
             address,
             "--id",
             vm_id,
+            *self.target_options,
             *options,
         )
         self.targets[vm_id] = (address, member)
