--- a/benchmarks/_real_sections.py
+++ b/benchmarks/_real_sections.py
@@ -114,44 +114,50 @@
     return rows
 
 
-def measure_cpu(site: Site, seconds: float) -> Section:
-    """Fits the daemon's processor time over rate, job size and targets.
-
-    Targets are added to the site.
-    """
-    entry = site.entries[0]
+def measure_background(site: Site, seconds: float) -> float:
+    """Returns the daemon's processor time without jobs, in ms per second."""
     # Pools, threads and estimates exist after the first jobs.
     run_load(site, "--callers", str(CALLERS), "--seconds", "1")
-    idle = _cpu_of(entry, lambda: time.sleep(seconds))
-
-    def at_rate(rate: float) -> Section:
-        return _cpu_of(
-            entry,
-            lambda: run_load(
-                site,
-                *("--rate", str(rate), "--run-ms", str(TASK_MS)),
-                *("--seconds", str(seconds)),
-            ),
-        )
+    idle = _cpu_of(site.entries[0], lambda: time.sleep(seconds))
+    return idle["cpu_ms"] / idle["seconds"]
+
+
+def measure_rates(site: Site, seconds: float) -> Section:
+    """Fits processor time per second over jobs of one task per second."""
+    rows = [_cpu_of_rate(site, rate, seconds) for rate in RATES]
+    return _fitted(
+        tuple(row["jobs"] / row["seconds"] for row in rows),
+        [row["cpu_ms"] / row["seconds"] for row in rows],
+    )
+
+
+def measure_job_sizes(site: Site, seconds: float, background: float) -> Section:
+    """Fits processor time per job over tasks per job."""
+    rows = [_cpu_of_size(site, size, seconds) for size in JOB_SIZES]
+    return _fitted(JOB_SIZES, _per_job(rows, background))
 
-    rates = [at_rate(rate) for rate in RATES]
-    sizes = [_cpu_of_size(site, size, seconds) for size in JOB_SIZES]
-    targets = []
+
+def measure_targets(site: Site, seconds: float, background: float) -> Section:
+    """Fits processor time per job over targets, which it adds to the site."""
+    rows = []
     for count in TARGETS:
         while len(site.targets) < count:
             site.start_target(f"target-{len(site.targets)}", site.zones[0])
         wait_for_targets(site)
-        targets.append(at_rate(TARGETS_RATE))
-    # The daemon's work without jobs is not the jobs'.
-    background = idle["cpu_ms"] / idle["seconds"]
-    by_rate = [r["cpu_ms"] / r["seconds"] for r in rates]
-    actual = tuple(r["jobs"] / r["seconds"] for r in rates)
-    return {
-        "idle_ms_per_second": round(background, 2),
-        "rate": _fitted(actual, by_rate),
-        "job_size": _fitted(JOB_SIZES, _per_job(sizes, background)),
-        "targets": _fitted(TARGETS, _per_job(targets, background)),
-    }
+        rows.append(_cpu_of_rate(site, TARGETS_RATE, seconds))
+    return _fitted(TARGETS, _per_job(rows, background))
+
+
+def _cpu_of_rate(site: Site, rate: float, seconds: float) -> Section:
+    """Runs jobs of one task that arrive at a rate."""
+    return _cpu_of(
+        site.entries[0],
+        lambda: run_load(
+            site,
+            *("--rate", str(rate), "--run-ms", str(TASK_MS)),
+            *("--seconds", str(seconds)),
+        ),
+    )
 
 
 def _cpu_of_size(site: Site, size: int, seconds: float) -> Section:
--- a/benchmarks/_real_site.py
+++ b/benchmarks/_real_site.py
@@ -6,6 +6,8 @@
 import time
 from typing import Any
 
+import urllib3
+
 from anvilford.settings import HttpSettings
 from anvilford.settings import TargetSettings
 from anvilford.settings import TraceSettings
@@ -87,7 +89,8 @@
     """
     end = time.monotonic() + LIST_LIMIT_S
     while time.monotonic() < end:
-        with contextlib.suppress(ValueError):
+        # The operators' listener opens after the callers' one.
+        with contextlib.suppress(urllib3.exceptions.HTTPError, ValueError):
             known = [
                 len(site.operator("GET", e, "/v1/targets").json()["targets"])
                 for e in site.entries
--- a/benchmarks/real_path.py
+++ b/benchmarks/real_path.py
@@ -18,8 +18,10 @@
 
 from benchmarks import _real_sections as sections
 from benchmarks._real_site import wait_for_targets
+from standins.cluster import Site
 
-SECTIONS = ("added", "connections", "cpu", "waste")
+CPU_SECTIONS = ("rate", "job_size", "targets")
+SECTIONS = ("added", "connections", *CPU_SECTIONS, "waste")
 ADDED_LIMITS_MS = {"p50": 4.0, "p99": 15.0}
 WASTE_LIMIT = 0.05
 
@@ -91,21 +93,36 @@
     if set(chosen) != {"waste"}:
         with sections.wide_site() as site:
             wait_for_targets(site)
-            if "added" in chosen:
-                report["added"] = sections.measure_added(
-                    site, seconds, arguments.rounds
-                )
-            if "connections" in chosen:
-                report["connections"] = sections.measure_connections(
-                    site, seconds
-                )
-            if "cpu" in chosen:
-                report["cpu"] = sections.measure_cpu(site, seconds)
+            report |= _measure_site(site, arguments)
     if "waste" in chosen:
         report["waste"] = sections.measure_waste(seconds)
     return report
 
 
+def _measure_site(site: Site, arguments: argparse.Namespace) -> dict[str, Any]:
+    """Runs the sections that share one daemon."""
+    seconds, chosen = arguments.seconds, arguments.only
+    report: dict[str, Any] = {}
+    if "added" in chosen:
+        rounds = arguments.rounds
+        report["added"] = sections.measure_added(site, seconds, rounds)
+    if "connections" in chosen:
+        report["connections"] = sections.measure_connections(site, seconds)
+    if not set(chosen) & set(CPU_SECTIONS):
+        return report
+    background = sections.measure_background(site, seconds)
+    report["idle_ms_per_second"] = round(background, 2)
+    if "rate" in chosen:
+        report["rate"] = sections.measure_rates(site, seconds)
+    if "job_size" in chosen:
+        report["job_size"] = sections.measure_job_sizes(
+            site, seconds, background
+        )
+    if "targets" in chosen:
+        report["targets"] = sections.measure_targets(site, seconds, background)
+    return report
+
+
 def judge(report: dict[str, Any]) -> list[Verdict]:
     """Compares the figures with the targets; the worst round counts."""
     verdicts = []
@@ -140,8 +157,8 @@
     for row in report.get("connections", ()):
         print("connections: " + _pairs(row, ("latency_ms", "outcomes")))
         print(f"    {row['latency_ms']} {row['outcomes']}")
-    if "cpu" in report:
-        _print_cpu(report["cpu"])
+    if "idle_ms_per_second" in report:
+        _print_cpu(report)
     if "waste" in report:
         waste = report["waste"]
         print(f"waste per task: {_pairs(waste['per_task'])}")
@@ -154,15 +171,18 @@
         )
 
 
-def _print_cpu(cpu: dict[str, Any]) -> None:
-    print(f"daemon idle: {cpu['idle_ms_per_second']} ms CPU per second")
+def _print_cpu(report: dict[str, Any]) -> None:
+    idle = report["idle_ms_per_second"]
+    print(f"daemon idle: {idle} ms CPU per second")
     units = {
         "rate": "ms CPU per second over jobs per second",
         "job_size": "ms CPU per job over tasks per job",
         "targets": "ms CPU per job over targets",
     }
     for name, unit in units.items():
-        row = cpu[name]
+        if name not in report:
+            continue
+        row = report[name]
         points = ", ".join(
             f"{x:g}: {y:g}"
             for x, y in zip(row["x"], row["cpu_ms"], strict=True)
