Keep callers' connections open beyond cheroot's limit of 10

Cause: cheroot keeps 10 idle connections and closes every further one after its answer; with 64 callers 484 connections served 1,063 requests. Change: the limit is 4,096.

--- a/anvilford/daemon/_main.py
+++ b/anvilford/daemon/_main.py
@@ -47,6 +47,9 @@
 INCARNATION_BYTES = 8
 TAG_KEY_BYTES = 32
 OPERATOR_THREADS = 8
+# Cheroot's default of 10 closes every further connection after its answer, so
+# that callers would have to connect anew for nearly half of their requests.
+KEEP_ALIVE_CONNECTIONS = 4096
 
 logger = logging.getLogger("anvilford.daemon")
 
@@ -248,4 +251,5 @@
         request_queue_size=http.socket_queue_size,
     )
     server.max_request_body_size = http.body_bytes
+    server.keep_alive_conn_limit = KEEP_ALIVE_CONNECTIONS
     ServerAdapter(cherrypy.engine, server, bind).subscribe()
