Test stops, crashes and suspension of real entry processes

Seen to fail on scratch copies with broken mechanisms: - graceful stop: the drain does not wait for jobs in flight; no handover candidates; finished records left out of the handover. - killed owner: an unreachable owner is answered `not_run`; incarnation and tag key constant across restarts without the check of the next sequence, so the replacement runs the old id. - suspended owner: a forward does not end when the owner is suspect (answer after 20.5 s instead of under 6 s); `not_run` instead of `outcome_unknown`.

--- /dev/null
+++ b/anvilford/daemon/tests/test_stop.py
@@ -0,0 +1,116 @@
+"""Tests of entries that stop, die or are suspended under load."""
+
+import signal
+import time
+
+from anvilford.daemon.tests import system
+from standins import cluster
+from testkit import fixture
+from testkit import function_tests
+
+load_tests = function_tests(__name__)
+
+
+@fixture
+def site():
+    """Two entries of one zone."""
+    with cluster.Site(entries_per_zone=2) as running:
+        yield running
+
+
+def test_graceful_stop_under_load(case, site):
+    """Guards against a planned stop that cuts off or repeats work."""
+    first, second = site.entries
+    never_submitted = site.issue(first)[0]
+    with system.Load(
+        site, [first, second], lambda: system.distinct_job(2, 120), threads=12
+    ) as load:
+        time.sleep(0.8)
+        # This job outlasts the notice period of 300 ms.
+        long_job = system.distinct_job(2, 1200)
+        with system.Background(site, first, long_job) as background:
+            time.sleep(0.2)
+            stopped_at = time.monotonic()
+            first.member.signal(signal.SIGTERM)
+            case.assertEqual(first.member.wait(), 0)
+        time.sleep(0.3)
+    load.sent.append(background.sent)
+    case.assertEqual(load.failures, [])
+    case.assertNotIn(second, load.left)
+    system.check_answers(case, load.sent)
+    mine = [sent for sent in load.sent if sent.entry is first]
+    in_flight = [s for s in mine if s.began < stopped_at < s.ended]
+    case.assertIn(background.sent, in_flight)
+    case.assertGreaterEqual(len(in_flight), 3)
+    for sent in load.sent:
+        if sent in in_flight or sent.entry is second:
+            case.assertEqual(sent.outcome, "complete", sent)
+        elif sent.outcome != "complete":
+            case.assertEqual(sent.body.get("reason"), "draining", sent)
+    for sent in mine:
+        again = system.send(site, second, sent.submission_id, sent.job)
+        if sent.outcome == "complete":
+            case.assertEqual(again.body, sent.body)
+        else:
+            case.assertEqual(again.outcome, "not_run")
+    late = system.send(site, second, never_submitted, system.distinct_job())
+    case.assertEqual(late.outcome, "not_run", late)
+    case.assertEqual(late.body["reason"], "owner_stopped")
+    system.check_starts(case, site, [*load.sent, late])
+
+
+def test_killed_owner(case, site):
+    """Guards against a false `not_run` or a second start after a crash."""
+    first, second = site.entries
+    unused = site.issue(first)[0]
+    job = system.distinct_job(4, 1500)
+    with system.Background(site, first, job) as background:
+        system.wait_until(
+            case, lambda: len(system.starts_by_echo(site)) == 4, 5
+        )
+        first.member.signal(signal.SIGKILL)
+    case.assertNotEqual(background.sent.error, "")
+    old_id = background.submission_id
+
+    def check_unknown(entry):
+        for submission_id in (old_id, unused):
+            sent = system.send(site, entry, submission_id, job)
+            case.assertEqual(sent.outcome, "outcome_unknown", sent)
+            case.assertEqual(sent.status, 504)
+            case.assertLess(sent.ended - sent.began, 5)
+
+    check_unknown(second)
+    first.member.wait()
+    replacement = site.start_entry(first.zone, first.peers)
+    site.wait_ready(replacement)
+    check_unknown(replacement)
+    check_unknown(second)
+    time.sleep(1.0)
+    counts = system.starts_by_echo(site)
+    echoes = background.sent.echoes
+    case.assertEqual([counts[echo] for echo in echoes], [1] * len(echoes))
+    fresh = system.submit(site, replacement, system.distinct_job(2))
+    case.assertEqual(fresh.outcome, "complete", fresh)
+
+
+def test_suspended_owner(case, site):
+    """Guards against a second run while the owner of an id is suspended."""
+    first, second = site.entries
+    job = system.distinct_job(24, 300, deadline_ms=20_000)
+    with system.Background(site, first, job) as background:
+        system.wait_until(case, site.starts, 5)
+        with system.suspended(first.member):
+            sent = system.send(site, second, background.submission_id, job)
+            case.assertEqual(sent.outcome, "outcome_unknown", sent)
+            case.assertLess(sent.ended - sent.began, 6)
+            during = system.starts_by_echo(site)
+            case.assertLess(len(during), 24)
+    answers = [background.sent] + [
+        system.send(site, entry, background.submission_id, job)
+        for entry in (first, second)
+    ]
+    system.check_answers(case, answers)
+    for sent in answers:
+        case.assertEqual(sent.body, background.sent.body)
+    case.assertEqual(background.sent.outcome, "complete")
+    system.check_starts(case, site, answers)
