--- a/anvilford/daemon/tests/system.py
+++ b/anvilford/daemon/tests/system.py
@@ -6,6 +6,7 @@
 import json
 import subprocess
 import sys
+import tempfile
 import threading
 import time
 from collections.abc import Callable
@@ -269,6 +270,23 @@
     return finish_anvilctl(start_anvilctl([entry.operators], *arguments))
 
 
+@contextlib.contextmanager
+def document_file(document: dict[str, Any]) -> Iterator[str]:
+    """Writes a configuration document to a file; yields its path."""
+    with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
+        json.dump(document, file)
+        file.flush()
+        yield file.name
+
+
+def apply(
+    entry: cluster.Entry, document: dict[str, Any], *options: str
+) -> tuple[int, Any]:
+    """Runs `anvilctl config apply` at one entry."""
+    with document_file(document) as path:
+        return anvilctl(entry, "config", "apply", path, *options)
+
+
 def table_row(site: cluster.Site) -> dict[str, Any]:
     """The configuration row as the platform keeps it."""
     url = f"http://{site.platform}/table/configuration"
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -23,6 +23,7 @@
 CALLER_TOKEN = "caller-token-for-loopback"
 OTHER_CALLER_TOKEN = "other-caller-token-for-loopback"
 OPERATOR_TOKEN = "operator-token-for-loopback"
+OTHER_OPERATOR_TOKEN = "other-operator-token-for-loopback"
 PEER_TOKEN = "peer-token-for-loopback"
 SERVICE = "line-brain"
 START_LIMIT_S = 20.0
@@ -97,6 +98,7 @@
         entries: Running entry daemons.
         targets: Address and process of each target, by VM id.
         platform: Address of the platform.
+        platform_member: Process of the platform.
     """
 
     def __init__(
@@ -114,6 +116,7 @@
         self.entries: list[Entry] = []
         self.targets: dict[str, tuple[str, Member]] = {}
         self.platform = ""
+        self.platform_member: Member | None = None
         self._stack = contextlib.ExitStack()
         self._folder = pathlib.Path()
         self._seeds: list[str] = []
@@ -133,7 +136,9 @@
 
     def _start_all(self) -> None:
         self.platform = free_address()
-        self._start("platform", "standins.platform", "--address", self.platform)
+        self.platform_member = self._start(
+            "platform", "standins.platform", "--address", self.platform
+        )
         self._wait_http(self.platform, "/vms")
         for zone in self.zones:
             for index in range(self.targets_per_zone):
@@ -203,7 +208,10 @@
                 {"name": "line-1", "token": CALLER_TOKEN},
                 {"name": "line-2", "token": OTHER_CALLER_TOKEN},
             ],
-            "operators": [{"name": "operator", "token": OPERATOR_TOKEN}],
+            "operators": [
+                {"name": "operator", "token": OPERATOR_TOKEN},
+                {"name": "other-operator", "token": OTHER_OPERATOR_TOKEN},
+            ],
             "http": {"threads": 32},
             "targets": {"threads": 64},
             "drain": {"notice_ms": 300},
