Test racing operators and presets on a running system

Seen to fail on scratch copies with broken mechanisms: - race: the entry does not compare versions; the table does not (needs the slow platform, without it the entry's own check decides). - presets: every VM counts as confirmed; the same and peers do not ask for newer rows; `maintenance` accepts jobs; `maintenance` cancels jobs.

--- /dev/null
+++ b/anvilford/daemon/tests/test_changes.py
@@ -0,0 +1,121 @@
+"""Tests of operators' changes on a running system."""
+
+import time
+
+from anvilford.daemon.tests import system
+from standins import cluster
+from testkit import function_tests
+
+load_tests = function_tests(__name__)
+
+RACES = 3
+EXIT_NOT_IN_FORCE = 3
+EXIT_CONFLICT = 4
+
+
+def test_racing_operators(case):
+    """Guards against two changes that both replace the same version."""
+    tokens = {
+        "operator": cluster.OPERATOR_TOKEN,
+        "other-operator": cluster.OTHER_OPERATOR_TOKEN,
+    }
+    with cluster.Site(entries_per_zone=2) as site:
+        for race in range(RACES):
+            before = system.table_row(site)["version"]
+            preset = ("peak", "ordinary")[race % 2]
+            # With a slow platform both operators read before either writes.
+            slow_ms = 400 if race % 2 else 0
+            site.set_faults(site.platform, slow_ms=slow_ms)
+            with system.document_file({"preset": preset}) as path:
+                command = ["config", "apply", path]
+                command += ["--expected-version", str(before)]
+                processes = [
+                    system.start_anvilctl(
+                        [entry.operators], *command, token=token
+                    )
+                    for entry, token in zip(
+                        site.entries, tokens.values(), strict=True
+                    )
+                ]
+                results = [system.finish_anvilctl(p) for p in processes]
+            site.set_faults(site.platform, slow_ms=0)
+            check_race(case, site, dict(zip(tokens, results, strict=True)))
+            case.assertEqual(system.table_row(site)["version"], before + 1)
+
+
+def check_race(case, site, results):
+    """Checks the outcome of one race, given by author."""
+    statuses = sorted(status for status, _ in results.values())
+    case.assertEqual(statuses, [0, EXIT_CONFLICT], results)
+    winner = min(results, key=lambda author: results[author][0])
+    (loser,) = results.keys() - {winner}
+    accepted = results[winner][1]["accepted"]
+    error = results[loser][1]["error"]
+    case.assertEqual(error["type"], "configuration_conflict")
+    case.assertEqual(error["author"], winner)
+    case.assertEqual(error["version"], accepted["version"])
+    newest = system.table_row(site)["value"]["history"][-1]
+    case.assertEqual(newest["author"], winner)
+    case.assertEqual(newest["version"], accepted["version"])
+
+
+def test_presets(case):
+    """Guards against a preset reported as in force where it is not."""
+    with cluster.Site(entries_per_zone=3) as site:
+        status, report = system.anvilctl(
+            site.entries[0], "preset", "use", "peak"
+        )
+        case.assertEqual(status, 0, report)
+        expected = (report["accepted"]["version"], "peak")
+        for entry in site.entries:
+            found = system.in_force(site, entry)
+            case.assertEqual((found["version"], found["preset"]), expected)
+        case.assertEqual(len(report["vms"]), 3)
+        check_suspended_vm(case, site)
+        check_maintenance(case, site)
+
+
+def check_suspended_vm(case, site):
+    """Checks that a VM which cannot confirm is named."""
+    first, _, third = site.entries
+    with system.suspended(third.member):
+        status, report = system.anvilctl(
+            first, "preset", "use", "ordinary", "--wait", "3"
+        )
+    case.assertEqual(status, EXIT_NOT_IN_FORCE, report)
+    case.assertEqual(report["unconfirmed"], [f"entry-{third.peers}"])
+    version = report["accepted"]["version"]
+    system.wait_until(
+        case,
+        lambda: system.in_force(site, third)["version"] == version,
+        8,
+    )
+
+
+def check_maintenance(case, site):
+    """Checks that `maintenance` refuses new jobs and finishes others."""
+    first = site.entries[0]
+    job = system.distinct_job(4, 2500)
+    with system.Background(site, first, job) as background:
+        system.wait_until(
+            case, lambda: system.starts_by_echo(site)[f"{job_key(job)}-3"], 5
+        )
+        status, report = system.anvilctl(first, "preset", "use", "maintenance")
+        case.assertEqual(status, 0, report)
+        refused = [
+            system.submit(site, entry, system.distinct_job(2))
+            for entry in site.entries
+        ]
+        case.assertIsNone(background.sent)
+    for sent in refused:
+        case.assertEqual((sent.status, sent.outcome), (503, "not_run"), sent)
+        case.assertEqual(sent.body["reason"], "maintenance")
+    case.assertEqual(background.sent.outcome, "complete")
+    time.sleep(0.3)
+    system.check_answers(case, [background.sent])
+    system.check_starts(case, site, [background.sent, *refused])
+
+
+def job_key(job):
+    """First part of the echoes of a job."""
+    return job["tasks"][0]["payload"]["echo"].partition("-")[0]
