Let a planned stop read what arrived during a pause

When it woke, the events of the pause ended its last jobs and handovers at once, and it stopped before the requests that had arrived meanwhile were read. Ruled out: the notice period, which had ended before the pause. Change: after a pause a planned stop does not move on for 250 ms.

--- a/anvilford/entry/_core.py
+++ b/anvilford/entry/_core.py
@@ -155,7 +155,7 @@
         if pause < PAUSE_LIMIT_ROUNDS * self.options.gossip_interval:
             return []
         self.directory.extend_heartbeats(pause)
-        self.drain.extend_notice(pause)
+        self.drain.observe_pause(pause, now)
         return [Count("pauses"), LogChange("resumed", (("seconds", pause),))]
 
     def is_ready(self, now: float) -> bool:
--- a/anvilford/entry/_drain.py
+++ b/anvilford/entry/_drain.py
@@ -12,6 +12,8 @@
 from anvilford.entry._requests import Requests
 from anvilford.protocol import Successor
 
+RESUME_GRACE_S = 0.25
+
 
 class Drain:
     """State machine of a planned stop.
@@ -21,6 +23,7 @@
         requests: Submissions that must finish first.
         gossiper: Tells peers about the stop and the successor.
         started_at: Loop time of the stop request, or None before it.
+        resumes_at: Loop time before which the stop does not move on.
         handover: Transfer of finished outcomes once nothing is in flight.
         stopped: True when the process may exit.
     """
@@ -32,8 +35,10 @@
         self.requests = requests
         self.gossiper = gossiper
         self.started_at: float | None = None
+        self.resumes_at = 0.0
         self.handover: Handover | None = None
         self.stopped = False
+        self._advanced_at = float("-inf")
 
     def start(self, now: float) -> list[Effect]:
         """Begins the notice period; later calls change nothing."""
@@ -43,30 +48,38 @@
         self.gossiper.draining = True
         return [LogChange("draining"), *self.gossiper.push(now)]
 
-    def extend_notice(self, pause: float) -> None:
-        """Excludes a pause of this process from the notice period.
+    def observe_pause(self, pause: float, now: float) -> None:
+        """Excludes a pause of this process from the planned stop.
 
-        Requests that arrived during the pause are still unread when it ends.
+        Requests that arrived during the pause are still unread when it ends,
+        so the notice period grows by the pause and nothing else moves on until
+        they had time to be read.
         """
         if self.started_at is not None:
             self.started_at += pause
+            self.resumes_at = now + RESUME_GRACE_S
 
     def receive(self, call: HandoverCall, accepted: bool) -> list[Effect]:
         """Continues the transfer after a reply or a failed call."""
         return self.handover.receive(call, accepted)
 
     def next_wakeup(self) -> float | None:
-        """Loop time at which the notice period ends."""
-        if self.started_at is None or self.requests.refusing:
+        """Loop time at which the stop may move on by itself."""
+        if self.started_at is None or self.stopped:
             return None
-        return self.started_at + self.options.drain_notice
+        notice_ends = self.started_at + self.options.drain_notice
+        pending = max(notice_ends, self.resumes_at)
+        return None if pending <= self._advanced_at else pending
 
     def advance(self, now: float) -> list[Effect]:
         """Moves on to the next stage when the present one is over."""
         if self.started_at is None or self.stopped:
             return []
+        self._advanced_at = now
         if now < self.started_at + self.options.drain_notice:
             return []
+        if now < self.resumes_at:
+            return []
         self.requests.refusing = True
         effects: list[Effect] = []
         if self.handover is None:
