--- a/anvilford/entry/tests/test_history.py
+++ b/anvilford/entry/tests/test_history.py
@@ -10,6 +10,7 @@
 from testkit.simulation import DrainEntry
 from testkit.simulation import FailingTarget
 from testkit.simulation import FreezeEntry
+from testkit.simulation import HangTarget
 from testkit.simulation import KillEntry
 from testkit.simulation import KillTarget
 from testkit.simulation import PlatformOutage
@@ -28,6 +29,7 @@
     "cut": (CutZone(1.0, 1, 4.0),),
     "outage": (PlatformOutage(0.5, 5.0),),
     "failing target": (FailingTarget(1.0, 0, 3.0),),
+    "hanging target": (HangTarget(1.0, 0, 3.0),),
     "vanished target": (KillTarget(1.0, 0),),
     "leaving by list": (TargetLeaves(1.0, 0, "list"),),
     "leaving by answer": (TargetLeaves(1.0, 0, "answer"),),
--- a/testkit/simulation/__init__.py
+++ b/testkit/simulation/__init__.py
@@ -9,6 +9,7 @@
 from testkit.simulation._faults import FailingTarget
 from testkit.simulation._faults import Fault
 from testkit.simulation._faults import FreezeEntry
+from testkit.simulation._faults import HangTarget
 from testkit.simulation._faults import KillEntry
 from testkit.simulation._faults import KillTarget
 from testkit.simulation._faults import PlatformOutage
@@ -26,6 +27,7 @@
     "FailingTarget",
     "Fault",
     "FreezeEntry",
+    "HangTarget",
     "History",
     "KillEntry",
     "KillTarget",
--- a/testkit/simulation/_faults.py
+++ b/testkit/simulation/_faults.py
@@ -56,6 +56,15 @@
     duration: float
 
 
+@attrs.frozen
+class HangTarget:
+    """A target takes tasks and never answers."""
+
+    at: float
+    target: int
+    duration: float
+
+
 @attrs.frozen
 class KillTarget:
     """A target vanishes; tasks it runs are lost."""
@@ -101,6 +110,7 @@
     | CutZone
     | PlatformOutage
     | FailingTarget
+    | HangTarget
     | KillTarget
     | TargetLeaves
     | CancelWave
--- a/testkit/simulation/_network.py
+++ b/testkit/simulation/_network.py
@@ -322,7 +322,9 @@
     def _cancel_attempt(
         self, node: Node, target: SimulatedTarget, attempt_id: str
     ) -> None:
-        if target.is_dead or attempt_id not in target.running:
+        if target.is_dead or target.is_hanging:
+            return
+        if attempt_id not in target.running:
             return
         target.cancelled.add(attempt_id)
         self._finish_attempt(
--- a/testkit/simulation/_scenario.py
+++ b/testkit/simulation/_scenario.py
@@ -237,23 +237,28 @@
                 self._restart(self._address(entry), restart_after)
             case _faults.CutZone(_, zone, duration):
                 self._cut(f"zone-{zone}", duration)
+            case _faults.CancelWave(_, share):
+                self._cancel_wave(share)
+            case _:
+                self._inject_outside(fault)
+
+    def _inject_outside(self, fault: _faults.Fault) -> None:
+        """Starts a fault of the targets, the platform or the operators."""
+        network = self.network
+        match fault:
             case _faults.PlatformOutage(_, duration):
                 network.platform.is_down = True
                 until = network.now + duration
                 network.history.cuts.append(("platform", network.now, until))
                 network.after(duration, self._end_outage)
             case _faults.FailingTarget(_, target, duration):
-                failing = self._target(target)
-                failing.is_failing = True
-                network.after(
-                    duration, lambda: setattr(failing, "is_failing", False)
-                )
+                self._impair(target, "is_failing", duration)
+            case _faults.HangTarget(_, target, duration):
+                self._impair(target, "is_hanging", duration)
             case _faults.KillTarget(_, target):
                 self._target(target).is_dead = True
             case _faults.TargetLeaves(_, target, by):
                 self._leave(target, by)
-            case _faults.CancelWave(_, share):
-                self._cancel_wave(share)
             case _faults.ApplyConfiguration(_, preset):
                 version = network.platform.row[0]
                 for operator in ("first", "second"):
@@ -270,6 +275,11 @@
         addresses = sorted(self.network.targets)
         return self.network.targets[addresses[index % len(addresses)]]
 
+    def _impair(self, index: int, fault: str, duration: float) -> None:
+        target = self._target(index)
+        setattr(target, fault, True)
+        self.network.after(duration, lambda: setattr(target, fault, False))
+
     def _restart(self, address: str, delay: float) -> None:
         """Starts a new process once the old one has ended."""
         network = self.network
--- a/testkit/simulation/_targets.py
+++ b/testkit/simulation/_targets.py
@@ -14,6 +14,9 @@
 from testkit.simulation._history import History
 from testkit.simulation._history import TargetLeft
 
+# The target client gives up on an answer this long after the lease ended.
+GIVE_UP_S = 0.1
+
 
 @attrs.define(eq=False)
 class SimulatedTarget:
@@ -28,6 +31,7 @@
         running: Attempts that hold a slot.
         cancelled: Attempts ended by a cancel.
         is_dead: True once the VM vanished.
+        is_hanging: True while it answers nothing.
         is_failing: True while it fails everything.
         says_leaving: True once it refuses work because it is leaving.
     """
@@ -40,6 +44,7 @@
     running: set[str] = attrs.field(factory=set)
     cancelled: set[str] = attrs.field(factory=set)
     is_dead: bool = False
+    is_hanging: bool = False
     is_failing: bool = False
     says_leaving: bool = False
 
@@ -64,6 +69,9 @@
         uid = task.payload["uid"]
         self.running.add(attempt_id)
         self.history.record(Executed(now, self.vm_id, attempt_id, uid))
+        if self.is_hanging:
+            reason = UnknownAttemptReason.TIMEOUT
+            return lease + GIVE_UP_S, AttemptUnknown(reason)
         if self.is_failing:
             return 0.001, AttemptFailed("fails everything")
         run = task.payload["run_s"]
