--- a/anvilford/entry/_core.py
+++ b/anvilford/entry/_core.py
@@ -62,9 +62,9 @@
 from anvilford.submissions import Ledger
 
 CONFIGURATION_CALL_TIMEOUT_S = 1.0
-# The gossip round wakes the core regularly; missing this many rounds means
-# that the process was suspended or starved.
-PAUSE_LIMIT_ROUNDS = 3
+# A wake-up that comes this late means that the process was suspended or
+# starved. With 1.5 s a planned stop went on over a pause of 1.3 s.
+PAUSE_LIMIT_S = 0.25
 
 
 @attrs.frozen
@@ -128,7 +128,7 @@
         self.requests = Requests(me, options, self.directory, ledger)
         self.gossiper = Gossiper(me, options, self.directory, rng)
         self.jobs: dict[int, JobInFlight] = {}
-        self._handled_at = now
+        self._due_at = now
         self._platform_answered = False
         self._configuration_call: str | None = None
         self._was_ready = False
@@ -142,6 +142,7 @@
         effects = self._observe_pause(now)
         effects += self._apply(event, now)
         effects += self._advance(now)
+        self._due_at = self._find_due()
         return effects
 
     def _observe_pause(self, now: float) -> list[Effect]:
@@ -150,9 +151,8 @@
         Without this, every peer would look silent after a pause, and a
         planned stop right after it would find no peer for its records.
         """
-        pause = now - self._handled_at
-        self._handled_at = now
-        if pause < PAUSE_LIMIT_ROUNDS * self.options.gossip_interval:
+        pause = now - self._due_at
+        if pause < PAUSE_LIMIT_S:
             return []
         self.directory.extend_heartbeats(pause)
         self.drain.observe_pause(pause, now)
@@ -200,6 +200,9 @@
 
     def next_wakeup(self, now: float) -> float:
         """Loop time at which `Tick` must be sent."""
+        return max(now, self._due_at)
+
+    def _find_due(self) -> float:
         times = [
             self.gossiper.next_round,
             self.services.next_wakeup(),
@@ -207,7 +210,7 @@
             self.drain.next_wakeup(),
             self.target_shares.next_wakeup(),
         ]
-        return max(now, min(time for time in times if time is not None))
+        return min(time for time in times if time is not None)
 
     def _apply(self, event: Event, now: float) -> list[Effect]:
         match event:
--- a/anvilford/entry/tests/test_history.py
+++ b/anvilford/entry/tests/test_history.py
@@ -85,7 +85,7 @@
 
 def test_runs_that_once_failed(case):
     """Guards against the return of faults that the random search found."""
-    for seed in (80, 1567, 1573, 1615, 1712, 3239, 5334):
+    for seed in (80, 1567, 1573, 1615, 1712, 3239, 5334, 10026):
         _, violations = search(seed)
         case.assertEqual(violations, [], f"seed {seed}")
 
