Hand requests to the loop in one call and keep its timer

Cause: each request cost a coroutine, a concurrent future, a wait with a timer and a wake-up of the loop, and each event replaced the loop's timer. Change: a request is one function in an inbox whose functions share wake-ups, and the waiting thread is released by a lock; a timer that is early enough stays.

--- a/anvilford/daemon/_runtime.py
+++ b/anvilford/daemon/_runtime.py
@@ -1,7 +1,6 @@
 """Runs an entry's effects on one asyncio loop."""
 
 import asyncio
-import concurrent.futures
 import contextlib
 import itertools
 import logging
@@ -11,6 +10,8 @@
 from typing import Any
 
 from anvilford.configuration import ROW_KEY
+from anvilford.daemon._handover import Inbox
+from anvilford.daemon._handover import ThreadReply
 from anvilford.entry import AttemptFinished
 from anvilford.entry import CallPeer
 from anvilford.entry import ConfigurationReceived
@@ -86,7 +87,8 @@
         self.loop: asyncio.AbstractEventLoop | None = None
         self.targets: Any = None
         self.links: Any = None
-        self._requesters: dict[str, asyncio.Future] = {}
+        self._requesters: dict[str, asyncio.Future | ThreadReply] = {}
+        self._inbox: Inbox | None = None
         self._numbers = itertools.count()
         self._tasks: set[asyncio.Task] = set()
         self._timer: asyncio.TimerHandle | None = None
@@ -105,6 +107,7 @@
             links: Open `PeerLinks`.
         """
         self.loop = asyncio.get_running_loop()
+        self._inbox = Inbox(self.loop)
         self.targets = targets
         self.links = links
         stack.push_async_callback(self._cancel_tasks)
@@ -117,10 +120,20 @@
         now = self.loop.time()
         for effect in self.core.handle(event, now):
             self._perform(effect)
+        self._arm(self.core.next_wakeup(now))
+
+    def _arm(self, wakeup: float) -> None:
+        # A timer that is too early costs one `Tick`, while one for every
+        # event would fill the loop's heap with cancelled timers.
         if self._timer is not None:
+            if self._timer.when() <= wakeup:
+                return
             self._timer.cancel()
-        wakeup = self.core.next_wakeup(now)
-        self._timer = self.loop.call_at(wakeup, self.handle, Tick())
+        self._timer = self.loop.call_at(wakeup, self._tick)
+
+    def _tick(self) -> None:
+        self._timer = None
+        self.handle(Tick())
 
     def call(
         self, function: Callable[[], Any], timeout: float | None = None
@@ -130,16 +143,16 @@
         Raises:
             TimeoutError: There was no result within `timeout` seconds.
         """
-        future: concurrent.futures.Future = concurrent.futures.Future()
+        reply = ThreadReply()
 
         def run() -> None:
             try:
-                future.set_result(function())
+                reply.set_result(function())
             except Exception as error:  # pylint: disable=broad-except
-                future.set_exception(error)
+                reply.set_exception(error)
 
-        self.loop.call_soon_threadsafe(run)
-        return future.result(timeout)
+        self._inbox.put(run)
+        return reply.result(timeout)
 
     def request(
         self, make_event: Callable[[str], SubmissionRequested], wait: float
@@ -153,10 +166,30 @@
         Returns:
             The answer, or None if there is none after `wait`.
         """
-        future = asyncio.run_coroutine_threadsafe(
-            self._request(make_event, wait), self.loop
-        )
-        return future.result()
+        reply = ThreadReply()
+        self._inbox.put(lambda: self._begin(make_event, reply))
+        try:
+            return reply.result(wait)
+        except TimeoutError:
+            self._inbox.put(lambda: self._abandon(reply))
+            return None
+
+    def _begin(
+        self,
+        make_event: Callable[[str], SubmissionRequested],
+        reply: ThreadReply,
+    ) -> None:
+        reply.request_id = f"r{next(self._numbers)}"
+        self._requesters[reply.request_id] = reply
+        try:
+            self.handle(make_event(reply.request_id))
+        except Exception as error:  # pylint: disable=broad-except
+            self._requesters.pop(reply.request_id, None)
+            reply.set_exception(error)
+
+    def _abandon(self, reply: ThreadReply) -> None:
+        if self._requesters.pop(reply.request_id, None) is not None:
+            self.handle(RequesterGone(reply.request_id))
 
     async def _request(
         self, make_event: Callable[[str], SubmissionRequested], wait: float
@@ -244,9 +277,9 @@
                 self.stopped.set()
 
     def _resolve(self, request_id: str, value: Any) -> None:
-        future = self._requesters.get(request_id)
-        if future is not None and not future.done():
-            future.set_result(value)
+        requester = self._requesters.pop(request_id, None)
+        if requester is not None and not requester.done():
+            requester.set_result(value)
 
     async def _run_attempt(self, effect: RunAttempt) -> None:
         start = effect.start
