Send a target's request head and body together

Cause: the base class sends them in two system calls, 79 us each under the profiler, and wakes the target twice. Change: the connection collects the request and sends it once; it is marked as sent just before.

--- a/anvilford/targets/_exchange.py
+++ b/anvilford/targets/_exchange.py
@@ -122,6 +122,7 @@
         self.exchange: Exchange | None = None
         self.stale = False
         self._answered = 0.0
+        self._unsent: list[bytes] = []
 
     def request(  # See the base class.
         self,
@@ -145,12 +146,18 @@
         self.timeout = lease_ms / 1000
         if method == "POST":
             headers = {**headers, "Anvilford-Lease-Ms": str(lease_ms)}
+        self._unsent.clear()
         super().request(method, url, body=body, headers=headers, **options)
+        exchange.mark_sent(self.sock)
+        super().send(b"".join(self._unsent))
 
     def send(self, data: Any) -> None:
-        """Sends bytes; the first ones of a request mark it as sent."""
-        self.exchange.mark_sent(self.sock)
-        super().send(data)
+        """Collects bytes; `request` sends them together.
+
+        The base class sends head and body one after the other, which costs a
+        second system call and wakes the target before the body is there.
+        """
+        self._unsent.append(data)
 
     def getresponse(self) -> Any:
         """Reads the head of a response."""
