Send an answer's head and body together

Cause: cheroot's gateway writes them in two system calls. Change: a gateway that collects the answer and writes it once.

--- a/anvilford/daemon/_main.py
+++ b/anvilford/daemon/_main.py
@@ -22,6 +22,7 @@
 from anvilford.entry import CoreOptions
 from anvilford.entry import EntryCore
 from anvilford.http import CallersApplication
+from anvilford.http import OneWriteGateway
 from anvilford.http import operator_application
 from anvilford.http import TokenTable
 from anvilford.model import Incarnation
@@ -251,5 +252,6 @@
         request_queue_size=http.socket_queue_size,
     )
     server.max_request_body_size = http.body_bytes
+    server.gateway = OneWriteGateway
     server.keep_alive_conn_limit = KEEP_ALIVE_CONNECTIONS
     ServerAdapter(cherrypy.engine, server, bind).subscribe()
--- a/anvilford/http/__init__.py
+++ b/anvilford/http/__init__.py
@@ -2,6 +2,7 @@
 
 from anvilford.http._callers import CallerPort
 from anvilford.http._callers import CallersApplication
+from anvilford.http._gateway import OneWriteGateway
 from anvilford.http._operator_port import ConfigurationConflict
 from anvilford.http._operator_port import EntryUnavailable
 from anvilford.http._operator_port import NotReady
@@ -20,6 +21,7 @@
     "ConfigurationConflict",
     "EntryUnavailable",
     "NotReady",
+    "OneWriteGateway",
     "OperatorFailure",
     "OperatorPort",
     "StoreUnavailable",
