Let only the submitting caller cancel a job

Cause: the core cancelled a job in flight by the sequence of the id alone. The tag was checked only for the answer, so another caller was told `unknown_id` and the job was cancelled all the same. Change: a cancellation takes effect only if the ledger finds the submission in flight under the tag of this caller. Seen before: a job in flight ended `failed` after another caller's DELETE (daemon.tests.test_callers.test_other_caller_sees_nothing).

--- a/anvilford/entry/_core.py
+++ b/anvilford/entry/_core.py
@@ -242,10 +242,8 @@
             effects += self._translate(
                 self.services.submit(sequence, job, event.caller, now)
             )
-        elif (
-            event.kind is RequestKind.CANCEL
-            and event.submission_id.owner == self.me
-            and sequence in self.jobs
+        elif event.kind is RequestKind.CANCEL and self.requests.may_cancel(
+            event.submission_id, event.caller
         ):
             effects += self._translate(self.services.cancel(sequence, now))
         return effects
--- a/anvilford/entry/_requests.py
+++ b/anvilford/entry/_requests.py
@@ -20,6 +20,7 @@
 from anvilford.model import OutcomeUnknown
 from anvilford.model import Pending
 from anvilford.model import RefusalReason
+from anvilford.model import SubmissionId
 from anvilford.model import UnknownReason
 from anvilford.protocol import ForwardReply
 from anvilford.protocol import ForwardSubmission
@@ -153,6 +154,12 @@
             case Unsubmitted():
                 return respond(request, Pending(submitted=False))
 
+    def may_cancel(self, submission_id: SubmissionId, caller: str) -> bool:
+        """Tells whether a caller's own submission is in flight here."""
+        if submission_id.owner != self.me:
+            return False
+        return isinstance(self.ledger.lookup(submission_id, caller), InFlight)
+
     def settle(
         self, sequence: int, answer: Complete | Failed | NotRun
     ) -> list[Effect]:
