Keep callers' connections open beyond cheroot's default of 10

Cause: cheroot closes a connection after the response when it holds `keep_alive_conn_limit` others, 10 by default, so most callers had to reconnect for each request. Change: the limit is 512. Seen before: 15 of 64 concurrent keep-alive connections were closed by the daemon (daemon.tests.test_callers.test_concurrent_keep_alive_connections).

--- a/anvilford/daemon/_main.py
+++ b/anvilford/daemon/_main.py
@@ -47,6 +47,9 @@
 INCARNATION_BYTES = 8
 TAG_KEY_BYTES = 32
 OPERATOR_THREADS = 8
+# Cheroot keeps 10 idle connections by default and closes all others after
+# each response; a caller's next connection may then reach another entry.
+KEEP_ALIVE_CONNECTIONS = 512
 
 logger = logging.getLogger("anvilford.daemon")
 
@@ -247,5 +250,6 @@
         numthreads=http.threads,
         request_queue_size=http.socket_queue_size,
     )
+    server.keep_alive_conn_limit = KEEP_ALIVE_CONNECTIONS
     server.max_request_body_size = http.body_bytes
     ServerAdapter(cherrypy.engine, server, bind).subscribe()
