Refuse oversized bodies with a typed JSON body

Cause: the callers' server applied the same limit as the application and answered first, with plain text; the application's refusal was never used. Change: the application checks the length of every request before anything else and reads a bounded part of the body, so that closing the connection does not reset it; the callers' server has no limit of its own. Seen before: 413 with a text body for 4 MiB + 1 bytes (daemon.tests.test_callers.test_oversized_bodies).

--- a/anvilford/daemon/_main.py
+++ b/anvilford/daemon/_main.py
@@ -231,7 +231,13 @@
     operators = operator_application(
         OperatorAdapter(runtime), settings.operators
     )
-    _subscribe(settings.listen.callers, callers, settings.http)
+    # The callers' application refuses oversized bodies itself, because the
+    # server's own refusal is not JSON.
+    _subscribe(
+        settings.listen.callers,
+        callers,
+        attrs.evolve(settings.http, body_bytes=0),
+    )
     _subscribe(
         settings.listen.operators,
         operators,
--- a/anvilford/http/_callers.py
+++ b/anvilford/http/_callers.py
@@ -24,6 +24,9 @@
 from anvilford.protocol import RequestKind
 
 MAX_IDS_PER_REQUEST = 1000
+# Of a body that is too large, at most this many times the limit is read.
+DISCARD_FACTOR = 4
+DISCARD_CHUNK_BYTES = 64 * 1024
 
 STATUS_OF_KIND = {
     "complete": "200 OK",
@@ -108,6 +111,7 @@
         return [body]
 
     def _answer(self, environ: dict[str, Any]) -> tuple[str, bytes]:
+        self._check_length(environ)
         method = environ["REQUEST_METHOD"]
         path = environ["PATH_INFO"]
         if method == "GET" and path == "/v1/ready":
@@ -127,6 +131,25 @@
             return self._serve(caller, path.removeprefix(prefix), environ)
         raise RequestError("404 Not Found", "no_such_path", path)
 
+    def _check_length(self, environ: dict[str, Any]) -> None:
+        limit = self.job_limits.body_bytes
+        text = environ.get("CONTENT_LENGTH") or ""
+        if not text.isdigit() or int(text) <= limit:
+            return
+        # The server closes the connection after this refusal. With unread
+        # bytes that resets it, and the caller may lose the response.
+        left = min(int(text), DISCARD_FACTOR * limit)
+        while left > 0:
+            chunk = environ["wsgi.input"].read(min(left, DISCARD_CHUNK_BYTES))
+            if not chunk:
+                break
+            left -= len(chunk)
+        raise RequestError(
+            "413 Content Too Large",
+            "body_too_large",
+            f"at most {limit} bytes",
+        )
+
     def _readiness(self) -> tuple[str, bytes]:
         if self.port.is_ready() and not self.port.is_draining():
             return "200 OK", b'{"ready":true}'
@@ -183,18 +206,11 @@
         return STATUS_OF_KIND[answer.kind], answer.body
 
     def _read_body(self, environ: dict[str, Any]) -> bytes:
-        limit = self.job_limits.body_bytes
         text = environ.get("CONTENT_LENGTH") or ""
         if not text.isdigit():
             raise RequestError(
                 "411 Length Required", "length_required", "Content-Length"
             )
-        if int(text) > limit:
-            raise RequestError(
-                "413 Content Too Large",
-                "body_too_large",
-                f"at most {limit} bytes",
-            )
         body = environ["wsgi.input"].read(int(text))
         if len(body) != int(text):
             raise RequestError(
