--- /dev/null
+++ b/anvilford/daemon/tests/test_callers.py
@@ -0,0 +1,213 @@
+"""Tests of callers' isolation, refusals, cancellation and connections."""
+
+import atexit
+import functools
+import http.client
+import json
+import re
+import threading
+
+from anvilford.daemon.tests import system
+from standins import cluster
+from testkit import fixture
+from testkit import function_tests
+
+load_tests = function_tests(__name__)
+
+CONNECTIONS = 64
+ROUNDS = 6
+AUTHORIZATION = {"Authorization": f"Bearer {cluster.CALLER_TOKEN}"}
+
+
+@functools.cache
+def shared_site():
+    """One site for the whole module; none of the tests breaks it."""
+    site = cluster.Site(entries_per_zone=2).__enter__()
+    atexit.register(site.__exit__, None, None, None)
+    return site
+
+
+@fixture
+def site():
+    """Two entries of one zone."""
+    yield shared_site()
+
+
+def test_other_caller_sees_nothing(case, site):
+    """Guards against a caller that reaches another caller's submission."""
+    first, second = site.entries
+    job = system.distinct_job(2, 600)
+    other = cluster.OTHER_CALLER_TOKEN
+    with system.Background(site, first, job) as background:
+        system.wait_until(case, site.starts, 5)
+        unused = site.issue(first)[0]
+        mine = background.submission_id
+        foreign = system.distinct_job()
+        for entry in (first, second):
+            for submission_id in (mine, unused):
+                path = f"submissions/{submission_id}"
+                for method in ("GET", "PUT", "DELETE"):
+                    body = foreign if method == "PUT" else None
+                    reply = site.caller(method, entry, path, body, other)
+                    answer = (reply.status, reply.json())
+                    case.assertEqual(
+                        answer, (404, {"outcome": "unknown_id"}), method
+                    )
+    case.assertEqual(background.sent.outcome, "complete")
+    reply = site.caller("GET", second, f"submissions/{mine}", None, other)
+    case.assertEqual(reply.json(), {"outcome": "unknown_id"})
+    system.check_answers(case, [background.sent])
+    system.check_starts(case, site, [background.sent])
+    echo = foreign["tasks"][0]["payload"]["echo"]
+    case.assertEqual(system.starts_by_echo(site)[echo], 0)
+
+
+def test_refusals(case, site):
+    """Guards against refusals without type or status, and against starts."""
+    first, second = site.entries
+    started = len(site.starts())
+    good = system.distinct_job()
+    submission_id = site.issue(first)[0]
+    path = f"/v1/submissions/{submission_id}"
+    guessed = re.sub(r"~\d+~", "~99999~", path)
+    malformed = [
+        b"",
+        b"{",
+        b"[]",
+        b'{"service": "line-brain"}',
+        json.dumps(good | {"deadline_ms": -1}).encode(),
+        json.dumps(good | {"tasks": []}).encode(),
+    ]
+    body = json.dumps(good).encode()
+    no_token = {"Authorization": "Bearer guessed"}
+    table = [
+        ("PUT", path, body, no_token, 401, "unauthorized"),
+        ("GET", path, None, no_token, 401, "unauthorized"),
+        ("PUT", path, body, {}, 401, "unauthorized"),
+        ("POST", "/v1/submission-ids", None, {}, 401, "unauthorized"),
+        ("PUT", guessed, body, AUTHORIZATION, 404, "unknown_id"),
+        ("PUT", path[:-24], body, AUTHORIZATION, 400, "invalid_submission_id"),
+        ("POST", path, body, AUTHORIZATION, 405, "method_not_allowed"),
+        ("GET", "/v1/other", None, AUTHORIZATION, 404, "no_such_path"),
+        *(
+            ("PUT", path, wrong, AUTHORIZATION, 400, "invalid_job")
+            for wrong in malformed
+        ),
+    ]
+    for entry in (first, second):
+        for method, target, content, headers, status, kind in table:
+            reply = site.http.request(
+                method,
+                f"http://{entry.callers}{target}",
+                body=content,
+                headers=headers,
+                timeout=10.0,
+            )
+            document = reply.json()
+            found = document.get("type") or document.get("outcome")
+            case.assertEqual((reply.status, found), (status, kind), target)
+    case.assertEqual(len(site.starts()), started)
+    sent = system.send(site, first, submission_id, good)
+    case.assertEqual(sent.outcome, "complete", sent)
+    for entry in (first, second):
+        other = system.distinct_job()
+        conflict = system.send(site, entry, submission_id, other)
+        case.assertEqual((conflict.status, conflict.outcome), (409, "conflict"))
+    case.assertEqual(len(site.starts()), started + 1)
+
+
+def test_oversized_bodies(case, site):
+    """Guards against a body limit that resets the connection or is absent."""
+    entry = site.entries[0]
+    path = f"submissions/{site.issue(entry)[0]}"
+    limit = 4 * 1024 * 1024
+    for size in (limit + 1, 4 * limit):
+        job = system.distinct_job()
+        job["tasks"][0]["payload"]["fill"] = "x" * size
+        reply = site.caller("PUT", entry, path, job)
+        case.assertEqual(reply.status, 413)
+        case.assertEqual(reply.json()["type"], "body_too_large")
+    fits = system.distinct_job()
+    fits["tasks"][0]["payload"]["fill"] = "x" * (limit - 10_000)
+    case.assertEqual(system.submit(site, entry, fits).outcome, "complete")
+
+
+def test_cancel(case, site):
+    """Guards against cancelled jobs that run, or that are called not run."""
+    first, second = site.entries
+    running = system.distinct_job(40, 800)
+    queued = system.distinct_job(2, 50)
+    with system.Background(site, first, running) as long:
+        system.wait_until(case, site.starts, 5)
+        with system.Background(site, first, queued) as waiting:
+            # The other entry passes the cancellation on to the owner.
+            for background in (waiting, long):
+                path = f"submissions/{background.submission_id}"
+                system.wait_until(
+                    case,
+                    lambda path=path: site.caller("GET", first, path).json()
+                    == {"outcome": "pending", "submitted": True},
+                    5,
+                )
+                site.caller("DELETE", second, path)
+    case.assertEqual(waiting.sent.outcome, "not_run", waiting.sent)
+    case.assertEqual(waiting.sent.body["reason"], "cancelled")
+    case.assertEqual(long.sent.outcome, "failed", long.sent)
+    case.assertEqual(long.sent.body["reason"], "cancelled")
+    system.check_starts(case, site, [waiting.sent, long.sent])
+    counts = system.starts_by_echo(site)
+    states = zip(long.sent.echoes, long.sent.body["tasks"], strict=True)
+    for echo, state in states:
+        case.assertEqual(counts[echo] == 0, state == "not_run", echo)
+    again = system.send(site, second, long.submission_id, running)
+    case.assertEqual(again.body, long.sent.body)
+
+
+def keep_alive_session(address, failures, sent):
+    """Sends some requests on one connection that must stay open."""
+    host, _, port = address.rpartition(":")
+    connection = http.client.HTTPConnection(host, int(port), timeout=30)
+    connection.connect()
+    connection.auto_open = 0
+    try:
+        for _ in range(ROUNDS):
+            connection.request(
+                "POST", "/v1/submission-ids", headers=AUTHORIZATION
+            )
+            (submission_id,) = json.load(connection.getresponse())["ids"]
+            job = system.distinct_job(1, 20)
+            connection.request(
+                "PUT",
+                f"/v1/submissions/{submission_id}",
+                json.dumps(job),
+                AUTHORIZATION,
+            )
+            answer = json.load(connection.getresponse())
+            results = [result["echo"] for result in answer["results"]]
+            sent.append((job["tasks"][0]["payload"]["echo"], results))
+    except Exception as failure:  # noqa: BLE001 (reported by the test)
+        failures.append(repr(failure))
+    finally:
+        connection.close()
+
+
+def test_concurrent_keep_alive_connections(case, site):
+    """Guards against reset or mixed-up keep-alive connections."""
+    failures, sent = [], []
+    threads = [
+        threading.Thread(
+            target=keep_alive_session,
+            args=(site.entries[0].callers, failures, sent),
+        )
+        for _ in range(CONNECTIONS)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    case.assertEqual(failures, [])
+    case.assertEqual(len(sent), CONNECTIONS * ROUNDS)
+    counts = system.starts_by_echo(site)
+    for echo, results in sent:
+        case.assertEqual(results, [echo])
+        case.assertEqual(counts[echo], 1)
