--- a/anvilford/entry/_core.py
+++ b/anvilford/entry/_core.py
@@ -270,10 +270,8 @@
         sequence = event.submission_id.sequence
         if is_new:
             effects += self._submit(event, now)
-        elif (
-            event.kind is RequestKind.CANCEL
-            and event.submission_id.owner == self.me
-            and sequence in self.jobs
+        elif event.kind is RequestKind.CANCEL and self.requests.may_cancel(
+            event.submission_id, event.caller
         ):
             effects += self._translate(self.services.cancel(sequence, now))
         return effects
