Measure how traffic, time and memory grow with each size

benchmarks.slopes varies one size at a time and fits a line with its residual. The platform's stand-in counts its requests, so that reads a second can be measured.

--- /dev/null
+++ b/benchmarks/_core_cost.py
@@ -0,0 +1,153 @@
+"""Processor time of `EntryCore` for each event, task and job."""
+
+import itertools
+import json
+import random
+import time
+
+from anvilford import protocol
+from anvilford.entry import AttemptFinished
+from anvilford.entry import ConfigurationReceived
+from anvilford.entry import CoreOptions
+from anvilford.entry import EntryCore
+from anvilford.entry import PeerMessage
+from anvilford.entry import Respond
+from anvilford.entry import RunAttempt
+from anvilford.entry import SubmissionRequested
+from anvilford.entry import Tick
+from anvilford.entry import VmListReceived
+from anvilford.model import AttemptSucceeded
+from anvilford.model import parse_job
+from anvilford.protocol import EntryInfo
+from anvilford.protocol import Gossip
+from anvilford.protocol import RequestKind
+from benchmarks._control_plane import ControlPlane
+from benchmarks._control_plane import entry_identity
+from benchmarks._control_plane import Shape
+from benchmarks._control_plane import SPLIT
+
+RUN_S = 0.05
+CALLER = "line-controller-7"
+
+
+def make_core(shape: Shape) -> EntryCore:
+    """Makes an entry that knows the whole site."""
+    plane = ControlPlane(Shape(1, shape.targets, shape.zones, shape.services))
+    me = entry_identity(0, shape)
+    options = CoreOptions(connections=SPLIT, suspect_after=1e9)
+    core = EntryCore(me, bytes(32), options, random.Random(1), 0.0)
+    core.handle(ConfigurationReceived(*plane.row), 0.0)
+    core.handle(VmListReceived(1, plane.vms), 0.0)
+    core.handle(PeerMessage(me, heartbeats(core, shape, 1)), 0.0)
+    return core
+
+
+def heartbeats(core: EntryCore, shape: Shape, beat: int) -> Gossip:
+    """A periodic message with a new heartbeat of every other entry."""
+    entries = tuple(
+        EntryInfo(entry_identity(n, shape), beat, 1.0, False, 1)
+        for n in range(1, shape.entries)
+    )
+    sender = entry_identity(1, shape).address
+    return Gossip(sender, entries, core.directory.fingerprint())
+
+
+def least_us(function, count: int = 15) -> float:
+    """Microseconds of processor time of the fastest of some calls."""
+    times = []
+    for _ in range(count):
+        started = time.thread_time()
+        function()
+        times.append(time.thread_time() - started)
+    return min(times) * 1e6
+
+
+def event_costs(shape: Shape) -> dict[str, float]:
+    """Processor time of the events of the control plane."""
+    core = make_core(shape)
+    beats = itertools.count(2)
+    now = itertools.count(1)
+    vms = tuple(known.info for known in core.directory.vms.values())
+    messages = iter([heartbeats(core, shape, next(beats)) for _ in range(15)])
+    sender = entry_identity(1, shape)
+
+    def tick() -> None:
+        # A whole second apart, each tick runs a gossip round.
+        core.handle(Tick(), float(next(now)))
+
+    def gossip() -> None:
+        core.handle(
+            PeerMessage(sender, next(messages)), core.gossiper.next_round - 0.1
+        )
+
+    frame = protocol.encode(
+        protocol.Envelope(0, False, heartbeats(core, shape, 1))
+    )
+    return {
+        "gossip_round_us": least_us(tick),
+        "gossip_received_us": least_us(gossip),
+        "gossip_decode_us": least_us(lambda: protocol.decode(frame)),
+        "list_received_us": least_us(
+            lambda: core.handle(VmListReceived(1, vms), float(next(now)))
+        ),
+        "job_us": job_cost(shape, 1, 60),
+    }
+
+
+def job_cost(shape: Shape, tasks: int, jobs: int) -> float:
+    """Processor time of one job from its submission to its answer.
+
+    Includes parsing the body, not HTTP and not the calls to targets.
+    """
+    core = make_core(shape)
+    now = 1.0
+    document = {
+        "service": "service-000",
+        "deadline_ms": 120_000,
+        "repeatable": True,
+        "tasks": [
+            {"operation": "check", "payload": {"echo": n}, "declared_ms": 50}
+            for n in range(tasks)
+        ],
+    }
+    body = json.dumps(document).encode()
+    spent = []
+    for number in range(jobs):
+        started = time.thread_time()
+        submission_id = core.issue(CALLER, 1)[0]
+        job = parse_job(body).ok
+        event = SubmissionRequested(
+            f"r{number}",
+            CALLER,
+            submission_id,
+            RequestKind.SUBMIT,
+            job,
+            body,
+            job.deadline_ms,
+        )
+        now = _run_to_answer(core, event, now)
+        spent.append(time.thread_time() - started)
+    return sorted(spent)[len(spent) // 2] * 1e6
+
+
+def _run_to_answer(
+    core: EntryCore, event: SubmissionRequested, now: float
+) -> float:
+    """Finishes attempts wave by wave; returns the time of the answer."""
+    running = core.handle(event, now)
+    while not any(isinstance(effect, Respond) for effect in running):
+        now += RUN_S
+        following = []
+        for effect in running:
+            if isinstance(effect, RunAttempt):
+                start = effect.start
+                outcome = AttemptSucceeded({"echo": 1})
+                finished = AttemptFinished(
+                    start.attempt_id, start.target_id, outcome
+                )
+                following += core.handle(finished, now)
+        running = following or core.handle(Tick(), now)
+    answers = [e.answer.kind for e in running if isinstance(e, Respond)]
+    if answers != ["complete"]:
+        raise AssertionError(f"the job ended as {answers}")
+    return now
--- /dev/null
+++ b/benchmarks/_memory.py
@@ -0,0 +1,89 @@
+"""Resident memory of one kind of state, each in a fresh process."""
+
+import json
+import multiprocessing
+import pathlib
+import resource
+
+from anvilford.entry import SubmissionRequested
+from anvilford.model import EncodedAnswer
+from anvilford.model import parse_job
+from anvilford.protocol import RequestKind
+from anvilford.submissions import RetentionLimits
+from anvilford.submissions._ledger import Record
+from anvilford.submissions._ledger import RecordStore
+from benchmarks._control_plane import Shape
+from benchmarks._core_cost import CALLER
+from benchmarks._core_cost import make_core
+
+ANSWER_BYTES = 300
+TASKS_PER_JOB = 100
+
+
+def resident_mb(pid: int | str = "self") -> float:
+    """Resident memory of a process."""
+    fields = pathlib.Path(f"/proc/{pid}/statm").read_text().split()
+    return int(fields[1]) * resource.getpagesize() / 1e6
+
+
+def grown_mb(kind: str, size: int) -> float:
+    """Growth of a fresh process that makes so much of one kind of state."""
+    with multiprocessing.get_context("spawn").Pool(1) as pool:
+        return pool.apply(_grow, (kind, size))
+
+
+def _grow(kind: str, size: int) -> float:
+    make = {"records": _records, "tasks": _tasks, "targets": _targets}[kind]
+    make(1)
+    before = resident_mb()
+    state = make(size)
+    grown = resident_mb() - before
+    del state
+    return grown
+
+
+def _records(count: int) -> RecordStore:
+    store = RecordStore(RetentionLimits(10**7, 2**32))
+    for sequence in range(count):
+        record = Record(sequence, CALLER, f"{sequence:064x}")
+        body = f"{sequence:0{ANSWER_BYTES}d}".encode()
+        store.add(record)
+        store.settle(sequence, EncodedAnswer("complete", body))
+    return store
+
+
+def _targets(count: int) -> object:
+    return make_core(Shape(targets=count))
+
+
+def _tasks(count: int) -> object:
+    core = make_core(Shape())
+    for number in range(count // TASKS_PER_JOB):
+        tasks = [
+            {
+                "operation": "check",
+                "payload": {"echo": f"{number}/{n}", "run_ms": 50},
+                "declared_ms": 1,
+            }
+            for n in range(TASKS_PER_JOB)
+        ]
+        document = {
+            "service": "service-000",
+            "deadline_ms": 120_000,
+            "tasks": tasks,
+        }
+        body = json.dumps(document).encode()
+        event = SubmissionRequested(
+            f"r{number}",
+            f"{CALLER}-{number}",
+            core.issue(f"{CALLER}-{number}", 1)[0],
+            RequestKind.SUBMIT,
+            parse_job(body).ok,
+            body,
+            120_000,
+        )
+        core.handle(event, 1.0)
+    held = len(core.jobs) * TASKS_PER_JOB
+    if held < count - count % TASKS_PER_JOB:
+        raise AssertionError(f"only {held} of {count} tasks were admitted")
+    return core
--- /dev/null
+++ b/benchmarks/slopes.py
@@ -0,0 +1,261 @@
+"""Measures how traffic, processor time and memory grow with each size.
+
+One size varies at a time, over at least four values, with the real code. Each
+line is fitted by relative errors and printed with its residual and the
+measured range. docs/CAPACITY.md works with these lines.
+
+    python -m benchmarks.slopes [--only NAME] [--json FILE]
+"""
+
+import argparse
+import functools
+import json
+import pathlib
+import sys
+from collections.abc import Callable
+
+import attrs
+
+from anvilford import protocol
+from benchmarks import _core_cost
+from benchmarks import _memory
+from benchmarks import _processes
+from benchmarks._control_plane import ControlPlane
+from benchmarks._control_plane import list_bytes
+from benchmarks._control_plane import Shape
+from benchmarks._slope_types import print_slope
+from benchmarks._slope_types import Slope
+from benchmarks._slope_types import sweep
+
+WARM_UP_S = 5.0
+STEADY_S = 5.0
+CHANGE_S = 3.0
+BASE = "9 entries, 24 targets, 4 zones, 1 service unless varied"
+
+
+def traffic(shape: Shape) -> dict[str, float]:
+    """Traffic sent per entry: steady, and what one change adds to it."""
+    plane = ControlPlane(shape)
+    plane.run(WARM_UP_S)
+    plane.reset()
+    plane.run(STEADY_S)
+    steady = dict(plane.totals)
+    per_entry_s = 1 / shape.entries / STEADY_S
+    values = {
+        "bytes_per_s": steady["bytes"] * per_entry_s,
+        "messages_per_s": steady["messages"] * per_entry_s,
+        "core_us_per_s": 1e6 * steady["core_s"] * per_entry_s,
+        "codec_us_per_s": 1e6 * steady["codec_s"] * per_entry_s,
+        "list_bytes": list_bytes(plane.vms),
+        "row_bytes": len(json.dumps(plane.row[1])),
+    }
+    for name, change in (
+        ("configuration", plane.change_configuration),
+        ("leaving", plane.remove_target),
+    ):
+        plane.reset()
+        change()
+        plane.run(CHANGE_S)
+        extra = plane.totals["bytes"] - (steady["bytes"] * CHANGE_S / STEADY_S)
+        values[f"{name}_bytes"] = extra / shape.entries
+        full = plane.totals["full_messages"] / shape.entries
+        values[f"{name}_full_messages"] = full
+    return values
+
+
+def control_traffic() -> list[Slope]:
+    """(a) Traffic against entries, targets, zones and services."""
+    shapes = (
+        ("entries", (4, 9, 25, 50), {}),
+        ("targets", (24, 100, 500, 2000), {}),
+        ("zones", (1, 4, 7, 14), {"entries": 28, "targets": 28}),
+        ("services", (1, 8, 40, 120), {"targets": 480}),
+    )
+    return [
+        _sweep_shape("control_traffic", varied, sizes, fixed, traffic)
+        for varied, sizes, fixed in shapes
+    ]
+
+
+def core_events() -> list[Slope]:
+    """(b) Processor time of the core's events against the site's size."""
+    shapes = (
+        ("entries", (4, 9, 50, 200), {}),
+        ("targets", (24, 100, 500, 2000), {}),
+        ("zones", (1, 4, 7, 14), {"entries": 28, "targets": 28}),
+        ("services", (1, 8, 40, 120), {"targets": 480}),
+    )
+    return [
+        _sweep_shape(
+            "core_events", varied, sizes, fixed, _core_cost.event_costs
+        )
+        for varied, sizes, fixed in shapes
+    ]
+
+
+def core_jobs() -> list[Slope]:
+    """(b) Processor time of the core per job against its tasks."""
+
+    def measure(tasks: int) -> dict[str, float]:
+        return {"job_us": _core_cost.job_cost(Shape(), tasks, 12)}
+
+    sizes = (1, 10, 100, 400, 1100)
+    return [sweep("core_jobs", "tasks in a job", BASE, sizes, measure)]
+
+
+def memory() -> list[Slope]:
+    """(c) Resident memory of state held by the core."""
+    cases = (
+        ("records", (20_000, 50_000, 100_000, 200_000)),
+        ("tasks", (1000, 2000, 5000, 10_000)),
+        ("targets", (500, 2000, 4000, 7100)),
+    )
+    return [
+        sweep(
+            "memory",
+            kind,
+            "growth of a fresh process",
+            sizes,
+            lambda size, kind=kind: {"grown_mb": _memory.grown_mb(kind, size)},
+        )
+        for kind, sizes in cases
+    ]
+
+
+def daemon_memory() -> list[Slope]:
+    """(c) Resident memory of a real daemon."""
+    return [
+        Slope(
+            "daemon_memory",
+            "idle connections of callers",
+            "one daemon, 6 targets",
+            _processes.connection_memory((1, 64, 128, 256)),
+        ),
+        Slope(
+            "daemon_memory",
+            "tasks running at once",
+            "one daemon, 6 targets",
+            _processes.running_memory((1, 64, 128, 256)),
+        ),
+    ]
+
+
+def daemon_time() -> list[Slope]:
+    """(d) Processor time of a real daemon against rate and job size."""
+    with _processes.one_entry() as site:
+        run = functools.partial(_processes.drive, site, seconds=4.0)
+        run(rate=50, tasks=1)
+        return [
+            sweep(
+                "daemon_time",
+                "jobs of one task per second",
+                "one daemon, 6 targets, tasks of 20 ms",
+                (20, 50, 100, 200, 300),
+                lambda rate: run(rate=rate, tasks=1),
+            ),
+            sweep(
+                "daemon_time",
+                "tasks in a job",
+                "one daemon, 6 targets, tasks of 20 ms, 2 callers that wait",
+                (1, 10, 100, 400, 1100),
+                lambda tasks: run(callers=2, tasks=tasks),
+            ),
+        ]
+
+
+def platform_load() -> list[Slope]:
+    """(e) Reads of the platform against entries, and idle daemons."""
+    return [
+        sweep(
+            "platform_load",
+            "entries",
+            "real daemons, 4 zones, 24 targets, no jobs",
+            (4, 8, 12, 16),
+            lambda count: _processes.idle_use(4, count // 4, 6),
+        )
+    ]
+
+
+def configuration_delay() -> list[Slope]:
+    """(f) Time until a change is in force at all entries."""
+
+    def measure(pollers: int | None, entries: int) -> dict[str, float]:
+        worst = []
+        for seed in range(5):
+            shape = Shape(entries=entries, pollers=pollers)
+            plane = ControlPlane(shape, seed)
+            plane.run(3.0)
+            plane.change_configuration()
+            changed = plane.now
+            while len(plane.in_force) < entries and plane.now < changed + 60:
+                plane.run(0.05)
+            if len(plane.in_force) < entries:
+                raise AssertionError("the change is not in force after 60 s")
+            worst.append(max(plane.in_force.values()) - changed)
+        return {"worst_s": max(worst), "mean_s": sum(worst) / len(worst)}
+
+    return [
+        sweep(
+            "configuration_delay",
+            "entries",
+            f"5 seeds, platform reachable by {reach}",
+            (4, 9, 25, 50),
+            functools.partial(measure, pollers),
+        )
+        for reach, pollers in (("all", None), ("one entry", 1))
+    ]
+
+
+def _sweep_shape(
+    name: str,
+    varied: str,
+    sizes: tuple[int, ...],
+    fixed: dict[str, int],
+    measure: Callable[[Shape], dict[str, float]],
+) -> Slope:
+    text = BASE + "".join(f", {v} {k}" for k, v in fixed.items())
+    base = Shape(**fixed)
+    return sweep(
+        name,
+        varied,
+        text,
+        sizes,
+        lambda size: measure(attrs.evolve(base, **{varied: size})),
+    )
+
+
+MEASUREMENTS = {
+    function.__name__: function
+    for function in (
+        control_traffic,
+        core_events,
+        core_jobs,
+        memory,
+        daemon_memory,
+        daemon_time,
+        platform_load,
+        configuration_delay,
+    )
+}
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Runs the measurements and prints their lines."""
+    parser = argparse.ArgumentParser(prog="benchmarks.slopes")
+    parser.add_argument("--only", choices=MEASUREMENTS, help="one measurement")
+    parser.add_argument("--json", type=pathlib.Path, help="file for the report")
+    arguments = parser.parse_args(argv)
+    protocol.require_acceleration()
+    names = [arguments.only] if arguments.only else list(MEASUREMENTS)
+    documents = []
+    for name in names:
+        for slope in MEASUREMENTS[name]():
+            documents.append(slope.document())
+            print_slope(documents[-1])
+    if arguments.json:
+        arguments.json.write_text(json.dumps(documents, indent=2) + "\n")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/benchmarks/tests/test_slopes.py
@@ -0,0 +1,73 @@
+"""Tests of the slope measurements."""
+
+import contextlib
+import io
+import json
+import pathlib
+import tempfile
+
+from benchmarks import _core_cost
+from benchmarks import slopes
+from benchmarks._control_plane import ControlPlane
+from benchmarks._control_plane import Shape
+from benchmarks._slope_types import sweep
+from testkit import function_tests
+
+load_tests = function_tests(__name__)
+
+
+def test_control_plane_settles(case):
+    """Guards against figures of a start-up instead of the steady state."""
+    plane = ControlPlane(Shape())
+    plane.run(5.0)
+    plane.reset()
+    plane.run(4.0)
+    case.assertEqual(plane.totals["full_messages"], 0)
+    case.assertEqual(plane.totals["messages"], 4 * 9 * 2 * 3)
+    case.assertEqual(plane.totals["list_reads"], 4 * 9)
+
+
+def test_changes_arrive_everywhere(case):
+    """Guards against delays that leave out entries without the platform."""
+    plane = ControlPlane(Shape(entries=6, pollers=1))
+    plane.run(5.0)
+    case.assertEqual(len(plane.in_force), 6)
+    plane.change_configuration()
+    plane.remove_target()
+    plane.run(3.0)
+    case.assertEqual(len(plane.in_force), 6)
+    digests = {core.directory.fingerprint() for core in plane.cores}
+    case.assertEqual(len(digests), 1)
+    states = {c.directory.vms["vm-0000001d"].info.state for c in plane.cores}
+    case.assertEqual({int(state) for state in states}, {2})
+
+
+def test_job_cost_runs_every_task(case):
+    """Guards against a cost per job that leaves out queued tasks."""
+    small = _core_cost.job_cost(Shape(), 10, 3)
+    large = _core_cost.job_cost(Shape(), 200, 3)
+    case.assertGreater(large, 5 * small)
+
+
+def test_line_and_range(case):
+    """Guards against a line that is reported without its range."""
+    slope = sweep(
+        "n", "items", "", (1, 2, 4, 8), lambda n: {"a": 3.0 + 2 * n, "b": 5.0}
+    )
+    document = slope.document()
+    case.assertEqual(document["range"], [1, 8])
+    case.assertAlmostEqual(document["fits"]["a"]["slope"], 2.0)
+    case.assertLess(document["fits"]["a"]["residual_worst"], 1e-9)
+    case.assertNotIn("b", document["fits"])
+
+
+def test_report_file(case):
+    """Guards against a report that lacks what was printed."""
+    with tempfile.TemporaryDirectory() as folder:
+        file = pathlib.Path(folder) / "report.json"
+        output = io.StringIO()
+        with contextlib.redirect_stdout(output):
+            slopes.main(["--only", "core_jobs", "--json", str(file)])
+        report = json.loads(file.read_text())
+    case.assertIn("job_us", report[0]["fits"])
+    case.assertIn("residual", output.getvalue())
--- a/standins/_platform.py
+++ b/standins/_platform.py
@@ -1,6 +1,7 @@
 """Double of the platform: table, object store and VM list in memory."""
 
 import asyncio
+import collections
 import contextlib
 import time
 from typing import Any
@@ -41,6 +42,8 @@
         faults: Faults in force.
         rows: Pairs of version and value by key.
         objects: Object bodies by key.
+        requests: Requests to the table, object store and list so far, by
+            method and first part of the path.
     """
 
     def __init__(self, address: str):
@@ -48,6 +51,7 @@
         self.faults = PlatformFaults()
         self.rows: dict[str, tuple[int, Any]] = {}
         self.objects: dict[str, bytes] = {}
+        self.requests: collections.Counter[str] = collections.Counter()
         # Each list is immutable, with its time; the last one is current.
         self._lists: list[tuple[float, dict[str, dict[str, Any]]]] = [(0, {})]
 
@@ -110,6 +114,9 @@
             case ("DELETE", "vms", vm_id):
                 self.delete_vm(vm_id)
                 return json_response(200, {})
+            case ("GET", "stats"):
+                return json_response(200, dict(self.requests))
+        self.requests[f"{request.method} {request.path[0]}"] += 1
         if self.faults.slow_ms > 0:
             await asyncio.sleep(self.faults.slow_ms / 1000)
         if self.faults.outage:
