--- a/anvilford/entry/_core.py
+++ b/anvilford/entry/_core.py
@@ -341,7 +341,7 @@
         return [
             Count("configurations_applied"),
             LogChange("configuration_in_force", (("version", version),)),
-            *self.gossiper.push(now),
+            *self.gossiper.push_entries(now),
         ]
 
     def _request_configuration(self) -> list[Effect]:
--- a/anvilford/entry/_drain.py
+++ b/anvilford/entry/_drain.py
@@ -41,7 +41,7 @@
             return []
         self.started_at = now
         self.gossiper.draining = True
-        return [LogChange("draining"), *self.gossiper.push(now)]
+        return [LogChange("draining"), *self.gossiper.push_entries(now)]
 
     def receive(self, call: HandoverCall, accepted: bool) -> list[Effect]:
         """Continues the transfer after a reply or a failed call."""
--- a/anvilford/entry/_gossip.py
+++ b/anvilford/entry/_gossip.py
@@ -58,9 +58,16 @@
 
     def push(self, now: float) -> list[Effect]:
         """Sends everything to the known peers because something is new."""
-        peers = self._candidates()
-        count = min(len(peers), MAX_PUSH_FANOUT)
-        return self._send(self.rng.sample(peers, count), True, now)
+        return self._send(self._push_sample(), True, now)
+
+    def push_entries(self, now: float) -> list[Effect]:
+        """Like `push`, for news that stands in the entries themselves.
+
+        With 2,000 targets the VMs made a change of the configuration cost
+        913 kB per entry. A peer whose fingerprint differs still answers with
+        everything it knows.
+        """
+        return self._send(self._push_sample(), False, now)
 
     def receive(self, gossip: Gossip, now: float) -> list[Effect]:
         """Merges a peer's message and answers it when the views differ."""
@@ -85,6 +92,10 @@
         count = min(len(peers), self.options.gossip_fanout)
         return self.rng.sample(peers, count)
 
+    def _push_sample(self) -> list[str]:
+        peers = self._candidates()
+        return self.rng.sample(peers, min(len(peers), MAX_PUSH_FANOUT))
+
     def _candidates(self) -> list[str]:
         addresses = self.directory.entry_addresses()
         addresses.update(self.options.seeds)
--- a/benchmarks/tests/test_slopes.py
+++ b/benchmarks/tests/test_slopes.py
@@ -42,6 +42,17 @@
     case.assertEqual({int(state) for state in states}, {2})
 
 
+def test_configuration_change_sends_no_vms(case):
+    """Guards against 913 kB per entry and change with 2,000 targets."""
+    plane = ControlPlane(Shape(targets=200))
+    plane.run(5.0)
+    plane.reset()
+    plane.change_configuration()
+    plane.run(3.0)
+    case.assertEqual(len(plane.in_force), 9)
+    case.assertEqual(plane.totals["full_messages"], 0)
+
+
 def test_job_cost_runs_every_task(case):
     """Guards against a cost per job that leaves out queued tasks."""
     small = _core_cost.job_cost(Shape(), 10, 3)
