--- a/anvilford/entry/_drain.py
+++ b/anvilford/entry/_drain.py
@@ -46,7 +46,7 @@
             return []
         self.started_at = now
         self.gossiper.draining = True
-        return [LogChange("draining"), *self.gossiper.push(now)]
+        return [LogChange("draining"), *self.gossiper.push_entries(now)]
 
     def observe_pause(self, pause: float, now: float) -> None:
         """Excludes a pause of this process from the planned stop.
