Try other zones only when a queue has formed

Change: a queue threshold, no visits by long operations, a pause per zone and a slot limit per target after a refusal, 45% instead of 50% of the slots for long operations.

--- a/anvilford/scheduling/_attempts.py
+++ b/anvilford/scheduling/_attempts.py
@@ -16,38 +16,48 @@
 from anvilford.scheduling._jobs import Job
 from anvilford.scheduling._placement import Target
 
-# A target that refused a task gets no work for this long, so that a refusal
-# is not answered by the same request at once.
-REFUSAL_PAUSE = 0.02
+# A target that refused a task as busy is full with the work of others. For
+# this long it is expected to have no more slots than were in use then; without
+# the limit, every end of an own task there led to one more refusal.
+REFUSAL_PAUSE = 0.1
+MAX_REFUSAL_PAUSE = 0.3
+# The first pause of a zone after a refusal there; it doubles with each one.
+REMOTE_PAUSE = 0.01
 
 
 class RunningAttempts:
     """Attempts that occupy a slot, including those of answered jobs.
 
     Attributes:
+        zone: Availability zone of the entry.
         attempt_prefix: Start of every attempt id.
         targets: Targets by id, shared with the dispatcher.
         run_times: Learns from attempts that ran to their end.
         health: Learns from every end.
         wake_at: Asks for a call of `Dispatcher.advance`.
         by_id: Attempts by id.
+        remote_zones: Other zones that refused a task as busy: loop time until
+            which the zone gets no work, and the length of that time.
         long_running: Number of attempts that count as long work.
     """
 
     def __init__(
         self,
+        zone: str,
         attempt_prefix: str,
         targets: dict[str, Target],
         run_times: RunTimes,
         health: HealthMonitor,
         wake_at: Callable[[float], None],
     ):
+        self.zone = zone
         self.attempt_prefix = attempt_prefix
         self.targets = targets
         self.run_times = run_times
         self.health = health
         self.wake_at = wake_at
         self.by_id: dict[str, Attempt] = {}
+        self.remote_zones: dict[str, tuple[float, float]] = {}
         self.long_running = 0
         # Kept for the life of the process: a VM that leaves never returns
         # under the same id, but an outdated view may list it again.
@@ -104,10 +114,12 @@
         attempt.job.attempts.pop(attempt_id, None)
         self.long_running -= attempt.long
         target = self.targets[attempt.target_id]
-        target.in_use -= 1
         if not isinstance(outcome, AttemptNotStarted):
-            # A slot has just become free there.
-            target.paused_until = 0.0
+            if target.view.zone != self.zone:
+                self.remote_zones.pop(target.view.zone, None)
+            if target.in_use > target.limit:
+                target.pause = 0.0
+        target.in_use -= 1
         if attempt.probe:
             target.probing = False
         match outcome:
@@ -148,5 +160,18 @@
             return
         if reason == NotStartedReason.CONNECTION_REFUSED:
             self.health.observe_failure(target, probe, now)
-        target.paused_until = now + REFUSAL_PAUSE
-        self.wake_at(target.paused_until)
+        if target.view.zone != self.zone:
+            self._pause_zone(target.view.zone, now)
+        target.pause = min(
+            MAX_REFUSAL_PAUSE, max(REFUSAL_PAUSE, 2 * target.pause)
+        )
+        target.limit = target.in_use
+        target.limited_until = now + target.pause
+        self.wake_at(target.limited_until)
+
+    def _pause_zone(self, zone: str, now: float) -> None:
+        # Entries spread their work evenly, so a full target of a zone means
+        # that the others there are nearly full.
+        _, pause = self.remote_zones.get(zone, (0.0, 0.0))
+        pause = min(MAX_REFUSAL_PAUSE, max(REMOTE_PAUSE, 2 * pause))
+        self.remote_zones[zone] = (now + pause, pause)
--- a/anvilford/scheduling/_dispatcher.py
+++ b/anvilford/scheduling/_dispatcher.py
@@ -41,6 +41,11 @@
 from anvilford.scheduling._timers import Timer
 from anvilford.scheduling._timers import Timers
 
+# Slots in other zones are used once this many tasks per own slot are queued.
+# With 0, entries displace each other's tasks, which then go elsewhere in turn:
+# a third of all tasks ran in another zone at 80% load.
+REMOTE_QUEUE = 0.03
+
 
 class Dispatcher:
     """Decides which task starts where and when; does no I/O.
@@ -73,6 +78,7 @@
         self.retry_budget = RetryBudget(policy.retry_ratio)
         self.counters = DispatchCounters()
         self.attempts = RunningAttempts(
+            zone,
             attempt_prefix,
             self.targets,
             self.run_times,
@@ -314,7 +320,10 @@
             probe = target is not None
             if target is None:
                 target = self.placement.choose(
-                    job.estimates[index], job.avoid.get(index, ""), now
+                    job.estimates[index],
+                    job.avoid.get(index, ""),
+                    self._remote_zones(lane),
+                    now,
                 )
             if target is None:
                 return
@@ -328,6 +337,13 @@
                 self._start(job, index, target, lane == LONG, probe, now)
             )
 
+    def _remote_zones(self, lane: int) -> dict[str, tuple[float, float]] | None:
+        # A short queue moves on by itself before a slot elsewhere is found,
+        # and long work would occupy slots that other entries count on.
+        if lane == LONG or self.queue.tasks < REMOTE_QUEUE * self.queue.slots:
+            return None
+        return self.attempts.remote_zones
+
     def _start(
         self,
         job: Job,
--- a/anvilford/scheduling/_placement.py
+++ b/anvilford/scheduling/_placement.py
@@ -1,6 +1,7 @@
 """Which target a task runs at."""
 
 import random
+from collections.abc import Mapping
 
 import attrs
 
@@ -15,7 +16,9 @@
         view: The target as membership and shares describe it.
         in_use: Slots occupied by attempts of this dispatcher.
         left: Whether the target itself said that it is leaving.
-        paused_until: Loop time until which it gets no work after a refusal.
+        limit: Slots that were in use when it last refused a task.
+        limited_until: Loop time until which `limit` is in force.
+        pause: Length of time of the last limit, in seconds.
         slowness: Run time here divided by the ordinary run time.
         observations: Number of runs behind `slowness`.
         failures: Ends in a row without a success.
@@ -28,7 +31,9 @@
     view: TargetView
     in_use: int = 0
     left: bool = False
-    paused_until: float = 0.0
+    limit: int = 0
+    limited_until: float = 0.0
+    pause: float = 0.0
     slowness: float = 1.0
     observations: int = 0
     failures: int = 0
@@ -87,12 +92,20 @@
                 return target
         return None
 
-    def choose(self, expected: float, avoid: str, now: float) -> Target | None:
+    def choose(
+        self,
+        expected: float,
+        avoid: str,
+        remote: Mapping[str, tuple[float, float]] | None,
+        now: float,
+    ) -> Target | None:
         """Chooses a target for a task.
 
         Args:
             expected: Run time at a target of ordinary speed, in seconds.
             avoid: Target to use only when no other is free; may be empty.
+            remote: Zones that are paused, with the end of the pause; None
+                when targets in other zones may not be used.
             now: Loop time in seconds.
 
         Returns:
@@ -107,7 +120,9 @@
                 or target.ejected
                 or target.left
                 or not view.accepting
-                or target.paused_until > now
+                or (
+                    target.limited_until > now and target.in_use >= target.limit
+                )
             ):
                 continue
             if view.target_id == avoid:
@@ -115,6 +130,10 @@
                 continue
             cost = expected * target.slowness
             if view.zone != self.zone:
+                if remote is None or (
+                    view.zone in remote and remote[view.zone][0] > now
+                ):
+                    continue
                 cost += 2 * self.remote_delay
             # Spreads equal targets by use; the noise keeps dispatchers that
             # share targets from choosing the same one.
--- a/anvilford/scheduling/_policy.py
+++ b/anvilford/scheduling/_policy.py
@@ -64,6 +64,6 @@
     max_queued_tasks: int = 50_000
     caller_queue_share: float = 0.5
     long_factor: float = 5.0
-    long_share: float = 0.5
+    long_share: float = 0.45
     retry_ratio: float = 0.1
     remote_delay: float = 0.001
