--- /dev/null
+++ b/anvilford/daemon/tests/test_marks.py
@@ -0,0 +1,52 @@
+"""Tests of operator marks that outlive the entries which took them."""
+
+import signal
+
+from anvilford.daemon._marks import encode_marks
+from anvilford.daemon._marks import parse_marks
+from anvilford.daemon.tests import system
+from anvilford.platform import Row
+from anvilford.protocol import Mark
+from standins import cluster
+from testkit import fixture
+from testkit import function_tests
+
+load_tests = function_tests(__name__)
+
+ZONE = "quimper-a"
+
+
+@fixture
+def site():
+    """One entry and two targets."""
+    with cluster.Site((ZONE,), 1, 2) as running:
+        yield running
+
+
+def test_a_drain_survives_the_last_entry(case, site):
+    """Guards against work for a drained target once no entry remembers it."""
+    drained, other = sorted(site.targets)
+    (entry,) = site.entries
+    status, _ = system.anvilctl(entry, "target", "drain", drained)
+    case.assertEqual(status, 0)
+    entry.member.signal(signal.SIGTERM)
+    case.assertEqual(entry.member.wait(), 0)
+    fresh = site.start_entry(ZONE, cluster.free_address())
+    site.wait_ready(fresh)
+    answer = site.submit(fresh, site.issue(fresh)[0], cluster.job(8, 20))
+    case.assertEqual(answer["outcome"], "complete", answer)
+    targets = {result["target"] for result in answer["results"]}
+    case.assertEqual(targets, {other})
+    status, _ = system.anvilctl(fresh, "target", "resume", drained)
+    case.assertEqual(status, 0)
+
+
+def test_marks_keep_their_content(case):
+    """Guards against marks that change or break in the platform's table."""
+    marks = (Mark("t1", True, 3, "a"), Mark("t2", False, 4, "b"))
+    row = Row("target-marks", 7, encode_marks(marks))
+    case.assertEqual(parse_marks(row), (7, marks))
+    case.assertEqual(parse_marks(None), (0, ()))
+    for damaged in ({}, {"marks": [{"vm_id": 1}]}, {"marks": 3}):
+        row = Row("target-marks", 7, damaged)
+        case.assertEqual(parse_marks(row), (7, ()), damaged)
