--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -328,8 +328,10 @@
         )
 
     def wait_ready(self, entry: Entry) -> None:
-        """Waits until an entry serves callers."""
+        """Waits until an entry serves callers and operators."""
         self._wait_http(entry.callers, "/v1/ready", entry.member)
+        # The operators' listener is started after the callers'.
+        self._wait_http(entry.operators, "/v1/status", entry.member)
 
     def _start(self, name: str, module: str, *arguments: str) -> Member:
         log = self._folder / f"{name}.log"
@@ -349,12 +351,16 @@
         self, address: str, path: str, member: Member | None = None
     ) -> None:
         end = time.monotonic() + START_LIMIT_S
+        headers = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
         while time.monotonic() < end:
             if member is not None and member.process.poll() is not None:
                 raise RuntimeError(member.log.read_text())
             with contextlib.suppress(urllib3.exceptions.HTTPError):
                 url = f"http://{address}{path}"
-                if self.http.request("GET", url, timeout=1.0).status == 200:
+                response = self.http.request(
+                    "GET", url, headers=headers, timeout=1.0
+                )
+                if response.status == 200:
                     return
             time.sleep(0.05)
         text = member.log.read_text() if member else ""
