Close connections after a request with a chunked body

Cause: the callers' application refuses a body without Content-Length and does not read it; cheroot then took the chunks for the next request and sent a second response, which a caller would take for the answer to its next request. Change: such a connection is closed after the refusal. Seen before: 411 followed by 400 on the same connection (daemon.tests.test_callers.test_chunked_body_gets_one_response).

--- a/anvilford/daemon/_main.py
+++ b/anvilford/daemon/_main.py
@@ -54,6 +54,20 @@
 logger = logging.getLogger("anvilford.daemon")
 
 
+class _Gateway(wsgi.Gateway_10):
+    """Closes connections whose body has no declared length.
+
+    The applications refuse such a body unread, and the server would answer
+    its bytes as a further request.
+    """
+
+    def respond(self) -> None:
+        """Answers one request."""
+        if self.req.chunked_read:
+            self.req.close_connection = True
+        super().respond()
+
+
 def main(argv: list[str] | None = None) -> int:
     """Runs the daemon until a planned stop is complete.
 
@@ -256,6 +270,7 @@
         numthreads=http.threads,
         request_queue_size=http.socket_queue_size,
     )
+    server.gateway = _Gateway
     server.keep_alive_conn_limit = KEEP_ALIVE_CONNECTIONS
     server.max_request_body_size = http.body_bytes
     ServerAdapter(cherrypy.engine, server, bind).subscribe()
