--- a/anvilford/daemon/tests/test_callers.py
+++ b/anvilford/daemon/tests/test_callers.py
@@ -5,6 +5,7 @@
 import http.client
 import json
 import re
+import socket
 import threading
 
 from anvilford.daemon.tests import system
@@ -62,13 +63,8 @@
     case.assertEqual(system.starts_by_echo(site)[echo], 0)
 
 
-def test_refusals(case, site):
-    """Guards against refusals without type or status, and against starts."""
-    first, second = site.entries
-    started = len(site.starts())
-    good = system.distinct_job()
-    submission_id = site.issue(first)[0]
-    path = f"/v1/submissions/{submission_id}"
+def refused_requests(path, good):
+    """Requests that are refused, each with its status and type."""
     guessed = re.sub(r"~\d+~", "~99999~", path)
     malformed = [
         b"",
@@ -80,7 +76,7 @@
     ]
     body = json.dumps(good).encode()
     no_token = {"Authorization": "Bearer guessed"}
-    table = [
+    return [
         ("PUT", path, body, no_token, 401, "unauthorized"),
         ("GET", path, None, no_token, 401, "unauthorized"),
         ("PUT", path, body, {}, 401, "unauthorized"),
@@ -94,22 +90,30 @@
             for wrong in malformed
         ),
     ]
-    for entry in (first, second):
-        for method, target, content, headers, status, kind in table:
+
+
+def test_refusals(case, site):
+    """Guards against refusals without type or status, and against starts."""
+    started = len(site.starts())
+    good = system.distinct_job()
+    submission_id = site.issue(site.entries[0])[0]
+    table = refused_requests(f"/v1/submissions/{submission_id}", good)
+    for entry in site.entries:
+        for method, path, body, headers, status, kind in table:
             reply = site.http.request(
                 method,
-                f"http://{entry.callers}{target}",
-                body=content,
+                f"http://{entry.callers}{path}",
+                body=body,
                 headers=headers,
                 timeout=10.0,
             )
             document = reply.json()
             found = document.get("type") or document.get("outcome")
-            case.assertEqual((reply.status, found), (status, kind), target)
+            case.assertEqual((reply.status, found), (status, kind), path)
     case.assertEqual(len(site.starts()), started)
-    sent = system.send(site, first, submission_id, good)
+    sent = system.send(site, site.entries[0], submission_id, good)
     case.assertEqual(sent.outcome, "complete", sent)
-    for entry in (first, second):
+    for entry in site.entries:
         other = system.distinct_job()
         conflict = system.send(site, entry, submission_id, other)
         case.assertEqual((conflict.status, conflict.outcome), (409, "conflict"))
@@ -211,3 +215,25 @@
     for echo, results in sent:
         case.assertEqual(results, [echo])
         case.assertEqual(counts[echo], 1)
+
+
+def test_chunked_body_gets_one_response(case, site):
+    """Guards against a second response that answers the caller's next one."""
+    entry = site.entries[0]
+    (submission_id,) = site.issue(entry)
+    body = json.dumps(system.distinct_job()).encode()
+    head = (
+        f"PUT /v1/submissions/{submission_id} HTTP/1.1\r\nHost: entry\r\n"
+        f"Authorization: {AUTHORIZATION['Authorization']}\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n"
+    )
+    chunks = b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
+    host, _, port = entry.callers.rpartition(":")
+    with socket.create_connection((host, int(port)), timeout=20) as connection:
+        connection.sendall(head.encode() + chunks)
+        received = b""
+        while data := connection.recv(65536):
+            received += data
+    case.assertTrue(received.startswith(b"HTTP/1.1 411 "), received)
+    case.assertIn(b"\r\nConnection: close\r\n", received)
+    case.assertEqual(received.count(b"HTTP/1.1 "), 1, received)
