--- a/anvilford/http/_gateway.py
+++ b/anvilford/http/_gateway.py
@@ -1,4 +1,4 @@
-"""Sends the head and the body of an answer together."""
+"""Gateway between cheroot and the HTTP applications."""
 
 from cheroot import wsgi
 
@@ -18,10 +18,16 @@
 
     Cheroot's own gateway writes head and body one after the other, which costs
     a second system call and wakes the caller before its answer is there.
+
+    A connection whose request body has no declared length is closed after the
+    answer. The applications refuse such a body unread, and the server would
+    answer its bytes as a further request.
     """
 
     def respond(self) -> None:
         """Runs the application and sends its whole answer."""
+        if self.req.chunked_read:
+            self.req.close_connection = True
         connection = self.req.conn
         wfile = connection.wfile
         answer = _Parts()
