--- a/benchmarks/tests/test_real_path.py
+++ b/benchmarks/tests/test_real_path.py
@@ -3,6 +3,9 @@
 from benchmarks import _real_sections as sections
 from benchmarks import real_path
 from benchmarks._real_site import wait_for_targets
+from testkit import function_tests
+
+load_tests = function_tests(__name__)
 
 SECONDS = 1.5
 OUTCOMES = {"complete", "not_run"}
