Read callers' requests with the interpreter's buffered reader

Cause: cheroot reads with the buffered reader written in Python, a quarter of the time of its threads under the profiler. Change: a connection class with io.BufferedReader and a check for buffered bytes that does not read.

--- a/anvilford/daemon/_main.py
+++ b/anvilford/daemon/_main.py
@@ -21,6 +21,7 @@
 from anvilford.daemon._runtime import EntryRuntime
 from anvilford.entry import CoreOptions
 from anvilford.entry import EntryCore
+from anvilford.http import BufferedConnection
 from anvilford.http import CallersApplication
 from anvilford.http import OneWriteGateway
 from anvilford.http import operator_application
@@ -252,6 +253,7 @@
         request_queue_size=http.socket_queue_size,
     )
     server.max_request_body_size = http.body_bytes
+    server.ConnectionClass = BufferedConnection
     server.gateway = OneWriteGateway
     server.keep_alive_conn_limit = KEEP_ALIVE_CONNECTIONS
     ServerAdapter(cherrypy.engine, server, bind).subscribe()
--- a/anvilford/http/__init__.py
+++ b/anvilford/http/__init__.py
@@ -2,7 +2,8 @@
 
 from anvilford.http._callers import CallerPort
 from anvilford.http._callers import CallersApplication
-from anvilford.http._gateway import OneWriteGateway
+from anvilford.http._connection import BufferedConnection
+from anvilford.http._connection import OneWriteGateway
 from anvilford.http._operator_port import ConfigurationConflict
 from anvilford.http._operator_port import EntryUnavailable
 from anvilford.http._operator_port import NotReady
@@ -16,6 +17,7 @@
 from anvilford.http._tokens import TokenTable
 
 __all__ = [
+    "BufferedConnection",
     "CallerPort",
     "CallersApplication",
     "ConfigurationConflict",
