Give callers' connections to a thread once they have sent something

Cause: cheroot gives a new connection to a thread at once; after 10 s without a request it writes a 408, which the caller reads as the answer to the request it sends next. Change: new connections wait with the idle ones, hold no thread and are closed without an answer.

--- a/anvilford/daemon/_main.py
+++ b/anvilford/daemon/_main.py
@@ -12,7 +12,6 @@
 
 import attrs
 import cherrypy
-from cheroot import wsgi
 from cherrypy.process.servers import ServerAdapter
 
 from anvilford import __version__
@@ -21,9 +20,8 @@
 from anvilford.daemon._runtime import EntryRuntime
 from anvilford.entry import CoreOptions
 from anvilford.entry import EntryCore
-from anvilford.http import BufferedConnection
 from anvilford.http import CallersApplication
-from anvilford.http import OneWriteGateway
+from anvilford.http import HttpServer
 from anvilford.http import operator_application
 from anvilford.http import TokenTable
 from anvilford.model import Incarnation
@@ -49,9 +47,6 @@
 INCARNATION_BYTES = 8
 TAG_KEY_BYTES = 32
 OPERATOR_THREADS = 8
-# Cheroot's default of 10 closes every further connection after its answer, so
-# that callers would have to connect anew for nearly half of their requests.
-KEEP_ALIVE_CONNECTIONS = 4096
 
 logger = logging.getLogger("anvilford.daemon")
 
@@ -246,14 +241,11 @@
 def _subscribe(address: str, application, http: HttpSettings) -> None:
     host, _, port = address.rpartition(":")
     bind = (host.strip("[]"), int(port))
-    server = wsgi.Server(
+    server = HttpServer(
         bind,
         application,
         numthreads=http.threads,
         request_queue_size=http.socket_queue_size,
     )
     server.max_request_body_size = http.body_bytes
-    server.ConnectionClass = BufferedConnection
-    server.gateway = OneWriteGateway
-    server.keep_alive_conn_limit = KEEP_ALIVE_CONNECTIONS
     ServerAdapter(cherrypy.engine, server, bind).subscribe()
--- a/anvilford/http/__init__.py
+++ b/anvilford/http/__init__.py
@@ -2,8 +2,7 @@
 
 from anvilford.http._callers import CallerPort
 from anvilford.http._callers import CallersApplication
-from anvilford.http._connection import BufferedConnection
-from anvilford.http._connection import OneWriteGateway
+from anvilford.http._connection import HttpServer
 from anvilford.http._operator_port import ConfigurationConflict
 from anvilford.http._operator_port import EntryUnavailable
 from anvilford.http._operator_port import NotReady
@@ -17,13 +16,12 @@
 from anvilford.http._tokens import TokenTable
 
 __all__ = [
-    "BufferedConnection",
     "CallerPort",
     "CallersApplication",
     "ConfigurationConflict",
     "EntryUnavailable",
+    "HttpServer",
     "NotReady",
-    "OneWriteGateway",
     "OperatorFailure",
     "OperatorPort",
     "StoreUnavailable",
--- a/anvilford/http/_connection.py
+++ b/anvilford/http/_connection.py
@@ -1,4 +1,4 @@
-"""Cheaper reading and writing on cheroot's connections."""
+"""Cheroot's server with cheaper connections."""
 
 import io
 import socket
@@ -42,13 +42,18 @@
     return makefile.MakeFile(sock, mode, size)
 
 
-class BufferedConnection(server.HTTPConnection):
+class _Connection(server.HTTPConnection):
     """Connection that reads with the interpreter's own buffered reader.
 
     Cheroot uses the one written in Python, which takes a quarter of the time
     of its threads under the profiler, mainly for the lines of the head.
+
+    Attributes:
+        has_waited: True once the server has waited for its first request.
     """
 
+    has_waited = False
+
     def __init__(self, http_server: Any, sock: socket.socket, *_: Any):
         super().__init__(http_server, sock, _make_file)
 
@@ -63,7 +68,7 @@
         self.parts.append(data)
 
 
-class OneWriteGateway(wsgi.Gateway_10):
+class _Gateway(wsgi.Gateway_10):
     """Gateway for applications whose answers fit in memory.
 
     Cheroot's own gateway writes head and body one after the other, which costs
@@ -82,3 +87,29 @@
             connection.wfile = wfile
             if answer.parts:
                 wfile.write(b"".join(answer.parts))
+
+
+class HttpServer(wsgi.Server):
+    """Server for applications whose answers fit in memory."""
+
+    ConnectionClass = _Connection
+    # Cheroot's default of 10 closes every further connection after its answer,
+    # so that callers would connect anew for nearly half of their requests.
+    keep_alive_conn_limit = 4096
+
+    def __init__(self, *args: Any, **options: Any):
+        super().__init__(*args, **options)
+        self.gateway = _Gateway
+
+    def process_conn(self, conn: _Connection) -> None:
+        """Gives a connection to a thread once it has sent something.
+
+        Cheroot gives new ones to a thread at once. One that stays idle would
+        occupy the thread for 10 s and then get a 408, which its caller would
+        read as the answer to the request that it sends next.
+        """
+        if conn.has_waited:
+            super().process_conn(conn)
+        else:
+            conn.has_waited = True
+            self.put_conn(conn)
