Leave what exists at start out of garbage collections

Cause: a full collection stopped every thread for 38 ms once in 15 s at 200 jobs/s, with 78,000 objects of which 69,000 exist at start. Change: gc.freeze() once the daemon has started.

--- a/anvilford/daemon/_main.py
+++ b/anvilford/daemon/_main.py
@@ -3,6 +3,7 @@
 import argparse
 import asyncio
 import contextlib
+import gc
 import logging
 import random
 import secrets
@@ -127,6 +128,10 @@
         signal.signal(number, lambda *_: drain_requested.set())
     runtime = _start_loop(settings, stack)
     _start_http(settings, runtime, stack)
+    # A full collection stops every thread: 38 ms with the 78,000 objects of
+    # a daemon that just started, nearly all of which live as long as it does.
+    gc.collect()
+    gc.freeze()
     logger.info("started", extra={"zone": settings.vm.zone})
     drain_requested.wait()
     runtime.request_drain()
