--- a/anvilford/http/__init__.py
+++ b/anvilford/http/__init__.py
@@ -2,7 +2,7 @@
 
 from anvilford.http._callers import CallerPort
 from anvilford.http._callers import CallersApplication
-from anvilford.http._gateway import OneWriteGateway
+from anvilford.http._connection import HttpServer
 from anvilford.http._operator_port import ConfigurationConflict
 from anvilford.http._operator_port import EntryUnavailable
 from anvilford.http._operator_port import NotReady
@@ -20,8 +20,8 @@
     "CallersApplication",
     "ConfigurationConflict",
     "EntryUnavailable",
+    "HttpServer",
     "NotReady",
-    "OneWriteGateway",
     "OperatorFailure",
     "OperatorPort",
     "StoreUnavailable",
