--- a/anvilford/daemon/tests/system.py
+++ b/anvilford/daemon/tests/system.py
@@ -169,7 +169,7 @@
         site: The site.
         entry: The entry.
         job: The job.
-        submission_id: Its id.
+        submission_id: Its id; issued by the entry if it is empty.
         sent: What came of it, once the thread ended.
     """
 
@@ -181,7 +181,8 @@
     _thread: threading.Thread | None = None
 
     def __enter__(self) -> "Background":
-        self.submission_id = self.site.issue(self.entry)[0]
+        if not self.submission_id:
+            self.submission_id = self.site.issue(self.entry)[0]
         self._thread = threading.Thread(target=self._run)
         self._thread.start()
         return self
--- a/anvilford/daemon/tests/test_stop.py
+++ b/anvilford/daemon/tests/test_stop.py
@@ -28,12 +28,18 @@
         time.sleep(0.8)
         # This job outlasts the notice period of 300 ms.
         long_job = system.distinct_job(2, 1200)
-        with system.Background(site, first, long_job) as background:
+        with (
+            system.Background(site, first, long_job) as background,
+            system.Background(
+                site, second, long_job, background.submission_id
+            ) as forwarded,
+        ):
             time.sleep(0.2)
             stopped_at = time.monotonic()
             first.member.signal(signal.SIGTERM)
             case.assertEqual(first.member.wait(), 0)
         time.sleep(0.3)
+    case.assertEqual(forwarded.sent.body, background.sent.body)
     load.sent.append(background.sent)
     case.assertEqual(load.failures, [])
     case.assertNotIn(second, load.left)
@@ -47,18 +53,23 @@
             case.assertEqual(sent.outcome, "complete", sent)
         elif sent.outcome != "complete":
             case.assertEqual(sent.body.get("reason"), "draining", sent)
-    for sent in mine:
-        again = system.send(site, second, sent.submission_id, sent.job)
-        if sent.outcome == "complete":
-            case.assertEqual(again.body, sent.body)
-        else:
-            case.assertEqual(again.outcome, "not_run")
+    check_successor(case, site, mine)
     late = system.send(site, second, never_submitted, system.distinct_job())
     case.assertEqual(late.outcome, "not_run", late)
     case.assertEqual(late.body["reason"], "owner_stopped")
     system.check_starts(case, site, [*load.sent, late])
 
 
+def check_successor(case, site, answered):
+    """Checks that the second entry gives the answers of the stopped one."""
+    for sent in answered:
+        again = system.send(site, site.entries[1], sent.submission_id, sent.job)
+        if sent.outcome == "complete":
+            case.assertEqual(again.body, sent.body)
+        else:
+            case.assertEqual(again.outcome, "not_run")
+
+
 def test_killed_owner(case, site):
     """Guards against a false `not_run` or a second start after a crash."""
     first, second = site.entries
