Choose ports of a site below those of outgoing connections

An entry daemon once failed to start with "address already in use": its port was free when it was chosen, and was taken before the daemon bound it.

--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -8,6 +8,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -27,13 +28,21 @@
 PEER_TOKEN = "peer-token-for-loopback"
 SERVICE = "line-brain"
 START_LIMIT_S = 20.0
+# Below the range from which the system takes ports of outgoing connections;
+# one of those took a port between its choice and the start of a daemon.
+PORTS = (10_000, 32_768)
+_handed_out: set[int] = set()
 
 
 def free_address() -> str:
-    """Finds a free port on loopback."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    """Finds a free port on loopback that was not handed out before."""
+    while True:
+        port = random.randrange(*PORTS)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            if port not in _handed_out:
+                _handed_out.add(port)
+                return f"127.0.0.1:{port}"
 
 
 @attrs.define(eq=False)
