Make starting a site of processes reliable

The operators' listener opens after the callers', so a request sent to it at once was refused in 4 of 8 runs; wait_ready now waits for both. The kernel gave one port twice among 16 entries, whose settings were then refused.

--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -28,11 +28,19 @@
 START_LIMIT_S = 20.0
 
 
+# The kernel may give a port again before its process listens on it.
+_given_ports: set[int] = set()
+
+
 def free_address() -> str:
-    """Finds a free port on loopback."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    """Finds a free port on loopback that was not given out before."""
+    while True:
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            port = probe.getsockname()[1]
+        if port not in _given_ports:
+            _given_ports.add(port)
+            return f"127.0.0.1:{port}"
 
 
 @attrs.define(eq=False)
@@ -320,8 +328,16 @@
         )
 
     def wait_ready(self, entry: Entry) -> None:
-        """Waits until an entry serves callers."""
+        """Waits until an entry serves callers and operators."""
         self._wait_http(entry.callers, "/v1/ready", entry.member)
+        # The operators' listener opens a moment after the callers'.
+        end = time.monotonic() + START_LIMIT_S
+        while time.monotonic() < end:
+            with contextlib.suppress(urllib3.exceptions.HTTPError):
+                if self.operator("GET", entry, "/v1/status").status == 200:
+                    return
+            time.sleep(0.01)
+        raise TimeoutError(f"{entry.operators} does not answer")
 
     def _start(self, name: str, module: str, *arguments: str) -> Member:
         log = self._folder / f"{name}.log"
