--- a/benchmarks/_processes.py
+++ b/benchmarks/_processes.py
@@ -105,7 +105,11 @@
 
 
 def idle_use(
-    zones: int, entries: int, targets: int, seconds: float = 6.0
+    zones: int,
+    entries: int,
+    targets: int,
+    listed: int = 0,
+    seconds: float = 5.0,
 ) -> dict[str, float]:
     """Use of each daemon of a site without jobs, and of the platform.
 
@@ -113,10 +117,15 @@
         zones: Availability zones.
         entries: Entry daemons in each zone.
         targets: Targets in each zone.
+        listed: Further targets that stand in the platform's list only.
         seconds: Length of the measurement.
     """
     names = tuple(f"zone-{number:02d}" for number in range(zones))
     with Site(names, entries, targets) as site:
+        for number in range(listed):
+            address = f"10.1.{number // 250}.{number % 250}:7300"
+            vm_id = f"vm-{number:08x}"
+            site.list_vm(vm_id, "target", names[0], address, SERVICE)
         time.sleep(3.0)
         count = len(site.entries)
 
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -172,7 +172,14 @@
             "real daemons, 4 zones, 24 targets, no jobs",
             (4, 8, 12, 16),
             lambda count: _processes.idle_use(4, count // 4, 6),
-        )
+        ),
+        sweep(
+            "platform_load",
+            "targets in the list",
+            "2 real daemons, 1 zone, no jobs",
+            (24, 250, 700, 2000),
+            lambda count: _processes.idle_use(1, 2, 0, count),
+        ),
     ]
 
 
