--- /dev/null
+++ b/docs/tests/test_pages.py
@@ -0,0 +1,105 @@
+"""Runs the examples of docs/callers.md and checks names in other pages."""
+
+import json
+import pathlib
+import re
+
+from standins.cluster import CALLER_TOKEN
+from standins.cluster import job
+from standins.cluster import Site
+from testkit import fixture
+from testkit import function_tests
+
+load_tests = function_tests(__name__)
+
+DOCS = pathlib.Path(__file__).resolve().parent.parent
+EXAMPLE = re.compile(r"```http\n(\w+) (\S+)\n(.*?)(\d{3}) (\{.*?)\n```", re.S)
+
+
+@fixture
+def site():
+    """One daemon with two targets."""
+    with Site() as running:
+        yield running
+
+
+def differs(expected, found) -> bool:
+    """Tells whether a value lacks something that the page shows."""
+    match expected:
+        case dict():
+            return not isinstance(found, dict) or any(
+                key not in found or differs(value, found[key])
+                for key, value in expected.items()
+            )
+        case list():
+            return len(expected) != len(found) or any(
+                map(differs, expected, found)
+            )
+        case "...":
+            return not found
+    return expected != found
+
+
+def test_examples_of_callers_page(case, site):
+    """Guards against a page that shows answers no daemon gives."""
+    entry = site.entries[0]
+    examples = EXAMPLE.findall((DOCS / "callers.md").read_text())
+    case.assertGreater(len(examples), 12)
+    fixed = {"{unused}": site.issue(entry)[0], "{id}": ""}
+    for method, path, body, status, expected in examples:
+        # A first use takes a new id; the two later uses of the first job
+        # are the resubmissions.
+        is_again = method == "GET" or '"b"' in body
+        if not fixed["{id}"] or not is_again:
+            current = site.issue(entry)[0]
+            if not fixed["{id}"] and method == "PUT":
+                fixed["{id}"] = current
+        else:
+            current = fixed["{id}"]
+        url = path.replace("{unused}", fixed["{unused}"])
+        response = site.http.request(
+            method,
+            f"http://{entry.callers}{url.replace('{id}', current)}",
+            body=body.encode() or None,
+            headers={"Authorization": f"Bearer {CALLER_TOKEN}"},
+        )
+        shown = f"{method} {path} {body}: {response.data}"
+        case.assertEqual(response.status, int(status), shown)
+        wrong = differs(json.loads(expected), response.json())
+        case.assertFalse(wrong, shown)
+
+
+def test_traceparent_of_tracing_page(case):
+    """Guards against a recipe whose trace is not kept."""
+    page = (DOCS / "operating" / "tracing.md").read_text()
+    context, trace_id = re.search(r"traceparent: (00-(\w+)-\S+)", page).groups()
+    with Site(changes={"trace": {"ratio": 0.01}}) as site:
+        entry = site.entries[0]
+        site.http.request(
+            "PUT",
+            f"http://{entry.callers}/v1/submissions/{site.issue(entry)[0]}",
+            json=job(2, run_ms=10),
+            headers={
+                "Authorization": f"Bearer {CALLER_TOKEN}",
+                "traceparent": context,
+            },
+        )
+        trace = site.operator("GET", entry, f"/v1/traces/{trace_id}").json()
+    names = {span["name"] for span in trace["spans"]}
+    case.assertEqual(names, {"submission.submit", "task.attempt"})
+
+
+def test_counters_on_operating_page(case):
+    """Guards against counters that no page explains, or that are gone."""
+    code = "\n".join(
+        path.read_text()
+        for path in (DOCS.parent / "anvilford").rglob("*.py")
+        if "tests" not in path.parts
+    )
+    used = set(re.findall(r'(?:\bCount|increment|observe)\(\s*"(\w+)"', code))
+    page = (DOCS / "operating" / "operating.md").read_text()
+    listed = set(
+        re.findall(r"^\| `anvilford_(\w+?)(?:_total|_seconds)?`", page, re.M)
+    )
+    case.assertEqual(used - listed, set())
+    case.assertEqual(listed - used - {"series_dropped"}, set())
