--- a/benchmarks/_memory.py
+++ b/benchmarks/_memory.py
@@ -9,9 +9,10 @@
 from anvilford.model import EncodedAnswer
 from anvilford.model import parse_job
 from anvilford.protocol import RequestKind
+from anvilford.submissions import Ledger
+from anvilford.submissions import Record
 from anvilford.submissions import RetentionLimits
-from anvilford.submissions._ledger import Record
-from anvilford.submissions._ledger import RecordStore
+from benchmarks._control_plane import entry_identity
 from benchmarks._control_plane import Shape
 from benchmarks._core_cost import CALLER
 from benchmarks._core_cost import make_core
@@ -42,14 +43,16 @@
     return grown
 
 
-def _records(count: int) -> RecordStore:
-    store = RecordStore(RetentionLimits(10**7, 2**32))
+def _records(count: int) -> Ledger:
+    me = entry_identity(0, Shape())
+    ledger = Ledger(me, bytes(32), RetentionLimits(10**7, 2**32))
+    store = ledger.store
     for sequence in range(count):
         record = Record(sequence, CALLER, f"{sequence:064x}")
         body = f"{sequence:0{ANSWER_BYTES}d}".encode()
         store.add(record)
         store.settle(sequence, EncodedAnswer("complete", body))
-    return store
+    return ledger
 
 
 def _targets(count: int) -> object:
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -66,8 +66,8 @@
 def control_traffic() -> list[Slope]:
     """(a) Traffic against entries, targets, zones and services."""
     shapes = (
-        ("entries", (4, 9, 25, 50), {}),
-        ("targets", (24, 100, 500, 2000), {}),
+        ("entries", (4, 9, 25, 50, 100), {}),
+        ("targets", (24, 100, 500, 2000, 7100), {}),
         ("zones", (1, 4, 7, 14), {"entries": 28, "targets": 28}),
         ("services", (1, 8, 40, 120), {"targets": 480}),
     )
@@ -81,7 +81,7 @@
     """(b) Processor time of the core's events against the site's size."""
     shapes = (
         ("entries", (4, 9, 50, 200), {}),
-        ("targets", (24, 100, 500, 2000), {}),
+        ("targets", (24, 100, 500, 2000, 7100), {}),
         ("zones", (1, 4, 7, 14), {"entries": 28, "targets": 28}),
         ("services", (1, 8, 40, 120), {"targets": 480}),
     )
