--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -66,8 +66,8 @@
 def control_traffic() -> list[Slope]:
     """(a) Traffic against entries, targets, zones and services."""
     shapes = (
-        ("entries", (4, 9, 25, 50), {}),
-        ("targets", (24, 100, 500, 2000), {}),
+        ("entries", (4, 9, 25, 50, 100), {}),
+        ("targets", (24, 100, 500, 2000, 7100), {}),
         ("zones", (1, 4, 7, 14), {"entries": 28, "targets": 28}),
         ("services", (1, 8, 40, 120), {"targets": 480}),
     )
@@ -81,7 +81,7 @@
     """(b) Processor time of the core's events against the site's size."""
     shapes = (
         ("entries", (4, 9, 50, 200), {}),
-        ("targets", (24, 100, 500, 2000), {}),
+        ("targets", (24, 100, 500, 2000, 7100), {}),
         ("zones", (1, 4, 7, 14), {"entries": 28, "targets": 28}),
         ("services", (1, 8, 40, 120), {"targets": 480}),
     )
@@ -172,7 +172,14 @@
             "real daemons, 4 zones, 24 targets, no jobs",
             (4, 8, 12, 16),
             lambda count: _processes.idle_use(4, count // 4, 6),
-        )
+        ),
+        sweep(
+            "platform_load",
+            "targets in the list",
+            "2 real daemons, 1 zone, no jobs",
+            (24, 250, 700, 2000),
+            lambda count: _processes.idle_use(1, 2, 0, count),
+        ),
     ]
 
 
