--- a/anvilford/scheduling/_attempts.py
+++ b/anvilford/scheduling/_attempts.py
@@ -14,6 +14,8 @@
 from anvilford.scheduling._health import HealthMonitor
 from anvilford.scheduling._jobs import Attempt
 from anvilford.scheduling._jobs import Job
+from anvilford.scheduling._jobs import LANES
+from anvilford.scheduling._jobs import LONG
 from anvilford.scheduling._placement import Target
 
 # A target that refused a task as busy is full with the work of others. For
@@ -39,6 +41,7 @@
         remote_zones: Other zones that refused a task as busy: loop time until
             which the zone gets no work, and the length of that time.
         long_running: Number of attempts that count as long work.
+        running: Number of attempts by the lane of their task.
     """
 
     def __init__(
@@ -59,6 +62,7 @@
         self.by_id: dict[str, Attempt] = {}
         self.remote_zones: dict[str, tuple[float, float]] = {}
         self.long_running = 0
+        self.running = [0] * len(LANES)
         # Kept for the life of the process: a VM that leaves never returns
         # under the same id, but an outdated view may list it again.
         self.left: set[str] = set()
@@ -69,7 +73,7 @@
         job: Job,
         index: int,
         target: Target,
-        long: bool,
+        lane: int,
         probe: bool,
         now: float,
     ) -> Attempt:
@@ -81,7 +85,8 @@
             target_id=target.view.target_id,
             address=target.view.address,
             started=now,
-            long=long,
+            lane=lane,
+            long=lane == LONG,
             probe=probe,
             previous_state=job.states[index],
         )
@@ -90,7 +95,8 @@
         job.states[index] = TaskState.UNKNOWN
         target.in_use += 1
         target.probing = target.probing or probe
-        self.long_running += long
+        self.long_running += attempt.long
+        self.running[lane] += 1
         return attempt
 
     def mark_long(self, attempt_id: str) -> None:
@@ -113,6 +119,7 @@
             return None
         attempt.job.attempts.pop(attempt_id, None)
         self.long_running -= attempt.long
+        self.running[attempt.lane] -= 1
         target = self.targets[attempt.target_id]
         if not isinstance(outcome, AttemptNotStarted):
             if target.view.zone != self.zone:
--- a/anvilford/scheduling/_dispatcher.py
+++ b/anvilford/scheduling/_dispatcher.py
@@ -28,6 +28,7 @@
 from anvilford.scheduling._estimates import RunTimes
 from anvilford.scheduling._health import HealthMonitor
 from anvilford.scheduling._jobs import Attempt
+from anvilford.scheduling._jobs import BULK
 from anvilford.scheduling._jobs import Job
 from anvilford.scheduling._jobs import LONG
 from anvilford.scheduling._jobs import SHORT
@@ -45,6 +46,8 @@
 # With 0, entries displace each other's tasks, which then go elsewhere in turn:
 # a third of all tasks ran in another zone at 80% load.
 REMOTE_QUEUE = 0.03
+# A job with more tasks than this many per own slot is bulk work.
+BULK_TASKS = 0.5
 
 
 class Dispatcher:
@@ -249,6 +252,8 @@
         if any(self._is_long(job, index) for index in (0, -1)):
             lane = LONG
             free = self._long_slots()
+        elif forecast.tasks > BULK_TASKS * self.queue.slots:
+            lane = BULK
         smaller, equal = self.offered.rates(forecast.work, now)
         self.offered.observe(forecast.work, now)
         service = self.policy.services.get(job.service)
@@ -291,7 +296,10 @@
         self.queue.enter(job)
 
     def _lane(self, job: Job, index: int) -> int:
-        return LONG if self._is_long(job.spec, index) else SHORT
+        if self._is_long(job.spec, index):
+            return LONG
+        bulk = len(job.spec.tasks) > BULK_TASKS * self.queue.slots
+        return BULK if bulk else SHORT
 
     def _is_long(self, job: JobSpec, index: int) -> bool:
         return self.run_times.is_long(
@@ -304,14 +312,8 @@
     def _start_tasks(self, now: float, effects: list[Effect]) -> None:
         if not self.queue.tasks:
             return
-        long_slots = self._long_slots()
         while True:
-            lanes = (
-                (SHORT, LONG)
-                if self.attempts.long_running < long_slots
-                else (SHORT,)
-            )
-            lane = self.queue.first_lane(lanes)
+            lane = self.queue.first_lane(self._open_lanes())
             if lane is None:
                 return
             job = self.queue.head(lane)
@@ -328,14 +330,26 @@
             if target is None:
                 return
             self.queue.take(lane)
-            if lane == SHORT and self._lane(job, index) == LONG:
+            if lane != LONG and self._lane(job, index) == LONG:
                 # Its operation was learned to run long while it was queued.
                 self.queue.add(job, index, LONG)
                 self.queue.enter(job)
                 continue
-            effects.append(
-                self._start(job, index, target, lane == LONG, probe, now)
+            effects.append(self._start(job, index, target, lane, probe, now))
+
+    def _open_lanes(self) -> list[int]:
+        lanes = [SHORT]
+        if self.attempts.long_running < self._long_slots():
+            lanes.append(LONG)
+        if self.queue.head(SHORT) is None and self.queue.head(BULK) is not None:
+            # Without short work running, nobody needs the reserve.
+            reserved = min(
+                self.policy.bulk_reserve * self.queue.slots,
+                self.attempts.running[SHORT] / 2,
             )
+            if self.placement.free_slots() > reserved:
+                lanes.append(BULK)
+        return lanes
 
     def _remote_zones(self, lane: int) -> dict[str, tuple[float, float]] | None:
         # A short queue moves on by itself before a slot elsewhere is found,
@@ -349,15 +363,15 @@
         job: Job,
         index: int,
         target: Target,
-        long: bool,
+        lane: int,
         probe: bool,
         now: float,
     ) -> StartAttempt:
-        attempt = self.attempts.start(job, index, target, long, probe, now)
+        attempt = self.attempts.start(job, index, target, lane, probe, now)
         self.counters.started += 1
         self.retry_budget.observe_start()
         typical = self.run_times.typical(job.spec.service)
-        if typical is not None and not long:
+        if typical is not None and lane != LONG:
             limit = self.policy.long_factor * typical * target.slowness
             self.timers.add(now + limit, Timer.OVERSTAY, attempt.attempt_id)
         return StartAttempt(
--- a/anvilford/scheduling/_jobs.py
+++ b/anvilford/scheduling/_jobs.py
@@ -14,9 +14,11 @@
 from anvilford.scheduling._policy import ServicePolicy
 
 # Lanes of the queue. A task belongs to the long lane when its operation is
-# known to run long.
+# known to run long, else to the bulk lane when its job has very many tasks.
 SHORT = 0
 LONG = 1
+BULK = 2
+LANES = (SHORT, LONG, BULK)
 
 
 @attrs.define(eq=False)
@@ -55,12 +57,14 @@
     states: list[TaskState]
     results: list[Any]
     unfinished: int
-    pending: tuple[deque[int], deque[int]] = attrs.Factory(
-        lambda: (deque(), deque())
+    pending: tuple[deque[int], ...] = attrs.Factory(
+        lambda: tuple(deque() for _ in LANES)
+    )
+    entered: list[bool] = attrs.Factory(lambda: [False] * len(LANES))
+    queued_work: list[float] = attrs.Factory(lambda: [0.0] * len(LANES))
+    placed: list[tuple[int, float] | None] = attrs.Factory(
+        lambda: [None] * len(LANES)
     )
-    entered: list[bool] = attrs.Factory(lambda: [False, False])
-    queued_work: list[float] = attrs.Factory(lambda: [0.0, 0.0])
-    placed: list[tuple[int, float] | None] = attrs.Factory(lambda: [None, None])
     avoid: dict[int, str] = attrs.Factory(dict)
     attempts: dict[str, "Attempt"] = attrs.Factory(dict)
     may_have_run: bool = False
@@ -68,7 +72,7 @@
 
     def queued_tasks(self) -> int:
         """Returns how many tasks wait for a slot."""
-        return len(self.pending[SHORT]) + len(self.pending[LONG])
+        return sum(len(indices) for indices in self.pending)
 
     def answer_unfinished(
         self, reason: FailureReason, message: str = ""
@@ -94,6 +98,7 @@
         target_id: VM id of the target.
         address: "IP:port" of the target.
         started: Loop time of the start, in seconds.
+        lane: Lane from which the task was taken.
         long: Whether the attempt counts as long work.
         probe: Whether it tests a target that was ejected.
         previous_state: State of the task before; restored by proof that the
@@ -106,6 +111,7 @@
     target_id: str
     address: str
     started: float
+    lane: int
     long: bool
     probe: bool
     previous_state: TaskState
--- a/anvilford/scheduling/_placement.py
+++ b/anvilford/scheduling/_placement.py
@@ -68,6 +68,13 @@
             target.view.slots / target.slowness for target in self._counted()
         )
 
+    def free_slots(self) -> int:
+        """Returns how many slots are free, by this dispatcher's own use."""
+        return sum(
+            max(0, target.view.slots - target.in_use)
+            for target in self._counted()
+        )
+
     def _counted(self) -> list[Target]:
         # Slots in other zones are shared with their own entries and may all
         # be busy, so they count only when the own zone has none.
--- a/anvilford/scheduling/_policy.py
+++ b/anvilford/scheduling/_policy.py
@@ -55,6 +55,8 @@
         long_factor: A task is long when it runs this many times longer than
             the median task of its service.
         long_share: Part of the slots that long tasks may occupy.
+        bulk_reserve: Part of the slots kept free of jobs with more tasks than
+            slots.
         retry_ratio: Retries of failed tasks per task start.
         remote_delay: Expected one-way delay to other zones, in seconds.
     """
@@ -65,5 +67,6 @@
     caller_queue_share: float = 0.5
     long_factor: float = 5.0
     long_share: float = 0.45
+    bulk_reserve: float = 0.15
     retry_ratio: float = 0.1
     remote_delay: float = 0.001
--- a/anvilford/scheduling/_queue.py
+++ b/anvilford/scheduling/_queue.py
@@ -4,8 +4,7 @@
 import itertools
 
 from anvilford.scheduling._jobs import Job
-from anvilford.scheduling._jobs import LONG
-from anvilford.scheduling._jobs import SHORT
+from anvilford.scheduling._jobs import LANES
 
 # A queued job counts as submitted later by this many times the time its
 # queued work takes on all slots: small and nearly finished jobs go first, and
@@ -16,7 +15,7 @@
 
 
 class JobQueue:
-    """Two lanes of jobs with queued tasks, each a heap by start order.
+    """Lanes of jobs with queued tasks, each a heap by start order.
 
     A job has at most one entry per lane. Entries of answered jobs are dropped
     when they reach the head, so no operation scans a lane.
@@ -26,9 +25,9 @@
         self.slots = 1
         self.tasks = 0
         self.tasks_of_caller: dict[str, int] = {}
-        self._lanes: tuple[list, list] = ([], [])
+        self._lanes: tuple[list, ...] = tuple([] for _ in LANES)
         # Queued work by lane and bucket of the start order.
-        self._buckets: tuple[dict[int, float], ...] = ({}, {})
+        self._buckets: tuple[dict[int, float], ...] = tuple({} for _ in LANES)
         self._order = itertools.count()
 
     def add(self, job: Job, index: int, lane: int, first: bool = False) -> None:
@@ -42,7 +41,7 @@
 
     def enter(self, job: Job) -> None:
         """Makes the job's queued tasks eligible, after the last `add`."""
-        for lane in (SHORT, LONG):
+        for lane in LANES:
             self._place(job, lane)
             if job.pending[lane] and not job.entered[lane]:
                 job.entered[lane] = True
@@ -60,7 +59,7 @@
             job.entered[lane] = False
         return None
 
-    def first_lane(self, lanes: tuple[int, ...]) -> int | None:
+    def first_lane(self, lanes: list[int]) -> int | None:
         """Returns the lane whose head starts first, among `lanes`."""
         best = None
         for lane in lanes:
@@ -89,7 +88,7 @@
     def drop(self, job: Job) -> None:
         """Removes all queued tasks of a job."""
         self._count(job, -job.queued_tasks())
-        for lane in (SHORT, LONG):
+        for lane in LANES:
             job.pending[lane].clear()
             self._place(job, lane)
 
@@ -111,7 +110,7 @@
         return submitted + STRETCH * work / (weight * self.slots)
 
     def _order_of_job(self, job: Job) -> float:
-        work = job.queued_work[SHORT] + job.queued_work[LONG]
+        work = sum(job.queued_work)
         return self.order_of(job.submitted, work, job.service.weight)
 
     def _key(self, job: Job) -> tuple[int, float]:
