Eject targets that never answer

Cause: an attempt that ended after its job was answered did not count against its target, so a target that answers nothing was never ejected; only its occupied slots kept work away. Change: a timeout of an attempt counts also after the job was answered.

--- a/anvilford/scheduling/_attempts.py
+++ b/anvilford/scheduling/_attempts.py
@@ -10,6 +10,7 @@
 from anvilford.model import AttemptUnknown
 from anvilford.model import NotStartedReason
 from anvilford.model import TaskState
+from anvilford.model import UnknownAttemptReason
 from anvilford.scheduling._estimates import RunTimes
 from anvilford.scheduling._health import HealthMonitor
 from anvilford.scheduling._jobs import Attempt
@@ -134,6 +135,10 @@
                 self._observe_success(attempt, target, now)
             case AttemptNotStarted(reason):
                 self._observe_refusal(target, reason, attempt.probe, now)
+            case AttemptUnknown(UnknownAttemptReason.TIMEOUT):
+                # Counts after the job was answered too: a target that answers
+                # nothing is only noticed after the deadlines of its jobs.
+                self.health.observe_failure(target, attempt.probe, now)
             case AttemptFailed() | AttemptUnknown():
                 # A cancelled attempt ends like this without any fault.
                 if not attempt.job.finished:
