--- a/anvilford/daemon/_runtime.py
+++ b/anvilford/daemon/_runtime.py
@@ -10,11 +10,11 @@
 from typing import Any
 
 from anvilford.configuration import ROW_KEY
-from anvilford.daemon._handover import Inbox
-from anvilford.daemon._handover import ThreadReply
 from anvilford.daemon._marks import encode_marks
 from anvilford.daemon._marks import MARKS_KEY
 from anvilford.daemon._marks import parse_marks
+from anvilford.daemon._threads import Inbox
+from anvilford.daemon._threads import ThreadReply
 from anvilford.entry import AttemptFinished
 from anvilford.entry import CallPeer
 from anvilford.entry import ConfigurationReceived
