--- a/testkit/__main__.py
+++ b/testkit/__main__.py
@@ -1,6 +1,7 @@
 """Runs the tests: `python -m testkit [--list] [SUBSTRING ...]`."""
 
 import argparse
+import importlib
 import pathlib
 import sys
 import time
@@ -57,13 +58,21 @@
 
 
 def discover(root: pathlib.Path) -> list[unittest.TestCase]:
-    """Finds every test in files `tests/test_*.py` below the root."""
+    """Finds every test in files `tests/test_*.py` below the root.
+
+    Raises:
+        SystemExit: A file does not define `load_tests`; unittest would pass
+            over its functions without a word.
+    """
     loader = unittest.TestLoader()
     names = sorted(
         ".".join(path.relative_to(root).with_suffix("").parts)
         for path in root.glob("*/**/tests/test_*.py")
         if not path.relative_to(root).parts[0].startswith(".")
     )
+    for name in names:
+        if not hasattr(importlib.import_module(name), "load_tests"):
+            raise SystemExit(f"{name} does not define load_tests")
     return list(flatten(loader.loadTestsFromNames(names)))
 
 
