--- a/anvilford/scheduling/_dispatcher.py
+++ b/anvilford/scheduling/_dispatcher.py
@@ -253,8 +253,9 @@
     def _start_tasks(self, now: float, effects: list[Effect]) -> None:
         if not self.queue.tasks:
             return
+        long_slots = self.forecaster.long_slots()
         while True:
-            lane = self.queue.first_lane(self._open_lanes())
+            lane = self.queue.first_lane(self._open_lanes(long_slots))
             if lane is None:
                 return
             job = self.queue.head(lane)
@@ -278,9 +279,9 @@
                 continue
             effects.append(self._start(job, index, target, lane, probe, now))
 
-    def _open_lanes(self) -> list[int]:
+    def _open_lanes(self, long_slots: int) -> list[int]:
         lanes = [SHORT]
-        if self.attempts.long_running < self.forecaster.long_slots():
+        if self.attempts.long_running < long_slots:
             lanes.append(LONG)
         if self.queue.head(SHORT) is None and self.queue.head(BULK) is not None:
             # Without short work running, nobody needs the reserve.
