--- a/anvilford/entry/_drain.py
+++ b/anvilford/entry/_drain.py
@@ -102,12 +102,16 @@
         return effects + self._stop(now)
 
     def _candidates(self, now: float) -> list[str]:
-        """Live peers, those of the own zone first."""
+        """Live peers in random order, those of the own zone first.
+
+        With a fixed order all stopping entries would load the same peer.
+        """
         me = self.gossiper.me
         live = self.gossiper.directory.live_entries(
             now, self.options.suspect_after
         )
         peers = [e for e in live if e.incarnation != me and not e.draining]
+        self.gossiper.rng.shuffle(peers)
         peers.sort(key=lambda e: e.incarnation.zone != me.zone)
         return [entry.incarnation.address for entry in peers]
 
