Show no age for finished submissions

anvilctl submissions printed the age of a finished submission as "never", the word for a heartbeat that was not heard.

--- a/anvilford/cli/_output.py
+++ b/anvilford/cli/_output.py
@@ -66,9 +66,9 @@
     return json.dumps(value)
 
 
-def format_age(age_ms: float | None) -> str:
-    """Formats an age in milliseconds; None means never."""
-    return "never" if age_ms is None else f"{age_ms / 1000:.1f} s"
+def format_age(age_ms: float | None, absent: str = "never") -> str:
+    """Formats an age in milliseconds; None is shown as `absent`."""
+    return absent if age_ms is None else f"{age_ms / 1000:.1f} s"
 
 
 class Progress:
--- a/anvilford/cli/_views.py
+++ b/anvilford/cli/_views.py
@@ -69,7 +69,8 @@
     path = f"/v1/submissions?limit={arguments.limit}"
     value = connect(arguments, session).read(path)
     rows = [
-        row | {"age": format_age(row["age_ms"])} for row in value["submissions"]
+        row | {"age": format_age(row["age_ms"], "-")}
+        for row in value["submissions"]
     ]
     columns = {
         "id": "ID",
--- a/anvilford/http/_operator_port.py
+++ b/anvilford/http/_operator_port.py
@@ -127,7 +127,8 @@
         """Lists the newest submissions owned by this entry.
 
         Args:
-            limit: Most submissions to list.
+            limit: Most submissions to list. Service, tasks and age are known
+                while a submission is in flight and None afterwards.
 
         Returns:
             `{"total", "submissions": [{"id", "caller", "service", "state",
