Pause between requests for a newer configuration

Cause: an entry asked the peer with the newest version again as soon as a call failed. A refused call fails at once, so after the death of a peer that alone had a version, with the platform down, the loop would spin for the 600 s that a silent peer is remembered. Change: only live peers are asked, 0.5 s after the last call ended; the logic has a class of its own.

--- a/anvilford/entry/_core.py
+++ b/anvilford/entry/_core.py
@@ -8,9 +8,9 @@
 from anvilford.configuration import encode_row
 from anvilford.configuration import parse_row
 from anvilford.configuration import Register
+from anvilford.entry._configuration import ConfigurationFetch
 from anvilford.entry._drain import Drain
 from anvilford.entry._events import AttemptFinished
-from anvilford.entry._events import CallPeer
 from anvilford.entry._events import ConfigurationCall
 from anvilford.entry._events import ConfigurationReceived
 from anvilford.entry._events import Count
@@ -61,7 +61,6 @@
 from anvilford.scheduling import StartAttempt
 from anvilford.submissions import Ledger
 
-CONFIGURATION_CALL_TIMEOUT_S = 1.0
 # A wake-up that comes this late means that the process was suspended or
 # starved. With 1.5 s a planned stop went on over a pause of 1.3 s.
 PAUSE_LIMIT_S = 0.25
@@ -99,6 +98,7 @@
         directory: Membership.
         marks: Durable copy of the operator marks.
         register: Configuration in force.
+        fetch: Requests for a newer configuration.
         services: Queue and placement of tasks, by service.
         requests: Requesters and submissions.
         quotas: Limits by caller.
@@ -122,6 +122,9 @@
         self.directory = Directory()
         self.marks = MarkStore(self.directory)
         self.register = Register()
+        self.fetch = ConfigurationFetch(
+            self.directory, self.register, options.suspect_after
+        )
         self.services = Services(me.zone, me.token, rng)
         ledger = Ledger(me, tag_key, options.retention)
         self.quotas = Quotas()
@@ -130,7 +133,6 @@
         self.jobs: dict[int, JobInFlight] = {}
         self._due_at = now
         self._platform_answered = False
-        self._configuration_call: str | None = None
         self._was_ready = False
         self.target_shares = TargetShares(
             me, options, self.directory, self.services
@@ -260,7 +262,7 @@
         effects += self.requests.advance(now)
         effects += self.target_shares.advance(now)
         effects += self._translate(self.services.advance(now))
-        effects += self._request_configuration()
+        effects += self.fetch.advance(now)
         effects += self.drain.advance(now)
         return effects
 
@@ -368,7 +370,7 @@
                 accepted = isinstance(message, HandoverAck) and message.accepted
                 return self.drain.receive(call, accepted)
             case ConfigurationCall():
-                self._configuration_call = None
+                self.fetch.finish(now)
                 if isinstance(message, ConfigurationReply):
                     row = json.loads(message.row)
                     return self._apply_configuration(message.version, row, now)
@@ -393,28 +395,6 @@
             *self.gossiper.push_entries(now),
         ]
 
-    def _request_configuration(self) -> list[Effect]:
-        """Asks the peer with the newest configuration if it is newer."""
-        if self._configuration_call is not None:
-            return []
-        entries = [known.info for known in self.directory.entries.values()]
-        newest = max(
-            entries, key=lambda e: e.configuration_version, default=None
-        )
-        if newest is None or (
-            newest.configuration_version <= self.register.version
-        ):
-            return []
-        self._configuration_call = newest.incarnation.address
-        return [
-            CallPeer(
-                ConfigurationCall(newest.incarnation.address),
-                newest.incarnation.address,
-                ConfigurationRequest(),
-                CONFIGURATION_CALL_TIMEOUT_S,
-            )
-        ]
-
     def _push_if_changed(self, before: bytes, now: float) -> list[Effect]:
         if self.directory.fingerprint() == before:
             return []
--- a/anvilford/entry/tests/test_core.py
+++ b/anvilford/entry/tests/test_core.py
@@ -8,6 +8,7 @@
 from anvilford.entry import ConfigurationReceived
 from anvilford.entry import CoreOptions
 from anvilford.entry import EntryCore
+from anvilford.entry import PeerFailed
 from anvilford.entry import PeerMessage
 from anvilford.entry import Respond
 from anvilford.entry import RunAttempt
@@ -169,6 +170,24 @@
     case.assertEqual(calls, [PEER.address])
 
 
+def test_failed_configuration_calls_are_not_repeated_at_once(case, core):
+    """Guards against a busy loop when the peer with the news has died."""
+    info = EntryInfo(PEER, 1, 1.0, False, 7)
+    gossip = Gossip(PEER.address, (info,), b"")
+    effects = core.handle(PeerMessage(PEER, gossip), 0.1)
+    calls = []
+    for step in range(50):
+        asked = [e.call for e in effects if isinstance(e, CallPeer)]
+        calls += asked
+        now = 0.1 + step * 0.1
+        effects = []
+        for call in asked:
+            effects += core.handle(PeerFailed(call), now)
+        effects += core.handle(Tick(), now)
+    case.assertLessEqual(len(calls), 7)
+    case.assertGreaterEqual(len(calls), 3)
+
+
 def test_more_entries_than_connections_allow_stay_out(case):
     """Guards against a 65th connection when too many entries start."""
     core = EntryCore(ME, b"key", CoreOptions(), random.Random(1), 0.0)
