Keep ticking and polling after a fault

Cause: an exception in one event left the entry without a timer until the next event, and one in a poller ended it for good; found by reading. Change: the timer is always armed again, after 100 ms when an event failed, and pollers count and log a fault and go on.

--- a/anvilford/daemon/_runtime.py
+++ b/anvilford/daemon/_runtime.py
@@ -55,6 +55,10 @@
 # Marks arrive by gossip within a second; the row is only for fresh entries.
 MARKS_POLL_FACTOR = 5
 
+# Pause before the next tick after a fault, so that a lasting one cannot take
+# all processor time.
+ERROR_PAUSE_S = 0.1
+
 logger = logging.getLogger("anvilford.entry")
 
 
@@ -128,9 +132,14 @@
     def handle(self, event: Event) -> None:
         """Applies an event on the loop's thread and runs its effects."""
         now = self.loop.time()
-        for effect in self.core.handle(event, now):
-            self._perform(effect)
-        self._arm(self.core.next_wakeup(now))
+        wakeup = now + ERROR_PAUSE_S
+        try:
+            for effect in self.core.handle(event, now):
+                self._perform(effect)
+            wakeup = self.core.next_wakeup(now)
+        finally:
+            # Also after a fault in one event, or no timer would run again.
+            self._arm(wakeup)
 
     def _arm(self, wakeup: float) -> None:
         # A timer that is too early costs one `Tick`, while one for every
@@ -321,12 +330,20 @@
 
     async def _poll(self, read: Callable) -> None:
         while True:
-            await read()
+            await self._try(read)
             await asyncio.sleep(self.poll_interval)
 
+    async def _try(self, read: Callable) -> None:
+        """Reads once; a fault in one answer must not end the polling."""
+        try:
+            await read()
+        except Exception:  # pylint: disable=broad-except
+            self.counters.increment("internal_errors")
+            logger.exception("poll failed")
+
     async def _poll_marks(self) -> None:
         while True:
-            await self._read_marks()
+            await self._try(self._read_marks)
             marks = self.core.marks
             is_settled = marks.was_read and marks.is_stored
             factor = MARKS_POLL_FACTOR if is_settled else 1
