Answer an offer that is the first event after a suspension

Cause: PlacerDriver.place registered the waiter and then read the time, which closes the driver after the process stood still; the waiter came after the jobs were handed back and was never answered. Change: the time is read before the check for a closed driver. Measured: the new test waits in vain without the change and gets MOVED with it.

--- a/anvilford/node/_driver.py
+++ b/anvilford/node/_driver.py
@@ -109,6 +109,8 @@
 
     async def place(self, offer: Offer) -> Outcome:
         """Places a job; returns when it has ended."""
+        # Reading the time may close the driver, so it comes before the check.
+        now = self._now()
         if self._closed:
             return Outcome(OutcomeKind.MOVED, "placer_closed")
         future = asyncio.get_running_loop().create_future()
@@ -117,7 +119,7 @@
         if previous is not None and not previous.done():
             previous.set_result(Outcome(OutcomeKind.LOST, "offered_again"))
         waiters[offer.entry] = future
-        self.placer.offer(offer, self._now())
+        self.placer.offer(offer, now)
         self._flush()
         return await future
 
--- /dev/null
+++ b/anvilford/node/tests/test_driver.py
@@ -0,0 +1,56 @@
+"""Tests of the driver of a placer."""
+
+import asyncio
+from unittest import mock
+
+from anvilford.node import _clock as clock
+from anvilford.node._driver import PlacerDriver
+from anvilford.node._driver import SUSPENDED_S
+from anvilford.placement import JobSpec
+from anvilford.placement import Offer
+from anvilford.placement import OutcomeKind
+from anvilford.placement import PlacementOptions
+from anvilford.placement import QueuePolicy
+from anvilford.placement import Resources
+from anvilford.placement import StepSpec
+from anvilford.telemetry import Counters
+from testkit import function_tests
+
+load_tests = function_tests(__name__)
+
+
+def make_driver() -> PlacerDriver:
+    """A driver without targets that closes itself after a suspension."""
+    return PlacerDriver(
+        64,
+        PlacementOptions(),
+        mock.Mock(name="calls"),
+        Counters(),
+        on_fence_lost=mock.Mock(),
+        on_suspended=lambda driver: driver.close(),
+    )
+
+
+def make_offer(job_id: str) -> Offer:
+    """A job of one task."""
+    step = StepSpec(1, Resources(1000), 50)
+    policy = QueuePolicy("check", "line", 0, 3, 1.6, 60)
+    return Offer(job_id, "entry-0", policy, JobSpec("", (step,)), 0.0, 2.0)
+
+
+def test_offer_after_a_suspension_is_handed_back(case):
+    """Guards against a request that is never answered.
+
+    The offer is the first event after the process stood still, so the driver
+    closes while it takes the offer in.
+    """
+
+    async def scenario():
+        driver = make_driver()
+        wake = clock.now() + 2 * SUSPENDED_S
+        with mock.patch.object(clock, "now", return_value=wake):
+            job = driver.place(make_offer("00000000000000a1"))
+            outcome = await asyncio.wait_for(job, 1.0)
+        case.assertEqual(outcome.kind, OutcomeKind.MOVED)
+
+    asyncio.run(scenario())
