Keep the ports of a loopback site reserved while it lives

Change: the drawn ports stay bound by sockets that do not listen until the site closes; the entry shares them by SO_REUSEADDR, other draws may not. Ruled out: load and the time to start; the failed entry ended at its bind.

--- a/standins/site.py
+++ b/standins/site.py
@@ -124,7 +124,7 @@
                 self.runners.append(runner)
             store = await self.store_address(self.store.address)
             for n in range(self.entry_count):
-                entry = self._make_entry(n, folder, store)
+                entry = self._make_entry(n, folder, store, stack)
                 self.entries[entry.name] = entry
                 stack.callback(entry.end)
                 entry.start()
@@ -226,10 +226,14 @@
         return row["leader"]["name"] if row else None
 
     def _make_entry(
-        self, number: int, folder: pathlib.Path, store: str
+        self,
+        number: int,
+        folder: pathlib.Path,
+        store: str,
+        stack: contextlib.AsyncExitStack,
     ) -> EntryProcess:
         name = f"entry-{number}"
-        ports = _free_ports(4)
+        ports = reserve_ports(stack, 4)
         addresses = [f"127.0.0.1:{port}" for port in ports]
         settings = folder / f"{name}.json"
         settings.write_text(
@@ -265,15 +269,24 @@
     return address
 
 
-def _free_ports(count: int) -> list[int]:
+def reserve_ports(
+    stack: contextlib.AsyncExitStack | contextlib.ExitStack, count: int
+) -> list[int]:
+    """Draws ports that nobody else draws until the stack closes.
+
+    Each port stays bound by a socket that does not listen, so that another
+    site, also one of another process, draws other ports, while an entry may
+    listen there.
+    """
     chance = random.SystemRandom()
-    with contextlib.ExitStack() as stack:
-        ports: list[int] = []
-        while len(ports) < count:
-            sock = stack.enter_context(socket.socket())
-            try:
-                sock.bind(("127.0.0.1", chance.randrange(*ENTRY_PORTS)))
-            except OSError:
-                continue  # In use; another one is drawn.
-            ports.append(sock.getsockname()[1])
-        return ports
+    ports: list[int] = []
+    while len(ports) < count:
+        sock = stack.enter_context(socket.socket())
+        try:
+            sock.bind(("127.0.0.1", chance.randrange(*ENTRY_PORTS)))
+        except OSError:
+            continue  # In use; another one is drawn.
+        # Set after the bind: the entry may share the port, other draws may not.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        ports.append(sock.getsockname()[1])
+    return ports
