Revert the weights of queues at a crest

Conclusion: reverted; the policy also judged queues by what the placer cannot know, that all of them are worth the same.

--- a/anvilford/placement/_placer.py
+++ b/anvilford/placement/_placer.py
@@ -20,7 +20,6 @@
 from anvilford.placement._choice import AMPLE_ROOM
 from anvilford.placement._choice import choose_target
 from anvilford.placement._choice import is_usable
-from anvilford.placement._fairness import Fairness
 from anvilford.placement._fleet import Fleet
 from anvilford.placement._model import Offer
 from anvilford.placement._model import Outcome
@@ -69,7 +68,6 @@
         rng: Source of spreads.
         jobs: Jobs in progress.
         fleet: Targets and runs.
-        fairness: Weighs jobs of different queues.
     """
 
     def __init__(
@@ -85,7 +83,6 @@
         self.outcomes: dict[str, tuple[float, Outcome]] = {}
         self.effects: list[Effect] = []
         self.fleet = Fleet(fence, now, options, self.effects, self._task_event)
-        self.fairness = Fairness(now)
         self._waiting: dict[str, Job] = {}
         self._views: dict[str, ServiceView] = {}
 
@@ -122,8 +119,6 @@
             self.effects.append(Settle(offer.job_id, known[1]))
             return
         job = self._make_job(offer, now)
-        if not offer.again:
-            self.fairness.observe(job, now)
         found = self.fleet.adopt(job, now)
         refusal = None if found or offer.again else self._refusal(job, now)
         if refusal is not None:
@@ -250,8 +245,7 @@
             if other.policy.service == service
         ]
         outlook = admission.consider(job, waiting, capacity, now)
-        weight = self.fairness.weight(job)
-        wait = outlook.wait / weight
+        wait = outlook.wait
         if not targets and self.fleet.is_claiming(now):
             return None
         if now + wait <= outlook.start_by - ANSWER_MARGIN_S:
@@ -263,8 +257,7 @@
             {
                 "queue": job.policy.name,
                 "reason": "overload" if targets else "no_target",
-                "expected_wait_ms": int(min(outlook.wait, 3600.0) * 1000),
-                "weight": round(weight, 2),
+                "expected_wait_ms": int(min(wait, 3600.0) * 1000),
                 "objective_ms": int(job.objective * 1000),
                 "usable_targets": len(targets),
                 "free_share": round(capacity.free_share, 2),
