Let a fresh process read the leader's row before it seeks a leader

A process that was restarted while the store was slow got no answer about the leader's row within 0.2 s, so it knew no member to ask and led in term 1. Leaders with rising terms then took the targets from each other. Change: until the row has been read once, with the store's long time-out and beside the loop, a process that knows nobody only waits to be told. Ruled out: a lost configuration (it was loaded before). Test: test_restarted_entry_follows_while_the_store_is_slow, 503 before.

--- a/anvilford/node/_coordination.py
+++ b/anvilford/node/_coordination.py
@@ -203,12 +203,26 @@
 
     async def run(self) -> None:
         """Follows, seeks or leads until cancelled."""
-        while True:
-            try:
-                await self._step()
-            except Exception:
-                _logger.exception("coordination step failed")
+        first_read = asyncio.ensure_future(self._read_row_first())
+        try:
+            while True:
+                try:
+                    await self._step()
+                except Exception:
+                    _logger.exception("coordination step failed")
+                    await asyncio.sleep(SEEK_PAUSE_S)
+        finally:
+            first_read.cancel()
+
+    async def _read_row_first(self) -> None:
+        """Reads the row beside the loop until that has worked once.
+
+        A slow store takes longer than the loop waits for it.
+        """
+        while not self.row.is_known:
+            if not await self.row.read():
                 await asyncio.sleep(SEEK_PAUSE_S)
+        self._wake.set()
 
     async def _step(self) -> None:
         if self.driver is not None and self.leader is not None:
@@ -310,6 +324,11 @@
         return not self.is_leaving and self.site.is_complete()
 
     async def _seek_step(self) -> None:
+        if not self.row.is_known and not self.known:
+            # A fresh process knows nobody to ask, which says nothing about
+            # whether there is a leader.
+            await self._pause(SEEK_PAUSE_S)
+            return
         opinions = await self._ask()
         others = len(self._others())
         reaches_zones = True
--- a/anvilford/node/_leader_row.py
+++ b/anvilford/node/_leader_row.py
@@ -32,6 +32,7 @@
         counters: Receives counts.
         leader: Who the row names; None before the first read.
         members: Members that the leader heard when it wrote the row.
+        is_known: Whether the row, or that there is none, was ever read.
         version: Version of the row; 0 if there is none.
         changed_at: When a change was first seen here.
         reaches_store: Whether the last call had an answer.
@@ -42,6 +43,7 @@
         self.counters = counters
         self.leader: Leader | None = None
         self.members: tuple[Member, ...] = ()
+        self.is_known = False
         self.version = 0
         self.changed_at = 0.0
         self.reaches_store = False
@@ -86,6 +88,7 @@
         return False
 
     def _observe(self, rows: tuple[StoreRow, ...]) -> None:
+        self.is_known = True
         row = next((row for row in rows if row.key == KEY), None)
         if row is None or row.version <= self.version:
             return
--- a/anvilford/node/tests/test_processes.py
+++ b/anvilford/node/tests/test_processes.py
@@ -212,3 +212,33 @@
             case.assertEqual([line["changed"] for line in reloads], [True])
 
     run(scenario())
+
+
+def test_restarted_entry_follows_while_the_store_is_slow(case):
+    """Guards against a fresh process that leads because it knows nobody.
+
+    Its read of the leader's row timed out, so it had nobody to ask and took
+    the targets from a sound leader, which raised its term in turn.
+    """
+
+    async def scenario():
+        async with LoopbackSite() as site:
+            await site.submit("entry-0", site.new_id())
+            leader = site.leader()
+            name = next(name for name in site.entries if name != leader)
+            entry = site.entries[name]
+            entry.end(signal.SIGKILL)
+            site.store.faults.delay_s = 0.4
+            entry.start()
+            await site.wait_ready(name)
+            answer = await site.submit(name, site.new_id())
+            case.assertEqual(status(answer), 200)
+            moves = [
+                line["move"]
+                for line in entry.lines()
+                if line["message"] == "leader sought"
+            ]
+            case.assertNotIn("Lead", moves)
+            case.assertEqual(site.leader(), leader)
+
+    run(scenario())
