Count a member that asks for a leader among the members

Cause: found by freezing a leader 0.3 s after its start. A leader that dies young has told its followers of different parts of the site. A member that knew of the dead leader only reached 0 of 1 others and took itself for cut off, while the others took it for the better member and waited for it, until the row was stale after 2.5 s. Change: a member that receives a query learns of the member that asks. A process whose row is unread and that met no leader still only waits. Ruled out: a time-out that is too short; the members answered each other. Test: test_member_that_asks_counts, None before; its twin keeps a member that reaches nobody from leading.

--- a/anvilford/node/_coordination.py
+++ b/anvilford/node/_coordination.py
@@ -66,7 +66,8 @@
         driver: The placer of this member while it leads.
         is_leaving: True after a planned stop began.
         members: Members that this member hears while it leads.
-        known: Members that the last leader heard of.
+        known: Members that the last leader heard of, or that asked for one.
+        met_leader: Whether a leader has told its members.
         pending: Jobs that have not begun, by queue.
         term: Highest term known.
         fence: Highest fencing token of a leader that this member followed.
@@ -95,6 +96,7 @@
         self.is_leaving = False
         self.members = Members(me)
         self.known: tuple[Member, ...] = ()
+        self.met_leader = False
         self.pending: dict[str, int] = {}
         self.term = 0
         self.fence = 0
@@ -170,8 +172,9 @@
             self.term = max(self.term, fence // FENCES_PER_TERM)
             self._raise_term()
 
-    async def receive_query(self) -> Opinion:
+    async def receive_query(self, asker: Member) -> Opinion:
         """Answers whether this member leads or reaches its leader."""
+        self._learn_member(asker)
         leader = self.leader
         reaches = self._leads and not self.is_leaving
         if leader is not None and self.driver is None:
@@ -292,6 +295,7 @@
             case HeartbeatReply(leading=True) as reply:
                 self.site.expect_configuration(reply.configuration_version)
                 self.known = reply.members or self.known
+                self.met_leader = True
                 self.pending = reply.pending
                 self.term = max(self.term, reply.term)
                 if self.leader == leader and reply.term > leader.term:
@@ -324,9 +328,9 @@
         return not self.is_leaving and self.site.is_complete()
 
     async def _seek_step(self) -> None:
-        if not self.row.is_known and not self.known:
-            # A fresh process knows nobody to ask, which says nothing about
-            # whether there is a leader.
+        if not self.row.is_known and not self.met_leader:
+            # A fresh process knows at most some of the members, which says
+            # nothing about whether there is a leader.
             await self._pause(SEEK_PAUSE_S)
             return
         opinions = await self._ask()
@@ -398,6 +402,17 @@
     def _others(self) -> list[Member]:
         return [m for m in self.known if m.name != self.me.name]
 
+    def _learn_member(self, member: Member) -> None:
+        """Adds a member that the last leader had not heard of yet.
+
+        While all processes are young, members know different parts of the
+        site and would each wait for another one to lead.
+        """
+        if self._leads or member in self.known:
+            return
+        others = [m for m in self.known if m.name != member.name]
+        self.known = (*others, member)
+
     def _learn_from_row(self) -> None:
         self.known = self.known or self.row.members
         if self.row.leader is not None:
--- a/anvilford/node/_main.py
+++ b/anvilford/node/_main.py
@@ -241,8 +241,8 @@
                 return await driver.place(message)
             case Heartbeat():
                 return coordination.receive_heartbeat(message)
-            case LeaderQuery():
-                return await coordination.receive_query()
+            case LeaderQuery(member):
+                return await coordination.receive_query(member)
             case LeaderAnnounced(leader):
                 coordination.receive_announcement(leader)
             case WithdrawJob(job_id, entry):
--- /dev/null
+++ b/anvilford/node/tests/test_coordination.py
@@ -0,0 +1,116 @@
+"""Tests of the search for a leader, with peers and store replaced."""
+
+import asyncio
+from unittest import mock
+
+from expression import Error
+from expression import Ok
+
+from anvilford.leadership import Leader
+from anvilford.leadership import Member
+from anvilford.leadership import Opinion
+from anvilford.node import _clock as clock
+from anvilford.node._coordination import Coordination
+from anvilford.protocol import LeaderQuery
+from anvilford.telemetry import Counters
+from testkit import fixture
+from testkit import function_tests
+
+load_tests = function_tests(__name__)
+
+ME = Member("entry-0", "a", "127.0.0.1:1", 1.0, "t0")
+OTHER = Member("entry-1", "b", "127.0.0.1:2", 1.0, "t1")
+GONE = Leader(1, Member("entry-2", "a", "127.0.0.1:3", 1.0, "t2"))
+# Longer than two rounds of questions.
+SEEK_S = 0.5
+
+
+class Peers:
+    """Peers of which one is gone and one seeks a leader as well."""
+
+    async def call(self, address, message, timeout):
+        """Answers a query for the one that lives."""
+        del timeout
+        if address == OTHER.address and isinstance(message, LeaderQuery):
+            return Ok(Opinion(OTHER, 1, True, False, GONE))
+        return Error("unreachable")
+
+    def send(self, address, message):
+        """Drops a one-way message."""
+
+    def reset(self, address):
+        """Has no connection to close."""
+
+
+class Row:
+    """A row that names the leader that is gone, and nobody else."""
+
+    leader = GONE
+    members = (GONE.member,)
+    is_known = True
+    version = 1
+    reaches_store = True
+
+    @property
+    def changed_at(self):
+        """Neither just written nor stale."""
+        return clock.now() - 1.0
+
+    async def read(self, timeout=0.0):
+        """Always answers."""
+        del timeout
+        return True
+
+    async def write(self, leader, members):
+        """Takes the row."""
+        self.leader, self.members = leader, members
+        return True
+
+
+async def _reaches_other_zones() -> bool:
+    return True
+
+
+@fixture
+def coordination():
+    """A member that knows only the leader that is gone."""
+    view = mock.Mock(targets=(), places_jobs=False)
+    view.is_complete.return_value = True
+    view.dropped_targets.return_value = ()
+    yield Coordination(
+        ME,
+        Peers(),
+        Row(),
+        view,
+        Counters(),
+        mock.Mock(name="make_driver"),
+        _reaches_other_zones,
+    )
+
+
+async def run_for(coordination, seconds: float) -> None:
+    """Runs the loop for a while."""
+    loop = asyncio.ensure_future(coordination.run())
+    await asyncio.sleep(seconds)
+    loop.cancel()
+
+
+def test_member_that_asks_counts(case, coordination):
+    """Guards against members that each wait for another one to lead.
+
+    A leader that died young had told this member of nobody but itself. It
+    took itself for cut off, and the member that asked it waited for it.
+    """
+
+    async def scenario():
+        await coordination.receive_query(OTHER)
+        await run_for(coordination, SEEK_S)
+
+    asyncio.run(scenario())
+    case.assertEqual(coordination.leader, Leader(2, ME))
+
+
+def test_member_that_reaches_nobody_waits(case, coordination):
+    """Guards against a member that is cut off and leads all the same."""
+    asyncio.run(run_for(coordination, SEEK_S))
+    case.assertIsNone(coordination.leader)
