Take a term above those of the row and the members

Cause: a member that reached a majority did not look at the row, so one that had never met the leader led in a term that others had left behind; targets refused its orders until it raised its term. Change: the row that was read and the members' answers count for the term. Test: test_member_that_asks_counts, term 1 before and 2 after.

--- a/anvilford/node/_coordination.py
+++ b/anvilford/node/_coordination.py
@@ -345,6 +345,8 @@
                 reaches_zones = await self.reaches_other_zones()
         if self.leader is not None:
             return
+        self._learn_from_row()
+        self.term = max([self.term, *(o.term for o in opinions)])
         situation = Situation(
             self.me,
             self._can_lead(),
--- a/anvilford/node/tests/test_coordination.py
+++ b/anvilford/node/tests/test_coordination.py
@@ -77,13 +77,15 @@
     view = mock.Mock(targets=(), places_jobs=False)
     view.is_complete.return_value = True
     view.dropped_targets.return_value = ()
+    driver = mock.Mock(name="driver")
+    driver.waiting_entries.return_value = set()
     yield Coordination(
         ME,
         Peers(),
         Row(),
         view,
         Counters(),
-        mock.Mock(name="make_driver"),
+        mock.Mock(name="make_driver", return_value=driver),
         _reaches_other_zones,
     )
 
@@ -99,7 +101,8 @@
     """Guards against members that each wait for another one to lead.
 
     A leader that died young had told this member of nobody but itself. It
-    took itself for cut off, and the member that asked it waited for it.
+    took itself for cut off, and the member that asked it waited for it. Its
+    term is above that of the leader that is gone, so that targets obey.
     """
 
     async def scenario():
