Find a lost leader's successor sooner

Change: after one heartbeat without an answer the search begins, which asks the leader over a new connection and all members at once; a majority's answers are enough, with 20 ms for the others. Ruled out: a shorter time-out, since a leader may be held up for 0.1 s. Tests: test_row_names_members_besides_those_that_ask fails before; the tests of real processes.

--- a/anvilford/leadership/_election.py
+++ b/anvilford/leadership/_election.py
@@ -31,7 +31,7 @@
         me: The member itself.
         can_lead: Whether it could lead.
         term: Highest term that it knows.
-        known: Members that the last leader heard of, this one included.
+        known: Other members that the last leader heard of, or that asked.
         opinions: Answers of those that were reached.
         reaches_store: Whether the store answers.
         row_unchanged_s: For how long the leader's row has not changed.
--- a/anvilford/node/_coordination.py
+++ b/anvilford/node/_coordination.py
@@ -35,6 +35,8 @@
 # still answers within this.
 HEARTBEAT_TIMEOUT_S = 0.25
 QUERY_TIMEOUT_S = 0.15
+# Answers of members that live come within a few milliseconds of each other.
+MINORITY_WAIT_S = 0.02
 # A heartbeat is answered within a few milliseconds; no job is offered to a
 # leader that has not answered for this long.
 DOUBT_S = 0.05
@@ -69,7 +71,7 @@
         driver: The placer of this member while it leads.
         is_leaving: True after a planned stop began.
         members: Members that this member hears while it leads.
-        known: Members that the last leader heard of, or that asked for one.
+        known: Members that the last leader heard of.
         met_leader: Whether a leader has told its members.
         pending: Jobs that have not begun, by queue.
         term: Highest term known.
@@ -100,6 +102,7 @@
         self.members = Members(me)
         self.known: tuple[Member, ...] = ()
         self.met_leader = False
+        self._askers: dict[str, Member] = {}
         self.pending: dict[str, int] = {}
         self.term = 0
         self.fence = 0
@@ -294,25 +297,18 @@
     async def _follow_step(self) -> None:
         leader = self.leader
         self._unanswered_since = clock.now()
-        if await self._reach(leader):
+        if await self._beat(leader, HEARTBEAT_TIMEOUT_S):
             was_doubtful = self.leader_is_doubtful
             self._unanswered_since = None
             if was_doubtful:
                 self._wake_offers()
             await self._pause(HEARTBEAT_S)
         elif self.leader == leader:
+            # The connection may have gone silent. The search asks all members
+            # and the leader itself, over a new one.
+            self.links.reset(leader.member.address)
             self._set_leader(None)
 
-    async def _reach(self, leader: Leader) -> bool:
-        """Sends a heartbeat, and another one over a new connection."""
-        if await self._beat(leader, HEARTBEAT_TIMEOUT_S):
-            return True
-        if self.leader != leader:
-            return False
-        # The connection may have gone silent; a new one tells.
-        self.links.reset(leader.member.address)
-        return await self._beat(leader, HEARTBEAT_TIMEOUT_S)
-
     async def _beat(self, leader: Leader, timeout: float) -> bool:
         """Sends a heartbeat; True if the leader answers as such."""
         answer = await self.links.call(
@@ -321,8 +317,10 @@
         match answer.default_value(None):
             case HeartbeatReply(leading=True) as reply:
                 self.site.expect_configuration(reply.configuration_version)
-                self.known = reply.members or self.known
-                self.met_leader = True
+                if reply.members:
+                    self.known = reply.members
+                    self.met_leader = True
+                    self._askers.clear()
                 self.pending = reply.pending
                 self.term = max(self.term, reply.term)
                 if self.leader == leader and reply.term > leader.term:
@@ -378,7 +376,7 @@
             self.me,
             self._can_lead(),
             self.term,
-            self.known,
+            self._others(),
             opinions,
             self.row.reaches_store,
             clock.now() - self.row.changed_at,
@@ -392,7 +390,7 @@
                 "move": type(move).__name__,
                 "reason": getattr(move, "reason", ""),
                 "term": self.term,
-                "members_known": len(self.known),
+                "members_known": 1 + len(situation.known),
                 "members_reached": len(opinions),
                 "reaches_store": situation.reaches_store,
                 "reaches_other_zones": reaches_zones,
@@ -429,18 +427,17 @@
         return False
 
     def _others(self) -> list[Member]:
-        return [m for m in self.known if m.name != self.me.name]
+        members = {m.name: m for m in self.known} | self._askers
+        return [m for name, m in members.items() if name != self.me.name]
 
     def _learn_member(self, member: Member) -> None:
-        """Adds a member that the last leader had not heard of yet.
+        """Notes a member that the last leader may not have heard of.
 
         While all processes are young, members know different parts of the
         site and would each wait for another one to lead.
         """
-        if self._leads or member in self.known:
-            return
-        others = [m for m in self.known if m.name != member.name]
-        self.known = (*others, member)
+        if not self._leads:
+            self._askers[member.name] = member
 
     def _learn_from_row(self) -> None:
         self.known = self.known or self.row.members
@@ -448,15 +445,30 @@
             self.term = max(self.term, self.row.leader.term)
 
     async def _ask(self) -> list[Opinion]:
+        """Asks all members; does not wait long for a minority."""
         query = LeaderQuery(self.me, self.term)
-        answers = await asyncio.gather(
-            *(
+        others = self._others()
+        waiting = {
+            asyncio.ensure_future(
                 self.links.call(member.address, query, QUERY_TIMEOUT_S)
-                for member in self._others()
             )
-        )
-        found = [answer.default_value(None) for answer in answers]
-        return [opinion for opinion in found if isinstance(opinion, Opinion)]
+            for member in others
+        }
+        opinions: list[Opinion] = []
+        end = clock.now() + QUERY_TIMEOUT_S
+        while waiting and clock.now() < end:
+            done, waiting = await asyncio.wait(
+                waiting,
+                timeout=end - clock.now(),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            found = [task.result().default_value(None) for task in done]
+            opinions += [o for o in found if isinstance(o, Opinion)]
+            if 2 * (1 + len(opinions)) > 1 + len(others):
+                end = min(end, clock.now() + MINORITY_WAIT_S)
+        for task in waiting:
+            task.cancel()
+        return opinions
 
     async def _claim_row(self) -> None:
         """Leads if the row can be written; there is nobody to ask."""
--- a/anvilford/node/tests/test_coordination.py
+++ b/anvilford/node/tests/test_coordination.py
@@ -117,3 +117,23 @@
     """Guards against a member that is cut off and leads all the same."""
     asyncio.run(run_for(coordination, SEEK_S))
     case.assertIsNone(coordination.leader)
+
+
+def test_row_names_members_besides_those_that_ask(case, coordination):
+    """Guards against a majority of the few members that happened to ask.
+
+    A fresh process that was asked before it had read the row took the member
+    that asked for the whole site, and led while most of it had not started.
+    """
+    silent = [
+        Member(f"entry-{n}", "c", f"127.0.0.1:{n}", 1.0, f"t{n}")
+        for n in range(4, 9)
+    ]
+    coordination.row.members = (GONE.member, OTHER, *silent)
+
+    async def scenario():
+        await coordination.receive_query(OTHER)
+        await run_for(coordination, SEEK_S)
+
+    asyncio.run(scenario())
+    case.assertIsNone(coordination.leader)
