Name members to each other with their first heartbeat

The leader froze within 0.2 s of its start; its replies named only members that it had heard by its last round, so both followers knew it alone and had nobody to ask. Change: a reply counts the members heard until then, the asker among them.

--- a/anvilford/node/_coordination.py
+++ b/anvilford/node/_coordination.py
@@ -167,6 +167,10 @@
         """Answers a member's heartbeat."""
         if self._leads:
             self.members.hear(message.member, clock.now())
+            if not self.leader.is_partial:
+                # The reply names the members: should this leader die young,
+                # they know each other.
+                self.known = self.members.known()
             self.overtake(message.fence)
         return HeartbeatReply(
             self.term,
