--- a/standins/site.py
+++ b/standins/site.py
@@ -44,6 +44,7 @@
         metrics: Address of its metrics.
         settings: Path of its settings.
         log: Path of what it writes.
+        module: Module that runs it.
         process: The process, or None while it is stopped.
     """
 
@@ -53,13 +54,14 @@
     metrics: str
     settings: pathlib.Path
     log: pathlib.Path
+    module: str = "anvilford.node"
     process: subprocess.Popen | None = None
 
     def start(self) -> None:
         """Starts the process."""
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "anvilford.node", str(self.settings)],
+                [sys.executable, "-m", self.module, str(self.settings)],
                 stdout=log,
                 stderr=subprocess.STDOUT,
             )
@@ -93,6 +95,7 @@
         http: Client for callers' requests.
         store_address: Returns the address by which entries reach the store.
         runner_address: The same for a target.
+        entry_module: Module that runs an entry.
     """
 
     def __init__(self, entries: int = 3, runners: int = 4):
@@ -105,6 +108,7 @@
         # A soak puts proxies before the store and the targets.
         self.store_address = _unchanged
         self.runner_address = _unchanged
+        self.entry_module = "anvilford.node"
         self._ids = itertools.count(1)
         self._stack = contextlib.AsyncExitStack()
 
@@ -262,6 +266,7 @@
             addresses[3],
             settings,
             folder / f"{name}.log",
+            self.entry_module,
         )
 
 
--- a/testkit/soak/_run.py
+++ b/testkit/soak/_run.py
@@ -180,6 +180,23 @@
     async def reload(self) -> None:
         self.entry().send(signal.SIGHUP)
 
+    async def move_clocks_until(self, end: float) -> None:
+        """Suspends machines and steps the time of day.
+
+        Its choices have a source of their own, so that seeds that were kept
+        for other faults still choose these.
+        """
+        rng = random.Random(f"clocks {self.report.seed}")
+        while time.monotonic() < end:
+            await asyncio.sleep(rng.uniform(0.5, 4.0))
+            name = rng.choice(list(self.site.entries))
+            number = rng.choice((signal.SIGUSR1, signal.SIGUSR2))
+            # A process that is not ready yet would end with the signal.
+            if await self.site.is_ready(name):
+                self.site.entries[name].send(number)
+                at = round(time.monotonic() - self.started, 2)
+                self.report.faults.append((at, signal.Signals(number).name))
+
     async def cut_runner(self) -> None:
         link = self.rng.choice(self.runner_links)
         link.state = self.rng.choice(list(LinkState))
@@ -287,10 +304,15 @@
 
         site.store_address = store_address
         site.runner_address = runner_address
+        site.entry_module = "testkit.soak._entry"
         await stack.enter_async_context(site)
         soak.started = time.monotonic()
         end = soak.started + options.length
-        await asyncio.gather(soak.call_until(end), soak.break_until(end))
+        await asyncio.gather(
+            soak.call_until(end),
+            soak.break_until(end),
+            soak.move_clocks_until(end),
+        )
         await soak.check_recovery()
         soak.check_history()
         if soak.report.violations and logs is not None:
