Answer anvilctl status at the metrics address

Change: the metrics address answers /v1/status in the same form, with a line on leader, term, targets and waiting jobs. Measured: test_anvilctl_status_of_an_entry asks two real entries.

--- a/anvilford/cli/_views.py
+++ b/anvilford/cli/_views.py
@@ -2,6 +2,8 @@
 
 import argparse
 import json
+from collections.abc import Mapping
+from typing import Any
 
 from anvilford.cli._connection import connect
 from anvilford.cli._context import Session
@@ -44,9 +46,22 @@
             ],
         ),
     ]
+    if "placement" in value:
+        lines.insert(3, _format_placement(value["placement"]))
     return Report(value, "\n".join(lines))
 
 
+def _format_placement(placement: Mapping[str, Any]) -> str:
+    """One line on who places jobs, for entries on the users' platform."""
+    leader = placement["leader"] or "none known"
+    scope = " for its zone only" if placement["is_partial"] else ""
+    waiting = sum(placement["jobs_waiting"].values())
+    return (
+        f"Leader: {leader}{scope}, term {placement['term']}; "
+        f"{placement['targets_listed']} targets, {waiting} jobs waiting"
+    )
+
+
 def targets(arguments: argparse.Namespace, session: Session) -> Report:
     """Runs `anvilctl targets`."""
     value = connect(arguments, session).read("/v1/targets")
--- a/anvilford/node/_main.py
+++ b/anvilford/node/_main.py
@@ -4,6 +4,7 @@
 import asyncio
 import contextlib
 import gc
+import json
 import logging
 import math
 import os
@@ -26,6 +27,7 @@
 from anvilford.node._leader_row import LeaderRow
 from anvilford.node._settings import load_node_settings
 from anvilford.node._settings import NodeSettings
+from anvilford.node._status import describe
 from anvilford.node._sync import DROPPED_KEEP_S
 from anvilford.node._sync import SiteView
 from anvilford.peers import PeerLimits
@@ -59,6 +61,7 @@
 ZONE_PROBE_TIMEOUT_S = 0.1
 ZONE_PROBES = 2
 METRICS_PATH = "/metrics"
+STATUS_PATH = "/v1/status"
 # A lost peer must be noticed within a heartbeat or two.
 PEER_LIMITS = PeerLimits(
     connect_timeout=0.2, backoff_max=0.1, unacknowledged_timeout=2.0
@@ -260,19 +263,29 @@
 
     # Operators and the platform.
 
-    async def _answer_ready(self, request: Request) -> Response:
-        del request
-        is_ready = (
+    @property
+    def is_ready(self) -> bool:
+        """Whether new requests are taken."""
+        return (
             not self.is_leaving
             and self.site.is_complete()
             and self.coordination.leader is not None
         )
-        return Response(200 if is_ready else 503)
+
+    async def _answer_ready(self, request: Request) -> Response:
+        del request
+        return Response(200 if self.is_ready else 503)
 
     async def _answer_metrics(self, request: Request) -> Response:
-        if request.target.partition("?")[0] != METRICS_PATH:
-            return Response(404)
-        return Response(200, self.counters.text().encode(), "text/plain")
+        match request.target.partition("?")[0]:
+            case path if path == METRICS_PATH:
+                text = self.counters.text()
+                return Response(200, text.encode(), "text/plain")
+            case path if path == STATUS_PATH:
+                status = describe(self.coordination, self.is_ready)
+                return Response(200, json.dumps(status).encode())
+            case _:
+                return Response(404)
 
     def _reload(self) -> None:
         loaded = load_node_settings(self.settings_path)
--- a/anvilford/node/_members.py
+++ b/anvilford/node/_members.py
@@ -54,6 +54,10 @@
             _logger.warning("member silent", extra={"member": name})
         self.live = live
 
+    def ages(self, now: float) -> dict[str, float]:
+        """Seconds since each member was heard, by name."""
+        return {name: now - at for name, (_, at) in self._heard.items()}
+
     def known(self) -> tuple[Member, ...]:
         """Members that count for a majority."""
         return tuple(member for member, _ in self._heard.values())
--- a/anvilford/node/tests/test_processes.py
+++ b/anvilford/node/tests/test_processes.py
@@ -3,6 +3,8 @@
 import asyncio
 import json
 import signal
+import subprocess
+import sys
 
 from anvilford.http1 import Answer
 from standins.site import LoopbackSite
@@ -10,6 +12,9 @@
 
 load_tests = function_tests(__name__)
 
+# Entries on the platform do not check it, but the command line wants one.
+OPERATOR_TOKEN = "operator-token-of-the-tests"
+
 
 def run(coroutine):
     """Runs a test's coroutine on a loop of its own."""
@@ -271,3 +276,25 @@
             case.assertEqual([line["again"] for line in started], [False])
 
     run(scenario())
+
+
+def test_anvilctl_status_of_an_entry(case):
+    """Guards against an entry whose view of the leader cannot be asked."""
+
+    async def scenario():
+        async with LoopbackSite(entries=2) as site:
+            await site.submit("entry-0", site.new_id())
+            for entry in site.entries.values():
+                shown = await asyncio.to_thread(
+                    subprocess.run,
+                    [sys.executable, "-m", "anvilford.cli", "status"]
+                    + ["--address", entry.metrics, "--token", OPERATOR_TOKEN],
+                    capture_output=True,
+                    text=True,
+                    check=False,
+                )
+                case.assertEqual(shown.returncode, 0, shown.stderr)
+                case.assertIn(f"Leader: {site.leader()}, term 1", shown.stdout)
+                case.assertIn("4 targets, 0 jobs waiting", shown.stdout)
+
+    run(scenario())
