--- a/anvilford/telemetry/_output.py
+++ b/anvilford/telemetry/_output.py
@@ -30,12 +30,11 @@
         os.set_blocking(descriptor, False)
 
     def write(self, text: str) -> int:
-        """Queues a line and writes what the descriptor takes."""
+        """Queues a line; the handler flushes after each one."""
         if len(self._pending) >= BUFFERED_LINES:
             self._pending.popleft()
             self.dropped += 1
         self._pending.append(text.encode())
-        self.flush()
         return len(text)
 
     def flush(self) -> None:
