Compare the placement policy with baselines and a clairvoyant plan

Change: testkit.orders becomes anvilford.order_model, a package of its own since the experiments package imports matplotlib. It gains checked scenarios, least_loaded_fifo, random_fit, a greedy plan that knows all run times, and a command line.

--- /dev/null
+++ b/anvilford/order_model/__init__.py
@@ -0,0 +1,25 @@
+"""Targets that take orders, on a virtual clock.
+
+For tests of placement, and for comparing policies with what a dispatcher could
+earn that knows the future: `python -m anvilford.order_model SCENARIO.json`.
+"""
+
+from anvilford.order_model._load import Arrival
+from anvilford.order_model._load import arrivals
+from anvilford.order_model._load import JobKind
+from anvilford.order_model._load import Result
+from anvilford.order_model._site import OrderSite
+from anvilford.order_model._site import SiteFaults
+from anvilford.order_model._target import FakeTarget
+from anvilford.order_model._target import overlapping_tasks
+
+__all__ = [
+    "Arrival",
+    "FakeTarget",
+    "JobKind",
+    "OrderSite",
+    "Result",
+    "SiteFaults",
+    "arrivals",
+    "overlapping_tasks",
+]
--- /dev/null
+++ b/anvilford/order_model/__main__.py
@@ -0,0 +1,46 @@
+"""Compares policies: `python -m anvilford.order_model SCENARIO.json`."""
+
+import argparse
+import json
+import pathlib
+import sys
+from collections.abc import Sequence
+
+import attrs
+
+from anvilford.order_model._comparison import compare
+from anvilford.order_model._comparison import format_report
+from anvilford.order_model._scenario import load_scenario
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Plays scenarios and prints their figures.
+
+    Returns:
+        Exit status: 0, or 2 when a scenario is invalid.
+    """
+    parser = argparse.ArgumentParser(prog="python -m anvilford.order_model")
+    parser.add_argument("scenarios", nargs="+", type=pathlib.Path)
+    parser.add_argument("--seeds", nargs="+", type=int)
+    parser.add_argument("--processes", type=int, default=2)
+    parser.add_argument("--out", type=pathlib.Path, help="folder for reports")
+    options = parser.parse_args(argv)
+    for path in options.scenarios:
+        loaded = load_scenario(path)
+        if loaded.is_error():
+            print(f"{path}: {loaded.error.reason}", file=sys.stderr)
+            return 2
+        scenario = loaded.ok
+        if options.seeds:
+            scenario = attrs.evolve(scenario, seeds=options.seeds)
+        report = compare(scenario, options.processes)
+        print(format_report(report), flush=True)
+        if options.out is not None:
+            options.out.mkdir(parents=True, exist_ok=True)
+            text = json.dumps(report, indent=1, sort_keys=True)
+            (options.out / f"{scenario.name}.json").write_text(text + "\n")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/anvilford/order_model/_baselines.py
@@ -0,0 +1,101 @@
+"""Simple policies to compare with, which learn of every end at once.
+
+They know the room of each target but not its speed, admit everything and
+start tasks in the order of arrival.
+"""
+
+import collections
+import enum
+import heapq
+import itertools
+import random
+from collections.abc import Sequence
+
+import attrs
+
+from anvilford.order_model._load import Arrival
+from anvilford.order_model._load import Ending
+from anvilford.order_model._load import LATE_FACTOR
+from anvilford.order_model._load import Result
+from anvilford.order_model._target import FakeTarget
+
+
+class Baseline(enum.Enum):
+    """How a baseline chooses among the targets with room."""
+
+    LEAST_LOADED_FIFO = "least_loaded_fifo"
+    RANDOM_FIT = "random_fit"
+
+
+@attrs.define
+class _Room:
+    target: FakeTarget
+    free: int
+
+    @property
+    def load(self) -> float:
+        return 1.0 - self.free / self.target.record.capacity.cpu_millis
+
+
+def play(
+    baseline: Baseline,
+    jobs: Sequence[Arrival],
+    targets: Sequence[FakeTarget],
+    rng: random.Random,
+) -> Result:
+    """Plays a load with a baseline.
+
+    Args:
+        baseline: The policy.
+        jobs: Jobs in the order of arrival.
+        targets: The targets.
+        rng: Source of chance.
+    """
+    rooms = [_Room(t, t.record.capacity.cpu_millis) for t in targets]
+    waiting: collections.deque[tuple[Arrival, float]] = collections.deque()
+    left = {job.job_id: len(job.seconds) for job in jobs}
+    ended: dict[str, float] = {}
+    order = itertools.count()
+    events: list[tuple] = [(job.at, next(order), job, None, 0) for job in jobs]
+    heapq.heapify(events)
+    while events:
+        now, _, job, room, cpu = heapq.heappop(events)
+        if room is None:
+            waiting.extend((job, seconds) for seconds in job.seconds)
+        else:
+            room.free += cpu
+            left[job.job_id] -= 1
+            if not left[job.job_id]:
+                ended[job.job_id] = now
+        while waiting:
+            first, seconds = waiting[0]
+            if now > first.at + LATE_FACTOR * first.objective:
+                waiting.popleft()  # Its caller has gone.
+                continue
+            cpu = first.spec.steps[0].need.cpu_millis
+            chosen = _choose(baseline, rooms, cpu, rng)
+            if chosen is None:
+                break
+            waiting.popleft()
+            chosen.free -= cpu
+            end = now + seconds / chosen.target.speed
+            heapq.heappush(events, (end, next(order), first, chosen, cpu))
+    result = Result()
+    for job in jobs:
+        at = ended.get(job.job_id)
+        ending = Ending.LOST if at is None else Ending.ANSWERED
+        result.count(job, (at or job.at) - job.at, ending)
+    return result
+
+
+def _choose(
+    baseline: Baseline, rooms: Sequence[_Room], cpu: int, rng: random.Random
+) -> _Room | None:
+    fitting = [room for room in rooms if room.free >= cpu]
+    if not fitting:
+        return None
+    match baseline:
+        case Baseline.LEAST_LOADED_FIFO:
+            return min(fitting, key=lambda room: room.load)
+        case Baseline.RANDOM_FIT:
+            return rng.choice(fitting)
--- a/testkit/orders/_load.py
+++ b/anvilford/order_model/_load.py
@@ -1,5 +1,6 @@
 """Jobs that arrive in the patterns of the users' sites."""
 
+import enum
 import math
 import random
 from collections.abc import Callable
@@ -12,6 +13,11 @@
 from anvilford.placement import Resources
 from anvilford.placement import StepSpec
 
+# A job that ends later than this many times its objective is worth nothing,
+# and a late one this share (the users' sheets).
+LATE_FACTOR = 3.0
+LATE_WORTH = 0.2
+
 
 @attrs.frozen
 class JobKind:
@@ -50,6 +56,20 @@
         policy = self.kind.policy
         return policy.stretch * max(self.seconds) + policy.allowance_ms / 1000
 
+    @property
+    def worth(self) -> float:
+        """Worth of an answer in time, by the job's work."""
+        size = sum(self.seconds) / (self.kind.tasks * self.kind.seconds)
+        return self.kind.worth * min(0.3 + 0.7 * size, 4.0)
+
+
+class Ending(enum.Enum):
+    """How a job ended for its caller."""
+
+    ANSWERED = "answered"
+    REFUSED = "refused"
+    LOST = "lost"
+
 
 @attrs.define
 class Result:
@@ -68,6 +88,24 @@
         """Worth earned over worth owed."""
         return self.earned / self.owed if self.owed else 1.0
 
+    def count(self, job: Arrival, elapsed: float, ending: Ending) -> None:
+        """Adds a job that ended so many seconds after its arrival."""
+        self.asked += 1
+        self.owed += job.worth
+        match ending:
+            case Ending.LOST:
+                self.failed += 1
+            case Ending.REFUSED:
+                self.refused += 1
+            case Ending.ANSWERED if elapsed <= job.objective:
+                self.in_time += 1
+                self.earned += job.worth
+            case Ending.ANSWERED if elapsed <= LATE_FACTOR * job.objective:
+                self.late += 1
+                self.earned += LATE_WORTH * job.worth
+            case _:
+                self.failed += 1
+
 
 def arrivals(
     kinds: list[JobKind],
--- a/testkit/orders/_site.py
+++ b/anvilford/order_model/_site.py
@@ -8,6 +8,11 @@
 
 import attrs
 
+from anvilford.order_model._load import Arrival
+from anvilford.order_model._load import Ending
+from anvilford.order_model._load import Result
+from anvilford.order_model._target import FakeTarget
+from anvilford.order_model._target import overlapping_tasks
 from anvilford.placement import Decision
 from anvilford.placement import FenceLost
 from anvilford.placement import NoAnswer
@@ -21,17 +26,10 @@
 from anvilford.placement import Settle
 from anvilford.placement import StartRun
 from anvilford.placement import StopRun
-from testkit.orders._load import Arrival
-from testkit.orders._load import Result
-from testkit.orders._target import FakeTarget
-from testkit.orders._target import overlapping_tasks
 
 ONE_WAY_S = 0.0005
 TICK_S = 0.02
 ORDER_TIMEOUT_S = 0.15
-# A job that ends later than this many times its objective is worth nothing.
-LATE_FACTOR = 3.0
-LATE_WORTH = 0.2
 DEADLINE_S = 2.3
 
 
@@ -154,7 +152,7 @@
         for job in jobs:
             at, outcome = ended.get(job.job_id, (0.0, None))
             for result in (results[job.kind.policy.name], results["all"]):
-                _count(result, job, at - job.at, outcome)
+                result.count(job, at - job.at, _ending(outcome))
         return results
 
     # Plumbing.
@@ -267,23 +265,9 @@
         self._perform(name)
 
 
-def _count(
-    result: Result, job: Arrival, elapsed: float, outcome: Outcome | None
-) -> None:
-    kind = job.kind
-    size = sum(job.seconds) / (kind.tasks * kind.seconds)
-    worth = kind.worth * min(0.3 + 0.7 * size, 4.0)
-    result.asked += 1
-    result.owed += worth
+def _ending(outcome: Outcome | None) -> Ending:
     if outcome is None or outcome.kind is OutcomeKind.LOST:
-        result.failed += 1
-    elif outcome.kind is OutcomeKind.REFUSED:
-        result.refused += 1
-    elif elapsed <= job.objective:
-        result.in_time += 1
-        result.earned += worth
-    elif elapsed <= LATE_FACTOR * job.objective:
-        result.late += 1
-        result.earned += LATE_WORTH * worth
-    else:
-        result.failed += 1
+        return Ending.LOST
+    if outcome.kind is OutcomeKind.REFUSED:
+        return Ending.REFUSED
+    return Ending.ANSWERED
--- /dev/null
+++ b/anvilford/order_model/tests/test_comparison.py
@@ -0,0 +1,79 @@
+"""Tests of the comparison of policies."""
+
+import json
+import pathlib
+import random
+import tempfile
+
+from anvilford.order_model import _baselines
+from anvilford.order_model import _reference
+from anvilford.order_model._comparison import compare
+from anvilford.order_model._scenario import load_scenario
+from anvilford.placement import Resources
+from testkit import fixture
+from testkit import function_tests
+
+load_tests = function_tests(__name__)
+
+SCENARIOS = pathlib.Path(__file__).parents[1] / "scenarios"
+
+
+@fixture
+def scenario():
+    """The crest of the users' site, shortened."""
+    value = json.loads((SCENARIOS / "kerlann_crest.json").read_text())
+    value |= {"length_s": 4.0, "seeds": [1, 2]}
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder) / "short.json"
+        path.write_text(json.dumps(value))
+        yield load_scenario(path).ok
+
+
+def test_policies_keep_their_order(case, scenario):
+    """Guards against a reference below ours, or baselines that see too much."""
+    report = compare(scenario)
+    worth = {p: f["worth"] for p, f in report["policies"].items()}
+    case.assertLess(worth["least_loaded_fifo"], worth["anvilford"])
+    case.assertLess(worth["random_fit"], worth["anvilford"])
+    case.assertLess(worth["anvilford"], worth["clairvoyant"])
+    case.assertEqual(report, compare(scenario))
+
+
+def test_reference_never_overbooks(case, scenario):
+    """Guards against a reference that earns more than targets can do."""
+    (target,) = scenario.make_targets()[:1]
+    need = Resources(target.record.capacity.cpu_millis)
+    timeline = _reference._Timeline(need.cpu_millis, 1.0)
+    for _ in range(5):
+        start = timeline.find_start(need, 1.0, after=0.0, end_by=3.0)
+        if start is not None:
+            timeline.reserve(need, start, start + 1.0)
+    case.assertEqual([span[0] for span in timeline.spans], [0.0, 1.0, 2.0])
+    jobs = scenario.make_jobs(1, 0.1)
+    one = _reference.plan(jobs, [target])
+    case.assertEqual(one.asked, len(jobs))
+    case.assertLess(one.share, 0.2)
+
+
+def test_baseline_serves_a_light_load(case, scenario):
+    """Guards against a baseline that is weak by a fault of its own."""
+    jobs = scenario.make_jobs(1, 0.1)[::8]
+    targets = scenario.make_targets()
+    for target in targets:
+        # The baselines do not know speeds, so that slow targets cost them.
+        target.speed = 1.0
+    for baseline in _baselines.Baseline:
+        with case.subTest(baseline=baseline.value):
+            result = _baselines.play(baseline, jobs, targets, random.Random(1))
+            case.assertGreater(result.share, 0.9)
+
+
+def test_invalid_scenarios_are_refused(case):
+    """Guards against a mistyped scenario that is played all the same."""
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder) / "bad.json"
+        good = json.loads((SCENARIOS / "kerlann_day.json").read_text())
+        for change in ({"length_s": -1}, {"unheard": 1}, {"targets": 3}):
+            with case.subTest(change=change):
+                path.write_text(json.dumps(good | change))
+                case.assertTrue(load_scenario(path).is_error())
--- a/anvilford/placement/tests/_shared.py
+++ b/anvilford/placement/tests/_shared.py
@@ -4,16 +4,16 @@
 import math
 import random
 
+from anvilford.order_model import Arrival
+from anvilford.order_model import FakeTarget
+from anvilford.order_model import JobKind
+from anvilford.order_model import OrderSite
 from anvilford.placement import JobSpec
 from anvilford.placement import QueuePolicy
 from anvilford.placement import Resources
 from anvilford.placement import StepSpec
 from anvilford.placement import TargetRecord
 from testkit import fixture
-from testkit.orders import Arrival
-from testkit.orders import FakeTarget
-from testkit.orders import JobKind
-from testkit.orders import OrderSite
 
 SERVICE = "line"
 _numbers = itertools.count(1)
--- a/anvilford/placement/tests/test_load.py
+++ b/anvilford/placement/tests/test_load.py
@@ -5,6 +5,8 @@
 
 import attrs
 
+from anvilford.order_model import arrivals
+from anvilford.order_model import OrderSite
 from anvilford.placement import _admission as admission
 from anvilford.placement import OutcomeKind
 from anvilford.placement.tests._shared import CHECK
@@ -15,8 +17,6 @@
 from anvilford.placement.tests._shared import users_targets
 from anvilford.placement.tests._shared import wave
 from testkit import function_tests
-from testkit.orders import arrivals
-from testkit.orders import OrderSite
 
 load_tests = function_tests(__name__)
 
--- a/anvilford/placement/tests/test_placer.py
+++ b/anvilford/placement/tests/test_placer.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from anvilford.order_model import arrivals
+from anvilford.order_model import OrderSite
 from anvilford.placement import OutcomeKind
 from anvilford.placement import RunEnd
 from anvilford.placement.tests._shared import job
@@ -11,8 +13,6 @@
 from anvilford.placement.tests._shared import users_targets
 from anvilford.placement.tests._shared import wave
 from testkit import function_tests
-from testkit.orders import arrivals
-from testkit.orders import OrderSite
 
 load_tests = function_tests(__name__)
 __all__ = ["load_tests", "site"]
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -8,6 +8,7 @@
 from anvilford.http1 import ListenerLimits
 from anvilford.http1 import Request
 from anvilford.http1 import Response
+from anvilford.order_model import FakeTarget
 from anvilford.placement import Accepted
 from anvilford.placement import LifeReplaced
 from anvilford.placement import Poll
@@ -19,7 +20,6 @@
 from anvilford.placement import StopRun
 from anvilford.placement import TargetRecord
 from standins.rows import RowStore
-from testkit.orders import FakeTarget
 
 _REASONS = {
     Refusal.FENCE: "fence",
--- a/standins/site.py
+++ b/standins/site.py
@@ -19,9 +19,9 @@
 from anvilford.http1 import Answer
 from anvilford.http1 import CallFailed
 from anvilford.http1 import HttpClient
+from anvilford.order_model import overlapping_tasks
 from standins.rows import RowStore
 from standins.runner import RunnerStandin
-from testkit.orders import overlapping_tasks
 
 HOST = "queue.example"
 SERVICE = "line"
