Draw captured logs as a page with plots

Change: anvilctl report reads captured lines and writes one HTML page: requests a second by outcome with the changes of the leader, waiting, shares by zone and queue, reasons of what was not served.

--- a/anvilford/cli/_arguments.py
+++ b/anvilford/cli/_arguments.py
@@ -10,6 +10,7 @@
 from anvilford.cli import _views
 from anvilford.cli._context import EXIT_CODES_HELP
 from anvilford.cli._explain import explain
+from anvilford.cli._report import report
 from anvilford.configuration import Preset
 
 
@@ -30,6 +31,7 @@
     commands = parser.add_subparsers(required=True, metavar="COMMAND")
     builder = _Builder(commands, shared)
     _add_views(builder)
+    _add_report(builder)
     _add_configuration(builder)
     _add_job(builder)
     commands.add_parser(
@@ -99,6 +101,15 @@
     )
 
 
+def _add_report(builder: _Builder) -> None:
+    sub = builder.add(
+        builder.commands, "report", "draw captured logs as a page", report
+    )
+    sub.add_argument("files", metavar="FILE", nargs="+", help="captured logs")
+    sub.add_argument("--page", required=True, metavar="HTML")
+    sub.add_argument("--title", metavar="TEXT")
+
+
 def _shared_options() -> argparse.ArgumentParser:
     # Defaults are left out of the namespace, so that an option may stand
     # before or after the command.
