Move the search for a leader into a module of its own

Change: Knowledge holds members and term, LeaderSearch asks members, row and zones and lets the election decide; Coordination follows, leads and acts.

--- a/anvilford/node/_coordination.py
+++ b/anvilford/node/_coordination.py
@@ -7,7 +7,6 @@
 from collections.abc import Iterable
 
 from anvilford.leadership import ClaimRow
-from anvilford.leadership import decide
 from anvilford.leadership import FENCES_PER_TERM
 from anvilford.leadership import find_leader
 from anvilford.leadership import Follow
@@ -15,35 +14,31 @@
 from anvilford.leadership import Leader
 from anvilford.leadership import Member
 from anvilford.leadership import Opinion
-from anvilford.leadership import Situation
 from anvilford.leadership import Wait
 from anvilford.node import _clock as clock
 from anvilford.node._driver import PlacerDriver
 from anvilford.node._leader_row import LeaderRow
 from anvilford.node._members import Members
+from anvilford.node._search import Knowledge
+from anvilford.node._search import LeaderSearch
+from anvilford.node._search import QUERY_TIMEOUT_S
+from anvilford.node._search import Sighting
 from anvilford.node._sync import SiteView
 from anvilford.peers import PeerLinks
 from anvilford.placement import TargetRecord
 from anvilford.protocol import Heartbeat
 from anvilford.protocol import HeartbeatReply
 from anvilford.protocol import LeaderAnnounced
-from anvilford.protocol import LeaderQuery
 from anvilford.telemetry import Counters
 
 HEARTBEAT_S = 0.15
 # Round trips take a few milliseconds; a machine that is five times slower
 # still answers within this.
 HEARTBEAT_TIMEOUT_S = 0.25
-QUERY_TIMEOUT_S = 0.15
-# Answers of members that live come within a few milliseconds of each other.
-MINORITY_WAIT_S = 0.02
 # A heartbeat is answered within a few milliseconds; no job is offered to a
 # leader that has not answered for this long.
 DOUBT_S = 0.05
 RENEW_S = 1.0
-# The row is read this often while a leader is sought elsewhere.
-ROW_LOOK_S = 0.3
-ROW_LOOK_TIMEOUT_S = 0.2
 # Writing the row for the first time is tried this often.
 FIRST_WRITE_RETRY_S = 0.3
 SEEK_PAUSE_S = 0.08
@@ -65,16 +60,13 @@
         counters: Receives counts.
         make_driver: Makes the driver of a new placer from its fence; the flag
             tells that it serves a part of the site only.
-        reaches_other_zones: Tells whether targets outside the own zone can be
-            reached.
         leader: Who places jobs; None while that is not known.
         driver: The placer of this member while it leads.
         is_leaving: True after a planned stop began.
         members: Members that this member hears while it leads.
-        known: Members that the last leader heard of.
-        met_leader: Whether a leader has told its members.
+        knowledge: What this member knows of members and terms.
+        search: Looks for a leader.
         pending: Jobs that have not begun, by queue.
-        term: Highest term known.
         fence: Highest fencing token of a leader that this member followed.
         has_row: Whether this member wrote the row in its term.
     """
@@ -95,16 +87,15 @@
         self.site = site
         self.counters = counters
         self.make_driver = make_driver
-        self.reaches_other_zones = reaches_other_zones
         self.leader: Leader | None = None
         self.driver: PlacerDriver | None = None
         self.is_leaving = False
         self.members = Members(me)
-        self.known: tuple[Member, ...] = ()
-        self.met_leader = False
-        self._askers: dict[str, Member] = {}
         self.pending: dict[str, int] = {}
-        self.term = 0
+        self.knowledge = Knowledge(me)
+        self.search = LeaderSearch(
+            self.knowledge, links, row, reaches_other_zones
+        )
         self.fence = 0
         self.has_row = False
         self._changed = asyncio.Event()
@@ -113,9 +104,13 @@
         self._unanswered_since: float | None = None
         self._reclaim_at = 0.0
         self._write_at = 0.0
-        self._looked_at = 0.0
         self._renewal: asyncio.Task | None = None
 
+    @property
+    def term(self) -> int:
+        """Highest term known."""
+        return self.knowledge.term
+
     # For offers.
 
     async def wait_for_change(self, timeout: float) -> None:
@@ -170,13 +165,13 @@
             if not self.leader.is_partial:
                 # The reply names the members: should this leader die young,
                 # they know each other.
-                self.known = self.members.known()
+                self.knowledge.members = self.members.known()
             self.overtake(message.fence)
         return HeartbeatReply(
             self.term,
             self._leads,
             self.is_leaving,
-            self.known if self._leads else (),
+            self.knowledge.members if self._leads else (),
             self.pending if self._leads else {},
             self.site.table.version if self.site.table else 0,
         )
@@ -190,12 +185,13 @@
         if not self._leads or self.leader.is_partial:
             return
         if fence > self.leader.fence:
-            self.term = max(self.term, fence // FENCES_PER_TERM)
+            self.knowledge.learn_term(fence // FENCES_PER_TERM)
             self._raise_term()
 
     async def receive_query(self, asker: Member) -> Opinion:
         """Answers whether this member leads or reaches its leader."""
-        self._learn_member(asker)
+        if not self._leads:
+            self.knowledge.askers[asker.name] = asker
         leader = self.leader
         reaches = self._leads and not self.is_leaving
         if leader is not None and self.driver is None:
@@ -227,7 +223,8 @@
 
     async def run(self) -> None:
         """Follows, seeks or leads until cancelled."""
-        first_read = asyncio.ensure_future(self._read_row_first())
+        first_read = asyncio.ensure_future(self.search.read_row_first())
+        first_read.add_done_callback(lambda _: self._wake.set())
         try:
             while True:
                 try:
@@ -238,16 +235,6 @@
         finally:
             first_read.cancel()
 
-    async def _read_row_first(self) -> None:
-        """Reads the row beside the loop until that has worked once.
-
-        A slow store takes longer than the loop waits for it.
-        """
-        while not self.row.is_known:
-            if not await self.row.read():
-                await asyncio.sleep(SEEK_PAUSE_S)
-        self._wake.set()
-
     async def _step(self) -> None:
         if self.driver is not None and self.leader is not None:
             await self._lead_step()
@@ -266,7 +253,7 @@
     # Following.
 
     def _follow(self, leader: Leader) -> None:
-        self.term = max(self.term, leader.term)
+        self.knowledge.learn_term(leader.term)
         if leader.member != self.me:
             self._retire_driver()
         self._set_leader(leader)
@@ -322,11 +309,9 @@
             case HeartbeatReply(leading=True) as reply:
                 self.site.expect_configuration(reply.configuration_version)
                 if reply.members:
-                    self.known = reply.members
-                    self.met_leader = True
-                    self._askers.clear()
+                    self.knowledge.learn_members(reply.members)
                 self.pending = reply.pending
-                self.term = max(self.term, reply.term)
+                self.knowledge.learn_term(reply.term)
                 if self.leader == leader and reply.term > leader.term:
                     self._set_leader(
                         Leader(reply.term, leader.member, leader.is_partial)
@@ -336,7 +321,7 @@
                     return True
                 self._lose(leader, "leaving")
             case HeartbeatReply(term=term):
-                self.term = max(self.term, term)
+                self.knowledge.learn_term(term)
                 self._lose(leader, "not_leading")
             case _:
                 self.counters.increment("heartbeats_failed")
@@ -357,51 +342,13 @@
         return not self.is_leaving and self.site.is_complete()
 
     async def _seek_step(self) -> None:
-        if not self.row.is_known and not self.met_leader:
-            # A fresh process knows at most some of the members, which says
-            # nothing about whether there is a leader.
+        if not self.search.may_begin:
             await self._pause(SEEK_PAUSE_S)
             return
-        opinions = await self._ask()
-        others = len(self._others())
-        reaches_zones = True
-        if 2 * (1 + len(opinions)) <= 1 + others or not others:
-            if await self.row.read(ROW_LOOK_TIMEOUT_S) and not others:
-                self._learn_from_row()
-                opinions = await self._ask()
-            self._learn_from_row()
-            if others:
-                reaches_zones = await self.reaches_other_zones()
+        sighting = await self.search.look()
         if self.leader is not None:
             return
-        self._learn_from_row()
-        self.term = max([self.term, *(o.term for o in opinions)])
-        situation = Situation(
-            self.me,
-            self._can_lead(),
-            self.term,
-            self._others(),
-            opinions,
-            self.row.reaches_store,
-            clock.now() - self.row.changed_at,
-            reaches_zones,
-            self.row.leader.member if self.row.leader else None,
-        )
-        move = decide(situation)
-        _logger.info(
-            "leader sought",
-            extra={
-                "move": type(move).__name__,
-                "reason": getattr(move, "reason", ""),
-                "term": self.term,
-                "members_known": 1 + len(situation.known),
-                "members_reached": len(opinions),
-                "reaches_store": situation.reaches_store,
-                "reaches_other_zones": reaches_zones,
-                "row_age_ms": int(situation.row_unchanged_s * 1000),
-            },
-        )
-        match move:
+        match self.search.choose(sighting, self._can_lead()):
             case Follow(leader):
                 self._follow(leader)
             case Lead(is_partial):
@@ -409,71 +356,17 @@
             case ClaimRow():
                 await self._claim_row()
             case Wait():
-                if not await self._try_leaders(opinions):
+                if not await self._try_leaders(sighting):
                     await self._pause(SEEK_PAUSE_S)
 
-    async def _try_leaders(self, opinions: list[Opinion]) -> bool:
-        """Follows a leader that others or the row name, if it answers."""
-        named = {o.leader for o in opinions if o.reaches_leader}
-        now = clock.now()
-        if now - self._looked_at >= ROW_LOOK_S:
-            self._looked_at = now
-            if await self.row.read(ROW_LOOK_TIMEOUT_S):
-                self._learn_from_row()
-                if self.row.leader is not None:
-                    named.add(self.row.leader)
-        for leader in sorted(named, key=lambda x: -x.fence):
-            if leader.member == self.me or leader.is_partial:
-                continue
+    async def _try_leaders(self, sighting: Sighting) -> bool:
+        """Follows a leader that is named, if it answers."""
+        for leader in await self.search.named_leaders(sighting):
             if await self._beat(leader, QUERY_TIMEOUT_S):
                 self._follow(leader)
                 return True
         return False
 
-    def _others(self) -> list[Member]:
-        members = {m.name: m for m in self.known} | self._askers
-        return [m for name, m in members.items() if name != self.me.name]
-
-    def _learn_member(self, member: Member) -> None:
-        """Notes a member that the last leader may not have heard of.
-
-        While all processes are young, members know different parts of the
-        site and would each wait for another one to lead.
-        """
-        if not self._leads:
-            self._askers[member.name] = member
-
-    def _learn_from_row(self) -> None:
-        self.known = self.known or self.row.members
-        if self.row.leader is not None:
-            self.term = max(self.term, self.row.leader.term)
-
-    async def _ask(self) -> list[Opinion]:
-        """Asks all members; does not wait long for a minority."""
-        query = LeaderQuery(self.me, self.term)
-        others = self._others()
-        waiting = {
-            asyncio.ensure_future(
-                self.links.call(member.address, query, QUERY_TIMEOUT_S)
-            )
-            for member in others
-        }
-        opinions: list[Opinion] = []
-        end = clock.now() + QUERY_TIMEOUT_S
-        while waiting and clock.now() < end:
-            done, waiting = await asyncio.wait(
-                waiting,
-                timeout=end - clock.now(),
-                return_when=asyncio.FIRST_COMPLETED,
-            )
-            found = [task.result().default_value(None) for task in done]
-            opinions += [o for o in found if isinstance(o, Opinion)]
-            if 2 * (1 + len(opinions)) > 1 + len(others):
-                end = min(end, clock.now() + MINORITY_WAIT_S)
-        for task in waiting:
-            task.cancel()
-        return opinions
-
     async def _claim_row(self) -> None:
         """Leads if the row can be written; there is nobody to ask."""
         leader = Leader(self.term + 1, self.me)
@@ -481,7 +374,7 @@
             self._lead(leader)
             self.has_row = True
         else:
-            self._learn_from_row()
+            self.search.learn_from_row()
             await self._pause(SEEK_PAUSE_S)
 
     # Leading.
@@ -489,9 +382,9 @@
     def _lead(self, leader: Leader) -> None:
         now = clock.now()
         self._retire_driver()
-        self.term = leader.term
+        self.knowledge.term = leader.term
         self.has_row = False
-        self.members.reset([self.me, *self._others()], now)
+        self.members.reset([self.me, *self.knowledge.others], now)
         self._set_leader(leader)
         self._reached_leader_at = now
         self._write_at = now
@@ -504,7 +397,7 @@
         self._announce(leader)
 
     def _announce(self, leader: Leader) -> None:
-        for member in self._others():
+        for member in self.knowledge.others:
             if not leader.is_partial or member.zone == self.me.zone:
                 self.links.send(member.address, LeaderAnnounced(leader))
 
@@ -535,7 +428,9 @@
         """Writes the row; steps down if it names a newer leader."""
         leader = self.leader
         version = self.row.version
-        written = await self.row.write(leader, self.known or (self.me,))
+        written = await self.row.write(
+            leader, self.knowledge.members or (self.me,)
+        )
         if self.leader != leader or self.driver is None:
             return
         if written:
@@ -548,7 +443,7 @@
             return
         if named.member.name == self.me.name:
             # Written by an earlier process on this VM.
-            self.term = max(self.term, named.term)
+            self.knowledge.learn_term(named.term)
             self._raise_term()
         elif named.fence > leader.fence:
             self._step_down("deposed")
@@ -560,7 +455,7 @@
         """Takes a higher term, so that all targets obey again."""
         self._reclaim_at = 0.0
         leader = Leader(self.term + 1, self.me)
-        self.term = leader.term
+        self.knowledge.term = leader.term
         self._set_leader(leader)
         self.driver.raise_fence(leader.fence)
         self._announce(leader)
@@ -571,7 +466,7 @@
         for entry in self.driver.waiting_entries() - self.members.live:
             self.driver.withdraw_entry(entry)
         if not self.leader.is_partial:
-            self.known = self.members.known()
+            self.knowledge.members = self.members.known()
         self.pending = self.driver.placer.waiting_by_queue()
 
     def on_fence_lost(self, driver: PlacerDriver) -> None:
@@ -607,7 +502,7 @@
 
     async def _look_for_leader(self) -> None:
         """Hands the zone back once the site's leader can be reached."""
-        opinions = await self._ask()
+        opinions = await self.search.ask()
         leader = find_leader(self.me, 0, opinions)
         if leader is None or leader.is_partial or self.driver is None:
             return
--- a/anvilford/node/_status.py
+++ b/anvilford/node/_status.py
@@ -41,7 +41,9 @@
         "store": {"reachable": coordination.row.reaches_store},
         "vms": [
             _describe_member(member, ages, coordination)
-            for member in sorted(coordination.known, key=lambda m: m.name)
+            for member in sorted(
+                coordination.knowledge.members, key=lambda m: m.name
+            )
         ],
         "placement": {
             "leader": leader.member.name if leader else None,
