Hand the learned speeds of targets to the next leader

Change: the leader writes the speeds of targets with three runs or more to a row of their own every 3 s, beside the renewal of its own row; a new leader reads them beside its first decisions. They name a life of a target and count as no sample, so that the first runs correct them. Tests: test_speeds_are_handed_to_the_next_placer and test_speeds_outlive_the_leader.

--- a/anvilford/node/_coordination.py
+++ b/anvilford/node/_coordination.py
@@ -23,6 +23,7 @@
 from anvilford.node._search import LeaderSearch
 from anvilford.node._search import QUERY_TIMEOUT_S
 from anvilford.node._search import Sighting
+from anvilford.node._speed_row import SpeedRow
 from anvilford.node._sync import SiteView
 from anvilford.peers import PeerLinks
 from anvilford.placement import TargetRecord
@@ -39,6 +40,8 @@
 # leader that has not answered for this long.
 DOUBT_S = 0.05
 RENEW_S = 1.0
+# Speeds change within seconds at most; a successor corrects what is old.
+SPEEDS_S = 3.0
 # Writing the row for the first time is tried this often.
 FIRST_WRITE_RETRY_S = 0.3
 SEEK_PAUSE_S = 0.08
@@ -56,6 +59,7 @@
         me: This member.
         links: Connections to other members.
         row: The leader's row in the store.
+        speed_row: The row with what leaders learned of targets' speeds.
         site: Configuration and targets.
         counters: Receives counts.
         make_driver: Makes the driver of a new placer from its fence; the flag
@@ -76,6 +80,7 @@
         me: Member,
         links: PeerLinks,
         row: LeaderRow,
+        speed_row: SpeedRow,
         site: SiteView,
         counters: Counters,
         make_driver: Callable[[int, bool], PlacerDriver],
@@ -84,6 +89,7 @@
         self.me = me
         self.links = links
         self.row = row
+        self.speed_row = speed_row
         self.site = site
         self.counters = counters
         self.make_driver = make_driver
@@ -104,7 +110,10 @@
         self._unanswered_since: float | None = None
         self._reclaim_at = 0.0
         self._write_at = 0.0
+        self._speeds_due_at = 0.0
         self._renewal: asyncio.Task | None = None
+        # Keeps a reference to the call to the speeds' row that is under way.
+        self._speed_call: asyncio.Task | None = None
 
     @property
     def term(self) -> int:
@@ -388,6 +397,7 @@
         self._set_leader(leader)
         self._reached_leader_at = now
         self._write_at = now
+        self._speeds_due_at = now + SPEEDS_S
         self.site.places_jobs = True
         self.driver = self.make_driver(leader.fence, leader.is_partial)
         self.driver.open(
@@ -395,6 +405,24 @@
             self._in_scope(self.site.dropped_targets()),
         )
         self._announce(leader)
+        self._speed_call = asyncio.ensure_future(self._take_speeds(self.driver))
+
+    async def _take_speeds(self, driver: PlacerDriver) -> None:
+        """Begins with the speeds that the last leader learned.
+
+        Beside the loop: jobs are placed meanwhile as if they were not known.
+        """
+        driver.assume_speeds(await self.speed_row.read())
+
+    def _keep_speeds(self) -> None:
+        """Writes the learned speeds, beside the renewal of the leader's row."""
+        now = clock.now()
+        if now < self._speeds_due_at or not self._speed_call.done():
+            return
+        self._speeds_due_at = now + SPEEDS_S
+        self._speed_call = asyncio.ensure_future(
+            self.speed_row.write(self.driver.learned_speeds())
+        )
 
     def _announce(self, leader: Leader) -> None:
         for member in self.knowledge.others:
@@ -436,6 +464,7 @@
         if written:
             self.has_row = True
             self._write_at = clock.now() + RENEW_S
+            self._keep_speeds()
             return
         self._write_at = clock.now() + FIRST_WRITE_RETRY_S
         named = self.row.leader
--- a/anvilford/node/_driver.py
+++ b/anvilford/node/_driver.py
@@ -107,6 +107,17 @@
         self.placer.raise_fence(fence, self._now())
         self._flush()
 
+    def learned_speeds(self) -> dict[str, float]:
+        """Speeds of targets, for the next placer."""
+        return self.placer.fleet.learned_speeds()
+
+    def assume_speeds(self, speeds: dict[str, float]) -> None:
+        """Takes the speeds that an earlier placer learned."""
+        if self._closed or not speeds:
+            return
+        taken = self.placer.fleet.assume_speeds(speeds)
+        _logger.info("speeds taken over", extra={"targets": taken})
+
     async def place(self, offer: Offer) -> Outcome:
         """Places a job; returns when it has ended."""
         # Reading the time may close the driver, so it comes before the check.
--- a/anvilford/node/_main.py
+++ b/anvilford/node/_main.py
@@ -27,6 +27,7 @@
 from anvilford.node._leader_row import LeaderRow
 from anvilford.node._settings import load_node_settings
 from anvilford.node._settings import NodeSettings
+from anvilford.node._speed_row import SpeedRow
 from anvilford.node._status import describe
 from anvilford.node._sync import DROPPED_KEEP_S
 from anvilford.node._sync import SiteView
@@ -135,6 +136,7 @@
             me,
             self.links,
             LeaderRow(self.store, self.counters),
+            SpeedRow(self.store, self.counters),
             self.site,
             self.counters,
             self._make_driver,
--- a/anvilford/node/tests/test_coordination.py
+++ b/anvilford/node/tests/test_coordination.py
@@ -83,6 +83,7 @@
         ME,
         Peers(),
         Row(),
+        mock.AsyncMock(name="speed_row"),
         view,
         Counters(),
         mock.Mock(name="make_driver", return_value=driver),
--- a/anvilford/node/tests/test_processes.py
+++ b/anvilford/node/tests/test_processes.py
@@ -298,3 +298,28 @@
                 case.assertIn("4 targets, 0 jobs waiting", shown.stdout)
 
     run(scenario())
+
+
+def test_speeds_outlive_the_leader(case):
+    """Guards against learned speeds that are lost with the leader."""
+
+    async def scenario():
+        async with LoopbackSite(runners=2) as site:
+            end = asyncio.get_running_loop().time() + 5.0
+            while asyncio.get_running_loop().time() < end:
+                await site.submit("entry-0", site.new_id(), 0.05, 4)
+            leader = site.leader()
+            name = next(name for name in site.entries if name != leader)
+            site.entries[leader].end(signal.SIGKILL)
+            await asyncio.sleep(1.5)
+            answer = await site.submit(name, site.new_id())
+            case.assertEqual(status(answer), 200)
+            taken = [
+                line["targets"]
+                for entry in site.entries.values()
+                for line in entry.lines()
+                if line["message"] == "speeds taken over"
+            ]
+            case.assertEqual(taken, [2])
+
+    run(scenario())
--- a/anvilford/placement/_target_list.py
+++ b/anvilford/placement/_target_list.py
@@ -1,6 +1,7 @@
 """The targets of a placer, as the platform lists them."""
 
 from collections.abc import Iterable
+from collections.abc import Mapping
 
 from anvilford.placement._model import PlacementOptions
 from anvilford.placement._model import TargetRecord
@@ -16,6 +17,14 @@
 # partition with runs of another placer; the longest cuts last 12 s.
 UNLISTED_KEEP_S = 20.0
 
+# Speeds of fewer runs say more of the tasks than of the target.
+ENOUGH_SAMPLES = 3
+
+
+def _life_key(target: Target) -> str:
+    """Names a life of a target; another life may be of another kind."""
+    return f"{target.record.target_id}/{target.record.life}"
+
 
 class TargetList:
     """Targets by id and by service.
@@ -44,6 +53,30 @@
         """Targets that run a service."""
         return self._by_service.get(service, [])
 
+    def learned_speeds(self) -> dict[str, float]:
+        """Speeds of the targets that have run enough, for the next placer."""
+        return {
+            _life_key(target): round(target.speed, 2)
+            for target in self.targets.values()
+            if target.samples >= ENOUGH_SAMPLES
+        }
+
+    def assume_speeds(self, speeds: Mapping[str, float]) -> int:
+        """Takes an earlier placer's speeds for targets that have not run yet.
+
+        They count as no sample, so that the first runs here correct them fast.
+
+        Returns:
+            Number of targets whose speed was taken.
+        """
+        taken = 0
+        for target in self.targets.values():
+            speed = speeds.get(_life_key(target))
+            if speed is not None and speed > 0 and not target.samples:
+                target.speed = speed
+                taken += 1
+        return taken
+
     def is_claiming(self, now: float) -> bool:
         """Whether the first polls of this placer are still under way."""
         return now - self.started_at < CLAIM_RETRY_S and any(
--- a/anvilford/placement/tests/test_placer.py
+++ b/anvilford/placement/tests/test_placer.py
@@ -329,3 +329,26 @@
     at, _, _, outcome = site.outcomes[-1]
     case.assertIs(outcome.kind, OutcomeKind.LOST)
     case.assertLess(at - first.at, 0.6)
+
+
+def test_speeds_are_handed_to_the_next_placer(case):
+    """Guards against a successor that takes all targets for equally fast.
+
+    At a crest it gave long tasks to slow targets until it had learned.
+    """
+    made = OrderSite([make_target("slow", speed=0.5), make_target("fast")])
+    placer = made.add_placer("p", 1)
+    made.run(0.1)
+    for _ in range(4):
+        made.offer("p", job(tasks=4, at=made.now))
+        made.run(made.now + 0.5)
+    speeds = placer.fleet.learned_speeds()
+    made.remove_placer("p")
+    successor = made.add_placer("q", 2)
+    case.assertEqual(successor.fleet.assume_speeds(speeds), 2)
+    case.assertLess(successor.fleet.targets["slow"].speed, 0.7)
+    # Another life of a target may be of another kind.
+    made.targets["slow"].restart(99, made.now)
+    other = made.add_placer("r", 3)
+    case.assertEqual(other.fleet.assume_speeds(speeds), 1)
+    case.assertEqual(other.fleet.targets["slow"].speed, 1.0)
