Read captured log lines in one place

Cause: explain, report and explain_failures each parsed captured lines. Change: anvilford.captured_logs reads them for all three.

--- /dev/null
+++ b/anvilford/captured_logs/__init__.py
@@ -0,0 +1,6 @@
+"""Reads captured log lines of entries back."""
+
+from anvilford.captured_logs._lines import parse_line
+from anvilford.captured_logs._lines import read_lines
+
+__all__ = ["parse_line", "read_lines"]
--- a/anvilford/cli/_explain.py
+++ b/anvilford/cli/_explain.py
@@ -1,12 +1,12 @@
 """`anvilctl explain`: what captured logs tell of one job."""
 
 import argparse
-import json
 import pathlib
 import sys
 from collections.abc import Iterable
 from typing import Any
 
+from anvilford.captured_logs import read_lines
 from anvilford.cli._connection import usage_error
 from anvilford.cli._context import Session
 from anvilford.cli._output import format_table
@@ -70,7 +70,7 @@
 
 
 def _read(files: Iterable[str]) -> Iterable[dict[str, Any]]:
-    """Reads JSON lines; text before the first brace of a line is ignored."""
+    """Reads the lines of captured logs; - is standard input."""
     for name in files:
         try:
             text = (
@@ -80,14 +80,7 @@
             )
         except OSError as error:
             raise usage_error(f"{name}: {error.strerror}.") from error
-        for line in text.splitlines():
-            start = line.find("{")
-            if start < 0:
-                continue
-            try:
-                yield json.loads(line[start:])
-            except ValueError:
-                continue  # A line that was cut, or of another program.
+        yield from read_lines(text.splitlines())
 
 
 def _cause(lines: list[dict[str, Any]]) -> str:
--- a/anvilford/reports/_series.py
+++ b/anvilford/reports/_series.py
@@ -2,12 +2,13 @@
 
 import collections
 import datetime
-import json
 from collections.abc import Iterable
 from typing import Any
 
 import attrs
 
+from anvilford.captured_logs import read_lines
+
 # The outcomes of requests, in the order in which plots stack them.
 OUTCOMES = ("served", "refused", "lost")
 SERVED = 200
@@ -46,8 +47,7 @@
     Args:
         texts: Lines of any number of entries, in any order.
     """
-    lines = [line for text in texts if (line := _parse(text)) is not None]
-    lines.sort(key=lambda line: line["at"])
+    lines = sorted(_read(texts), key=lambda line: line["at"])
     day = Day()
     if not lines:
         return day
@@ -77,18 +77,14 @@
     return day
 
 
-def _parse(text: str) -> dict[str, Any] | None:
-    start = text.find("{")
-    if start < 0:
-        return None
-    try:
-        line = json.loads(text[start:])
-        moment = datetime.datetime.fromisoformat(line["time"])
-        line["message"]
-    except (ValueError, KeyError, TypeError):
-        return None  # Of another program, or a line that was cut.
-    line["at"] = moment.timestamp()
-    return line
+def _read(texts: Iterable[str]) -> Iterable[dict[str, Any]]:
+    """Lines with their moment as `at`, in seconds."""
+    for line in read_lines(texts):
+        try:
+            moment = datetime.datetime.fromisoformat(line["time"])
+        except (ValueError, TypeError):
+            continue  # Of another program that writes JSON as well.
+        yield line | {"at": moment.timestamp()}
 
 
 def _count(
--- a/benchmarks/explain_failures.py
+++ b/benchmarks/explain_failures.py
@@ -8,13 +8,12 @@
 
 import argparse
 import collections
-import json
 import pathlib
 import random
 import sys
 from collections.abc import Sequence
-from typing import Any
 
+from anvilford.captured_logs import read_lines
 from anvilford.cli import main as anvilctl
 from anvilford.cli._explain import CAUSES
 
@@ -24,27 +23,12 @@
 NO_END = "no end"
 
 
-def read_lines(path: pathlib.Path) -> list[dict[str, Any]]:
-    """Reads JSON lines; text before the first brace is ignored."""
-    lines = []
-    for text in path.read_text("utf-8", "replace").splitlines():
-        start = text.find("{")
-        if start < 0:
-            continue
-        try:
-            line = json.loads(text[start:])
-        except ValueError:
-            continue  # Not a log line, or one that was cut.
-        if isinstance(line, dict):
-            lines.append(line)
-    return lines
-
-
 def failed_jobs(paths: Sequence[pathlib.Path]) -> dict[str, str]:
     """Jobs that were not served in the end, with how they failed."""
     last: dict[str, str] = {}
     for path in paths:
-        for line in sorted(read_lines(path), key=lambda x: x.get("time", "")):
+        texts = path.read_text("utf-8", "replace").splitlines()
+        for line in sorted(read_lines(texts), key=lambda x: x["time"]):
             job = line.get("job")
             if not job:
                 continue
