Use plainer names in the search for a leader

Change: Sighting becomes SearchResult, and comments say 'right after a start'. Measured: no behaviour changes; the 26 tests of node and leadership pass.

--- a/anvilford/node/_coordination.py
+++ b/anvilford/node/_coordination.py
@@ -22,7 +22,7 @@
 from anvilford.node._search import Knowledge
 from anvilford.node._search import LeaderSearch
 from anvilford.node._search import QUERY_TIMEOUT_S
-from anvilford.node._search import Sighting
+from anvilford.node._search import SearchResult
 from anvilford.node._speed_row import SpeedRow
 from anvilford.node._sync import SiteView
 from anvilford.peers import PeerLinks
@@ -172,8 +172,8 @@
         if self._leads:
             self.members.hear(message.member, clock.now())
             if not self.leader.is_partial:
-                # The reply names the members: should this leader die young,
-                # they know each other.
+                # The reply names the members: should this leader end right
+                # after its start, they know each other.
                 self.knowledge.members = self.members.known()
             self.overtake(message.fence)
         return HeartbeatReply(
@@ -354,10 +354,10 @@
         if not self.search.may_begin:
             await self._pause(SEEK_PAUSE_S)
             return
-        sighting = await self.search.look()
+        result = await self.search.look()
         if self.leader is not None:
             return
-        match self.search.choose(sighting, self._can_lead()):
+        match self.search.choose(result, self._can_lead()):
             case Follow(leader):
                 self._follow(leader)
             case Lead(is_partial):
@@ -365,12 +365,12 @@
             case ClaimRow():
                 await self._claim_row()
             case Wait():
-                if not await self._try_leaders(sighting):
+                if not await self._try_leaders(result):
                     await self._pause(SEEK_PAUSE_S)
 
-    async def _try_leaders(self, sighting: Sighting) -> bool:
+    async def _try_leaders(self, result: SearchResult) -> bool:
         """Follows a leader that is named, if it answers."""
-        for leader in await self.search.named_leaders(sighting):
+        for leader in await self.search.named_leaders(result):
             if await self._beat(leader, QUERY_TIMEOUT_S):
                 self._follow(leader)
                 return True
--- a/anvilford/node/_search.py
+++ b/anvilford/node/_search.py
@@ -39,9 +39,9 @@
         me: The member itself.
         term: Highest term known.
         members: Members that the last leader heard of.
-        askers: Members that asked this one since, by name. While all processes
-            are young, members know different parts of the site and would each
-            wait for another one to lead.
+        askers: Members that asked this one since, by name. Right after a start
+            members know different parts of the site, and would each wait for
+            another one to lead.
         met_leader: Whether a leader has told its members.
     """
 
@@ -69,8 +69,8 @@
 
 
 @attrs.frozen
-class Sighting:
-    """What a look at the site showed.
+class SearchResult:
+    """What members, row and zones told.
 
     Attributes:
         opinions: Answers of the members that were reached.
@@ -122,7 +122,7 @@
         """
         return self.row.is_known or self.knowledge.met_leader
 
-    async def look(self) -> Sighting:
+    async def look(self) -> SearchResult:
         """Asks the members; without a majority the row and the zones, too."""
         opinions = await self.ask()
         others = len(self.knowledge.others)
@@ -135,9 +135,9 @@
                 reaches_zones = await self.reaches_other_zones()
         self.learn_from_row()
         self.knowledge.learn_term(0, *(o.term for o in opinions))
-        return Sighting(opinions, reaches_zones)
+        return SearchResult(opinions, reaches_zones)
 
-    def choose(self, sighting: Sighting, can_lead: bool) -> Move:
+    def choose(self, result: SearchResult, can_lead: bool) -> Move:
         """Decides what to do after a look."""
         knowledge, row = self.knowledge, self.row
         situation = Situation(
@@ -145,10 +145,10 @@
             can_lead,
             knowledge.term,
             knowledge.others,
-            sighting.opinions,
+            result.opinions,
             row.reaches_store,
             clock.now() - row.changed_at,
-            sighting.reaches_other_zones,
+            result.reaches_other_zones,
             row.leader.member if row.leader else None,
         )
         move = decide(situation)
@@ -159,7 +159,7 @@
                 "reason": getattr(move, "reason", ""),
                 "term": knowledge.term,
                 "members_known": 1 + len(situation.known),
-                "members_reached": len(sighting.opinions),
+                "members_reached": len(result.opinions),
                 "reaches_store": situation.reaches_store,
                 "reaches_other_zones": situation.reaches_other_zones,
                 "row_age_ms": int(situation.row_unchanged_s * 1000),
@@ -167,9 +167,9 @@
         )
         return move
 
-    async def named_leaders(self, sighting: Sighting) -> Iterable[Leader]:
+    async def named_leaders(self, result: SearchResult) -> Iterable[Leader]:
         """Leaders that others or the row name, the highest token first."""
-        named = {o.leader for o in sighting.opinions if o.reaches_leader}
+        named = {o.leader for o in result.opinions if o.reaches_leader}
         now = clock.now()
         if now - self._looked_at >= ROW_LOOK_S:
             self._looked_at = now
--- a/anvilford/node/tests/test_coordination.py
+++ b/anvilford/node/tests/test_coordination.py
@@ -101,7 +101,7 @@
 def test_member_that_asks_counts(case, coordination):
     """Guards against members that each wait for another one to lead.
 
-    A leader that died young had told this member of nobody but itself. It
+    A leader that ended right after its start had named only itself. It
     took itself for cut off, and the member that asked it waited for it. Its
     term is above that of the leader that is gone, so that targets obey.
     """
