--- a/anvilford/platform/_store.py
+++ b/anvilford/platform/_store.py
@@ -91,8 +91,13 @@
         self.address = address
 
     async def read(self, table: str, timeout: float) -> Snapshot | StoreFailed:
-        """Reads all rows in the empty partition of a table."""
+        """Reads all rows in the empty partition of a table.
+
+        The snapshot has the version of the first page: a row of it that
+        changes before the last page is read is watched for from there.
+        """
         rows: list[StoreRow] = []
+        version: int | None = None
         first = ""
         while True:
             query = urllib.parse.urlencode(
@@ -108,8 +113,10 @@
             if isinstance(page, StoreFailed):
                 return page
             rows += _rows(page)
+            if version is None:
+                version = int(page.get("row_version", 0))
             if not page.get("has_more") or not rows:
-                return Snapshot(tuple(rows), int(page.get("row_version", 0)))
+                return Snapshot(tuple(rows), version)
             # The range starts at a key; the zero byte skips the last one.
             first = rows[-1].key + "\0"
 
--- a/anvilford/platform/tests/test_store.py
+++ b/anvilford/platform/tests/test_store.py
@@ -1,6 +1,7 @@
 """Tests of the store's client against the stand-in."""
 
 import asyncio
+from unittest import mock
 
 from anvilford.http1 import HttpClient
 from anvilford.platform import Conflict
@@ -80,3 +81,21 @@
         case.assertEqual(len((await client.read("t", 1.0)).rows), 1)
 
     with_store(scenario)
+
+
+def test_change_between_pages_is_watched_for(case):
+    """Guards against a change that is lost while a long table is read.
+
+    The snapshot had the version of the last page, so a row of an earlier page
+    that had changed in between was not watched for.
+    """
+    pages = [
+        {"rows": [], "row_version": 7, "has_more": True},
+        {"rows": [], "row_version": 9, "has_more": False},
+    ]
+    row = {"key": "a", "value": "", "row_version": 5}
+    pages[0]["rows"] = [row]
+    client = StoreClient(mock.Mock(), "127.0.0.1:1")
+    with mock.patch.object(client, "_get", side_effect=pages):
+        snapshot = asyncio.run(client.read("servers", 1.0))
+    case.assertEqual(snapshot.version, 7)
