Log runs that a placer finds, adopts or gives up

After a change of the leader, no line told what a placer learned of the runs of another one, nor which fence a target had refused. Adds `run found`, `run adopted`, `run not claimed` and `lease ended`, with the lease as this placer knows it, the number of a run that starts again, and the fence of a refused order.

--- a/anvilford/placement/_fleet.py
+++ b/anvilford/placement/_fleet.py
@@ -208,6 +208,7 @@
             task.phase = TaskPhase.PLACED
             task.run = run.number
             task.target_id = target.record.target_id
+            self._log_run("run adopted", target, run, now)
             self._send_poll(target, now)
         job.started = job.started or adopted
         return adopted
@@ -293,7 +294,7 @@
             case Refused(reason, clock_ms):
                 if clock_ms is not None:
                     target.record_clock(clock_ms, now)
-                self._handle_refused_start(target, run, reason, now)
+                self._handle_refused_start(target, run, order, reason, now)
             case LifeReplaced():
                 self._handle_replaced(target, now)
             case NotSent():
@@ -311,11 +312,16 @@
         run.confirmed_at = run.percent_at = now
 
     def _handle_refused_start(
-        self, target: Target, run: Run, reason: Refusal, now: float
+        self,
+        target: Target,
+        run: Run,
+        order: StartRun,
+        reason: Refusal,
+        now: float,
     ) -> None:
         """Ends a refused run, unless the target belongs to another placer."""
         if reason is Refusal.FENCE:
-            self._handle_fence_lost(target)
+            self._handle_fence_lost(target, order)
             return
         # The target has seen a higher run number for the task. The next run
         # number is raised by a whole token's range, to exceed it.
@@ -341,7 +347,7 @@
                 run.phase = RunPhase.STOPPED
                 run.stopped_at = now
             case Refused(Refusal.FENCE, _):
-                self._handle_fence_lost(target)
+                self._handle_fence_lost(target, order)
             case LifeReplaced():
                 self._handle_replaced(target, now)
             case _:
@@ -370,7 +376,7 @@
                     target = self.replace_incarnation(target, record, now)
                 self._apply_report(target, order, report, now)
             case Refused(Refusal.FENCE, _):
-                self._handle_fence_lost(target)
+                self._handle_fence_lost(target, order)
             case LifeReplaced():
                 self._handle_replaced(target, now)
             case _:
@@ -449,6 +455,7 @@
             target.reserve(run)
             self.target_by_task.setdefault(run.task_name, target)
             self.found_foreign_runs = True
+            self._log_run("run found", target, run, now, at_claim=is_claim)
             if not is_claim:
                 # Unknown runs of earlier placers appear when this placer claims
                 # the target. Later, an unknown run can only come from a start
@@ -502,10 +509,43 @@
         if run.phase is RunPhase.RUNNING and run.confirmed_at <= order.sent_at:
             self._finish_run(target, run, "vanished", now)
 
+    def _log_run(
+        self, event: str, target: Target, run: Run, now: float, **fields: object
+    ) -> None:
+        """Appends a decision about a run to the effects.
+
+        Args:
+            event: Text of the log line.
+            target: Target of the run.
+            run: The run.
+            now: Current time in seconds.
+            **fields: Further fields of the log line.
+        """
+        job_id, _, key = run.task_name.partition(".0.")
+        fields = {
+            "task": key,
+            "run": run.number,
+            "target": target.record.target_id,
+            "fence": self.fence,
+            "ownership": target.ownership.value,
+            "phase": run.phase.value,
+            "lease_left_ms": int((target.lease_end - now) * 1000),
+            "contact_age_ms": int((now - target.last_contact_at) * 1000),
+            **fields,
+        }
+        self.effects.append(Decision(event, job_id, fields))
+
     # Handlers of the loss of targets and runs.
 
-    def _handle_fence_lost(self, target: Target) -> None:
-        """Marks a target as fenced and reports the loss once."""
+    def _handle_fence_lost(
+        self, target: Target, order: StartRun | StopRun | Poll
+    ) -> None:
+        """Marks a target as fenced and reports the loss once.
+
+        Args:
+            target: Target that refused a command.
+            order: The refused command.
+        """
         if target.ownership is Ownership.FENCED:
             return
         target.ownership = Ownership.FENCED
@@ -513,6 +553,8 @@
             "target obeys a higher fence",
             target.record.target_id,
             target.record,
+            fence=self.fence,
+            refused_fence=order.fence,
         )
         self.effects.append(FenceLost(target.record.target_id))
 
@@ -592,6 +634,8 @@
     def _check_runs(self, target: Target, now: float) -> None:
         """Drops all runs after the end of the lease, or checks each of them."""
         if now > target.lease_end:
+            for run in target.runs.values():
+                self._log_run("lease ended", target, run, now)
             self._drop_runs(target, "lease_ended", now)
             return
         for run in list(target.runs.values()):
@@ -610,6 +654,7 @@
                 self._send_poll(target, now, is_probe=True)
             case RunPhase.RUNNING if run.task is None:
                 if now - run.ordered_at > CLAIM_WINDOW_S:
+                    self._log_run("run not claimed", target, run, now)
                     self._stop_run(target, run, now)
 
     def _send_due_polls(self, now: float) -> None:
--- a/anvilford/placement/_placer.py
+++ b/anvilford/placement/_placer.py
@@ -482,6 +482,7 @@
             job.job_id,
             {
                 "task": task.key,
+                "run": task.run,
                 "target": task.target_id,
                 "cause": cause,
                 "failures": task.failures,
--- a/anvilford/placement/_target_list.py
+++ b/anvilford/placement/_target_list.py
@@ -202,15 +202,27 @@
         return replacement
 
     def log_target_event(
-        self, event: str, target_id: str, record: TargetRecord
+        self,
+        event: str,
+        target_id: str,
+        record: TargetRecord,
+        **inputs: object,
     ) -> None:
-        """Appends a decision about a target to the effects."""
+        """Appends a decision about a target to the effects.
+
+        Args:
+            event: Text of the log line.
+            target_id: Id of the target.
+            record: Row of the target in the platform's list.
+            **inputs: Further fields of the log line.
+        """
         fields = {
             "target": target_id,
             "zone": record.zone,
             "service": record.service,
             "draining": record.draining,
             "version": record.version,
+            **inputs,
         }
         self.effects.append(Decision(event, "", fields))
 
