--- a/anvilford/order_model/_site.py
+++ b/anvilford/order_model/_site.py
@@ -62,6 +62,7 @@
         faults: Faults that are injected now.
         rng: Random number generator of the simulation.
         now: Virtual time, in seconds.
+        one_way_delay_s: Network delay of a request or a response, in seconds.
         placers: Running placers by name.
         outcomes: Outcomes so far, as (time, placer name, job id, outcome).
         decisions: Decisions that the placers reported for the log.
@@ -71,11 +72,17 @@
             task name.
     """
 
-    def __init__(self, targets: list[FakeTarget], seed: int = 0):
+    def __init__(
+        self,
+        targets: list[FakeTarget],
+        seed: int = 0,
+        one_way_delay_s: float = ONE_WAY_DELAY_S,
+    ):
         self.targets = {t.record.target_id: t for t in targets}
         self.faults = InjectedFaults()
         self.rng = random.Random(seed)
         self.now = 0.0
+        self.one_way_delay_s = one_way_delay_s
         self.placers: dict[str, Placer] = {}
         self.outcomes: list[tuple[float, str, str, Outcome]] = []
         self.decisions: list[Decision] = []
@@ -219,7 +226,7 @@
             timeout += order.wait_ms / 1000
         if target is None:
             self.schedule(
-                self.now + ONE_WAY_DELAY_S,
+                self.now + self.one_way_delay_s,
                 self._deliver_answer,
                 name,
                 order,
@@ -253,7 +260,7 @@
                 NoAnswer(),
             )
         self.schedule(
-            self.now + ONE_WAY_DELAY_S, self._deliver_order, sender, order
+            self.now + self.one_way_delay_s, self._deliver_order, sender, order
         )
 
     def _deliver_order(self, name: str | None, order) -> None:
@@ -268,7 +275,7 @@
                 self._schedule_next_completion(target)
             case StopRun():
                 answer = target.stop(order, self.now)
-                self._answer_polls_with_ends(target)
+                self._schedule_next_completion(target)
             case Poll(wait_ms=wait_ms):
                 answer = target.poll(order, self.now)
                 waits = getattr(answer, "ended", None) == () and wait_ms
@@ -277,7 +284,7 @@
                     return
         if name is not None:
             self.schedule(
-                self.now + ONE_WAY_DELAY_S,
+                self.now + self.one_way_delay_s,
                 self._deliver_answer,
                 name,
                 order,
@@ -301,7 +308,7 @@
         name, order = entry
         answer = target.poll(order, self.now)
         self.schedule(
-            self.now + ONE_WAY_DELAY_S,
+            self.now + self.one_way_delay_s,
             self._deliver_answer,
             name,
             order,
--- a/anvilford/order_model/_target.py
+++ b/anvilford/order_model/_target.py
@@ -2,6 +2,7 @@
 
 import collections
 import itertools
+import math
 from collections.abc import Iterable
 
 import attrs
@@ -24,16 +25,28 @@
 
 # Longest lease that a target grants, counted from the time of the request.
 MAX_LEASE_MS = 1000
+# Time that a target takes to carry out a stop, the longest that the platform
+# allows.
+STOP_TIME_S = 0.05
 
 
 @attrs.define
 class _RunningWork:
-    """A run in progress; `run_time_s` is its time at the target's speed."""
+    """A run in progress.
+
+    Attributes:
+        run: Run number.
+        need: Resources that the run uses.
+        started_at: Time of the start, in seconds.
+        run_time_s: Time that the run takes at the target's speed, in seconds.
+        stopped_at: Time at which a requested stop takes effect.
+    """
 
     run: int
     need: Resources
     started_at: float
     run_time_s: float
+    stopped_at: float = math.inf
 
 
 class FakeTarget:
@@ -82,10 +95,12 @@
         """Ends the runs that are over by `now`, with the time of their end."""
         lease_end = (self.lease_end_ms - self.clock_ms(0.0)) / 1000
         for task, work in list(self.running.items()):
-            done = work.started_at + work.run_time_s
+            done = self._completion_time(work)
             if self.fails_all_tasks:
                 self._end_run(task, RunEnd.FAILED, now)
-            elif done <= min(now, lease_end) and not self.is_stalled:
+            elif work.stopped_at <= min(now, done, lease_end):
+                self._end_run(task, RunEnd.STOPPED, work.stopped_at)
+            elif done <= min(now, lease_end):
                 self._end_run(task, RunEnd.DONE, done)
             elif lease_end <= now:
                 self._end_run(task, RunEnd.LAPSED, lease_end)
@@ -108,13 +123,21 @@
         self.fence = self.lease_end_ms = self.last_end_sequence = 0
 
     def next_completion(self) -> float | None:
-        """Returns when the next task completes; None if no task will."""
-        if self.is_stalled:
-            return None
-        return min(
-            (w.started_at + w.run_time_s for w in self.running.values()),
-            default=None,
+        """Returns when the next run completes or stops; None if none does."""
+        end = min(
+            (
+                min(self._completion_time(work), work.stopped_at)
+                for work in self.running.values()
+            ),
+            default=math.inf,
         )
+        return end if end < math.inf else None
+
+    def _completion_time(self, work: _RunningWork) -> float:
+        """Returns when a run completes; infinity if it makes no progress."""
+        if self.is_stalled:
+            return math.inf
+        return work.started_at + work.run_time_s
 
     def start(
         self, order: StartRun, need: Resources, seconds: float, now: float
@@ -165,7 +188,7 @@
         )
         work = self.running.get(order.task)
         if work is not None and work.run <= order.run:
-            self._end_run(order.task, RunEnd.STOPPED, now)
+            work.stopped_at = min(work.stopped_at, now + STOP_TIME_S)
         return Accepted(self.clock_ms(now))
 
     def poll(self, order: Poll, now: float) -> PollAnswer:
--- /dev/null
+++ b/anvilford/placement/tests/test_two_placers.py
@@ -0,0 +1,85 @@
+"""Tests of two placers that reach different parts of the site."""
+
+from anvilford.order_model import PlacementSimulation
+from anvilford.placement.tests._shared import job
+from anvilford.placement.tests._shared import make_target
+from testkit import function_tests
+
+load_tests = function_tests(__name__)
+__all__ = ["load_tests"]
+
+ONE_WAY_DELAY_S = 0.01
+
+
+def make_site():
+    """Returns a site whose target "far" lies in another zone than "near".
+
+    Placer "site" has claimed both targets.
+    """
+    made = PlacementSimulation(
+        [make_target("near", speed=2.0), make_target("far")],
+        one_way_delay_s=ONE_WAY_DELAY_S,
+    )
+    made.add_placer("site", 1)
+    made.run(0.1)
+    return made
+
+
+def cut_zone(site):
+    """Starts a network partition between the zones of the targets."""
+    site.faults.partitioned_pairs = {("site", "far"), ("zone", "near")}
+
+
+def test_run_kept_alive_by_another_placer_starts_again(case):
+    """Guards against a second run after another placer extended the lease.
+
+    A target has one lease for all its runs. The leader of a cut-off zone
+    extended it for a job of its own and kept runs of the site's leader alive.
+    """
+    site = make_site()
+    outside, inside = job(seconds=1.5), job(seconds=1.5)
+    site.placers["site"].fleet.targets["near"].suspended_until = 0.3
+    site.offer("site", outside)
+    site.offer("site", inside)
+    site.run(0.2)
+    case.assertEqual(len(site.targets["far"].running), 2)
+    cut_zone(site)
+    site.run(0.8)
+    site.add_placer("zone", 2)
+    site.offer("zone", inside, again=True, placed=("far",))
+    site.run(1.0)
+    site.placers["site"].withdraw(inside.job_id, "entry_silent", site.now)
+    site.run(8.0)
+    case.assertEqual(site.find_overlapping_tasks(), [])
+
+
+def test_refusal_of_an_earlier_fence_releases_runs(case):
+    """Guards against a second run after a refusal that came too late.
+
+    A poll was refused after the placer had raised its fencing token. The runs
+    in the next report were stopped, and their tasks started before the stop
+    had taken effect.
+    """
+    for offset_ms in range(0, 300, 5):
+        with case.subTest(offset_ms=offset_ms):
+            site = make_site()
+            site.placers["site"].fleet.targets["near"].suspended_until = 0.2
+            site.offer("site", job(seconds=0.2))
+            # The target's end is not acknowledged, so that polls continue.
+            site.run(0.36)
+            cut_zone(site)
+            site.run(1.4)
+            site.add_placer("zone", 2)
+            site.run(1.6)
+            inside = job(seconds=1.0, at=1.6)
+            site.offer("zone", inside)
+            site.run(2.0)
+            case.assertTrue(site.targets["far"].running)
+            site.remove_placer("zone")
+            site.faults.partitioned_pairs.clear()
+            site.run(2.0 + offset_ms / 1000)
+            site.placers["site"].raise_fence(3, site.now)
+            site.run(site.now + 0.05)
+            site.offer("site", inside, again=True, placed=("far",))
+            site.run(6.0)
+            case.assertEqual(site.find_overlapping_tasks(), [])
