--- a/anvilford/placement/_fleet.py
+++ b/anvilford/placement/_fleet.py
@@ -208,7 +208,6 @@
             task.phase = TaskPhase.PLACED
             task.run = run.number
             task.target_id = target.record.target_id
-            self._log_run("run adopted", target, run, now)
             self._send_poll(target, now)
         job.started = job.started or adopted
         return adopted
@@ -425,8 +424,11 @@
             options = self.options
             length = options.max_lease / (1.0 - options.clock_drift)
             target.lease_end = max(target.lease_end, now + length)
+        known = set(target.runs)
         for reported in report.running:
             self._apply_running(target, reported, is_claim, now)
+        found = [run for name, run in target.runs.items() if name not in known]
+        self._log_runs("runs found", target, found, now, at_claim=is_claim)
         for ended_run in report.ended:
             if ended_run.sequence > target.processed_end:
                 target.processed_end = ended_run.sequence
@@ -455,7 +457,6 @@
             target.reserve(run)
             self.target_by_task.setdefault(run.task_name, target)
             self.found_foreign_runs = True
-            self._log_run("run found", target, run, now, at_claim=is_claim)
             if not is_claim:
                 # Unknown runs of earlier placers appear when this placer claims
                 # the target. Later, an unknown run can only come from a start
@@ -509,31 +510,35 @@
         if run.phase is RunPhase.RUNNING and run.confirmed_at <= order.sent_at:
             self._finish_run(target, run, "vanished", now)
 
-    def _log_run(
-        self, event: str, target: Target, run: Run, now: float, **fields: object
+    def _log_runs(
+        self,
+        event: str,
+        target: Target,
+        runs: Iterable[Run],
+        now: float,
+        **inputs: object,
     ) -> None:
-        """Appends a decision about a run to the effects.
+        """Appends a decision about runs on one target to the effects.
 
         Args:
             event: Text of the log line.
-            target: Target of the run.
-            run: The run.
+            target: Target of the runs.
+            runs: Runs of which at least one is needed for a log line.
             now: Current time in seconds.
-            **fields: Further fields of the log line.
+            **inputs: Further fields of the log line.
         """
-        job_id, _, key = run.task_name.partition(".0.")
+        names = [f"{run.task_name}/{run.number}" for run in runs]
+        if not names:
+            return
         fields = {
-            "task": key,
-            "run": run.number,
             "target": target.record.target_id,
+            "runs": names,
             "fence": self.fence,
-            "ownership": target.ownership.value,
-            "phase": run.phase.value,
             "lease_left_ms": int((target.lease_end - now) * 1000),
             "contact_age_ms": int((now - target.last_contact_at) * 1000),
-            **fields,
+            **inputs,
         }
-        self.effects.append(Decision(event, job_id, fields))
+        self.effects.append(Decision(event, "", fields))
 
     # Handlers of the loss of targets and runs.
 
@@ -634,8 +639,7 @@
     def _check_runs(self, target: Target, now: float) -> None:
         """Drops all runs after the end of the lease, or checks each of them."""
         if now > target.lease_end:
-            for run in target.runs.values():
-                self._log_run("lease ended", target, run, now)
+            self._log_runs("lease ended", target, target.runs.values(), now)
             self._drop_runs(target, "lease_ended", now)
             return
         for run in list(target.runs.values()):
@@ -654,7 +658,7 @@
                 self._send_poll(target, now, is_probe=True)
             case RunPhase.RUNNING if run.task is None:
                 if now - run.ordered_at > CLAIM_WINDOW_S:
-                    self._log_run("run not claimed", target, run, now)
+                    self._log_runs("run not claimed", target, [run], now)
                     self._stop_run(target, run, now)
 
     def _send_due_polls(self, now: float) -> None:
