Ignore refusals and reports of an earlier fencing token

Cause: the site's leader polls targets of the zone to acknowledge ends. The zone's leader has given them a higher token, so that they refuse. When the leader learns of that token from an entry, it raises its own and claims all targets again. Refusals of polls sent before arrive after that and marked the target as lost. The report that answered the new claim then did not count as a claim: its runs were stopped as unknown, and since the lease was not taken for extended, they counted as ended at the next tick. Their jobs, offered by the entries of the zone in the same milliseconds, started again while the runs had up to 50 ms left.

Fix: an answer tells who controls a target only if the command carried the token that is in force. Others are ignored, and a report is, too, once the target has refused a later command.

--- a/anvilford/placement/_fleet.py
+++ b/anvilford/placement/_fleet.py
@@ -364,6 +364,13 @@
         else:
             target.poll_pending = False
         match answer:
+            case Report() | Refused(Refusal.FENCE, _) if (
+                order.fence != self.fence
+            ):
+                # The answer does not show who controls the target now.
+                self._send_poll(target, now)
+            case Report() if target.ownership is Ownership.FENCED:
+                pass  # The target has refused a later command since.
             case Report() as report:
                 if (
                     report.incarnation
@@ -547,11 +554,14 @@
     ) -> None:
         """Marks a target as fenced and reports the loss once.
 
+        Ignores the refusal of a command that was sent before the fencing token
+        was raised.
+
         Args:
             target: Target that refused a command.
             order: The refused command.
         """
-        if target.ownership is Ownership.FENCED:
+        if target.ownership is Ownership.FENCED or order.fence != self.fence:
             return
         target.ownership = Ownership.FENCED
         self.log_target_event(
