Extend a lease only if all runs at the target are claimed

Cause: a target has one lease for all that runs there. The leader of the cut-off zone adopts the runs of the jobs that the zone's entries offer, and extends the lease of their targets. That kept alive runs of entries outside the zone, for up to 0.7 s until they were stopped as unclaimed. The site's leader, which cannot reach the target, started their tasks again when its own lease had ended.

Fix: the lease is not extended while a run at the target is unclaimed, and such a run is stopped after 0.15 s if claimed runs share the target. A found run that was not seen at the claim is also assumed to have a full lease.

--- a/anvilford/placement/_fleet.py
+++ b/anvilford/placement/_fleet.py
@@ -50,6 +50,9 @@
 # offered its job. After a takeover, entries repeat their offers within one or
 # two heartbeats.
 CLAIM_WINDOW_S = 0.7
+# The same on a target that also has claimed runs. Its lease must not be extended
+# before, and may end 0.3 s after the takeover.
+SHARED_CLAIM_WINDOW_S = 0.15
 # Interval between polls of an unreachable target that has runs.
 UNREACHABLE_RETRY_S = 0.1
 # Time after which a stop without a confirmation is sent again.
@@ -208,7 +211,13 @@
             task.phase = TaskPhase.PLACED
             task.run = run.number
             task.target_id = target.record.target_id
-            self._send_poll(target, now)
+            # Extends the lease at once when all runs on the target are claimed,
+            # even if the regular poll still waits for the end of a run.
+            self._send_poll(
+                target,
+                now,
+                is_probe=target.poll_pending and not target.has_unclaimed_runs,
+            )
         job.started = job.started or adopted
         return adopted
 
@@ -247,14 +256,14 @@
             return
         if target.ownership is Ownership.FENCED:
             return
-        has_claimed_runs = any(
-            run.task is not None for run in target.runs.values()
-        )
         deadline = None
         # While a target does not answer, polls leave its lease unchanged.
-        # Otherwise, its runs would never count as ended.
+        # Otherwise, its runs would never count as ended. Unclaimed runs may
+        # belong to a placer that cannot reach the target and counts on the end
+        # of the lease.
         if (
-            has_claimed_runs
+            target.has_claimed_runs
+            and not target.has_unclaimed_runs
             and target.ownership is Ownership.OWNED
             and not target.missed_polls
         ):
@@ -270,7 +279,7 @@
                 self.fence,
                 deadline,
                 target.processed_end,
-                POLL_WAIT_MS if has_claimed_runs and not is_probe else 0,
+                POLL_WAIT_MS if target.has_claimed_runs and not is_probe else 0,
                 now,
                 is_probe,
             )
@@ -424,7 +433,7 @@
         is_claim = target.ownership is Ownership.CLAIMING
         target.ownership = Ownership.OWNED
         running = {reported.task: reported for reported in report.running}
-        if is_claim and running:
+        if running and (is_claim or not running.keys() <= target.runs.keys()):
             # Another placer may have extended the lease just before this claim.
             # The lease is therefore assumed to last for the maximum from now,
             # measured by a target clock that is slow by the maximum drift.
@@ -444,7 +453,7 @@
         for run in list(target.runs.values()):
             if run.task_name not in running:
                 self._apply_absence(target, run, order, now)
-        if any(run.task is not None for run in target.runs.values()):
+        if target.has_claimed_runs:
             self._send_poll(target, now)
 
     def _apply_running(
@@ -667,7 +676,12 @@
             case RunPhase.DOUBTFUL:
                 self._send_poll(target, now, is_probe=True)
             case RunPhase.RUNNING if run.task is None:
-                if now - run.ordered_at > CLAIM_WINDOW_S:
+                window = (
+                    SHARED_CLAIM_WINDOW_S
+                    if target.has_claimed_runs
+                    else CLAIM_WINDOW_S
+                )
+                if now - run.ordered_at > window:
                     self._log_runs("run not claimed", target, [run], now)
                     self._stop_run(target, run, now)
 
@@ -678,7 +692,7 @@
                 continue
             if (
                 target.ownership is Ownership.CLAIMING
-                or any(run.task is not None for run in target.runs.values())
+                or target.has_claimed_runs
                 or (
                     target.processed_end > target.confirmed_end
                     and now - target.last_end_at > ACKNOWLEDGE_AFTER_S
--- a/anvilford/placement/_state.py
+++ b/anvilford/placement/_state.py
@@ -298,6 +298,11 @@
     reachable: bool = True
     missed_polls: int = 0
 
+    @property
+    def has_claimed_runs(self) -> bool:
+        """Whether any run on the target belongs to a job of this placer."""
+        return any(run.task is not None for run in self.runs.values())
+
     @property
     def has_unclaimed_runs(self) -> bool:
         """Whether any run on the target is not claimed by an offer yet."""
