End a run whose start was refused for its fencing token

A start was refused since another placer had claimed the target; the placer kept the run as ordered, raised its own token and claimed the target again, and its polls then extended the lease of a run that does not exist. test_start_refused_by_fence_is_waited_for fails before.

A refusal is certain: the target has done nothing. The run ends with it, and the task starts again where the placer may.

--- a/anvilford/placement/_fleet.py
+++ b/anvilford/placement/_fleet.py
@@ -327,10 +327,9 @@
         reason: Refusal,
         now: float,
     ) -> None:
-        """Ends a refused run, unless the target belongs to another placer."""
+        """Ends a refused run, which the target has not started."""
         if reason is Refusal.FENCE:
             self._handle_fence_lost(target, order)
-            return
         # The target has seen a higher run number for the task. The next run
         # number is raised by a whole token's range, to exceed it.
         if reason is Refusal.OLD_RUN and run.task is not None:
--- a/anvilford/placement/tests/test_two_placers.py
+++ b/anvilford/placement/tests/test_two_placers.py
@@ -1,6 +1,7 @@
 """Tests of two placers that reach different parts of the site."""
 
 from anvilford.order_model import PlacementSimulation
+from anvilford.placement import OutcomeKind
 from anvilford.placement.tests._shared import job
 from anvilford.placement.tests._shared import make_target
 from testkit import function_tests
@@ -83,3 +84,23 @@
             site.offer("site", inside, again=True, placed=("far",))
             site.run(6.0)
             case.assertEqual(site.find_overlapping_tasks(), [])
+
+
+def test_start_refused_by_fence_is_waited_for(case):
+    """Guards against a job that waits for a run that was never started.
+
+    The placer kept the refused run and, after claiming the target again with a
+    higher fencing token, extended its lease without end.
+    """
+    site = make_site()
+    site.add_placer("zone", 2)
+    site.run(0.2)
+    first = job(seconds=0.2, at=0.2)
+    site.offer("site", first)
+    site.run(0.3)
+    site.placers["site"].raise_fence(3, site.now)
+    site.run(0.8)
+    case.assertEqual(
+        [outcome.kind for _, _, _, outcome in site.outcomes],
+        [OutcomeKind.COMPLETED],
+    )
