Wait for the entries of a job before a run replaces a lapsed one

The site's leader cannot reach a target and counts its runs as ended with their lease. An entry that has lost that leader at the same time offers the job to the leader of its zone, which adopts the run and extends the lease. The site's leader withdraws the jobs of an entry after 0.6 s of silence, noticed within 0.15 s, and a lease ends 1.02 s after the last extension, up to 0.25 s before the cut. A leader that is held up for 0.12 s then restarts the task first: timers decide, not knowledge.

Now such a task waits until each entry with the job has sent a heartbeat since the lease ended, at most one interval of 0.15 s, or has been withdrawn as silent. test_job_of_a_silent_entry_starts_again overlaps before.

--- a/anvilford/node/_coordination.py
+++ b/anvilford/node/_coordination.py
@@ -197,7 +197,9 @@
     def receive_heartbeat(self, message: Heartbeat) -> HeartbeatReply:
         """Records a member's heartbeat and returns the reply."""
         if self._is_leading:
-            self.heartbeats.record_heartbeat(message.member, clock.now())
+            now = clock.now()
+            self.heartbeats.record_heartbeat(message.member, now)
+            self.driver.placer.record_contact(message.member.name, now)
             if not self.leader.is_partial:
                 # The reply includes the members heard so far, so that they
                 # know each other if this leader ends right after its start.
@@ -570,6 +572,7 @@
 
     def _expire_members(self, now: float) -> None:
         """Stops the jobs of members that no longer send heartbeats."""
+        self.driver.placer.record_contact(self.local_member.name, now)
         self.heartbeats.expire(now)
         for entry in self.driver.waiting_entries() - self.heartbeats.live_names:
             self.driver.withdraw_entry(entry)
--- a/anvilford/node/_driver.py
+++ b/anvilford/node/_driver.py
@@ -176,8 +176,8 @@
             future.set_result(Outcome(OutcomeKind.LOST, reason))
         if not waiters:
             self._waiters.pop(job_id, None)
-            self.placer.withdraw(job_id, reason, self._read_clock())
-            self._run_effects()
+        self.placer.withdraw(job_id, entry, reason, self._read_clock())
+        self._run_effects()
 
     def withdraw_entry(self, entry: str) -> None:
         """Withdraws all jobs of an entry that sends no heartbeats."""
--- a/anvilford/order_model/_site.py
+++ b/anvilford/order_model/_site.py
@@ -47,11 +47,13 @@
         lost_answer_share: Fraction of the other orders whose answer is lost.
         partitioned_pairs: Pairs of placer name and target id that cannot reach
             each other.
+        silent_placers: Names of placers that the entry does not reach.
     """
 
     delayed_order_share: float = 0.0
     lost_answer_share: float = 0.0
     partitioned_pairs: set[tuple[str, str]] = attrs.field(factory=set)
+    silent_placers: set[str] = attrs.field(factory=set)
 
 
 class PlacementSimulation:
@@ -197,6 +199,8 @@
         placer = self.placers.get(name)
         if placer is None:
             return
+        if name not in self.faults.silent_placers:
+            placer.record_contact("entry", self.now)
         placer.tick(self.now)
         self._execute_effects(name)
         self.schedule(self.now + TICK_INTERVAL_S, self._tick, name)
--- a/anvilford/placement/_placer.py
+++ b/anvilford/placement/_placer.py
@@ -94,6 +94,7 @@
             fence, now, options, self.effects, self._handle_task_event
         )
         self._waiting: dict[str, Job] = {}
+        self._entry_contacts: dict[str, float] = {}
         self._views: dict[str, ServiceView] = {}
 
     @property
@@ -125,6 +126,7 @@
         """
         if offer.job_id in self.jobs:
             job = self.jobs[offer.job_id]
+            job.entries.add(offer.entry)
             job.deadline = max(job.deadline, now + offer.remaining)
             self._log_decision(
                 "offer joined", job.job_id, {"entry": offer.entry}
@@ -160,10 +162,22 @@
             self._waiting[job.job_id] = job
         self._complete_if_done(job, now)
 
-    def withdraw(self, job_id: str, reason: str, now: float) -> None:
-        """Stops a job whose callers have all left, with outcome `LOST`."""
+    def record_contact(self, entry: str, now: float) -> None:
+        """Records that an entry follows this placer, and no other one."""
+        self._entry_contacts[entry] = now
+
+    def withdraw(
+        self, job_id: str, entry: str, reason: str, now: float
+    ) -> None:
+        """Removes an entry that waits for a job.
+
+        Without any entry left, the job is stopped with outcome `LOST`.
+        """
         job = self.jobs.get(job_id)
-        if job is not None:
+        if job is None:
+            return
+        job.entries.discard(entry)
+        if not job.entries:
             self._end_job(job, Outcome(OutcomeKind.LOST, reason), now)
 
     def release_jobs(self, now: float) -> None:
@@ -256,6 +270,7 @@
             now + offer.remaining,
             now + UNSEEN_RUNS_WINDOW_S if offer.again else 0.0,
             offer.placed if offer.placed_is_known else None,
+            {offer.entry},
         )
         job.initialize()
         done = set(offer.done)
@@ -371,6 +386,7 @@
             for job in self._waiting.values()
             if job.policy.service == service
             and not self.fleet.may_have_unseen_runs(job, now)
+            and not self._may_have_moved(job)
         ]
         view = self._view(service, now)
         smallest = min(
@@ -390,6 +406,18 @@
             if not free:
                 return
 
+    def _may_have_moved(self, job: Job) -> bool:
+        """Returns whether an entry may have offered the job to another placer.
+
+        That placer would have adopted the job's runs and extended their leases,
+        so that they continue after the end of the lease known here. An entry
+        that is heard after that end has not offered the job elsewhere before.
+        """
+        return job.lease_ended_at > 0 and any(
+            self._entry_contacts.get(entry, 0.0) <= job.lease_ended_at
+            for entry in job.entries
+        )
+
     def _place_job(
         self,
         job: Job,
@@ -490,6 +518,8 @@
                 "failures": task.failures,
             },
         )
+        if cause == "lease_ended":
+            job.lease_ended_at = now
         task.phase = TaskPhase.WAITING
         job.set_waiting([*job.waiting, task])
         self._waiting[job.job_id] = job
--- a/anvilford/placement/_state.py
+++ b/anvilford/placement/_state.py
@@ -116,6 +116,9 @@
             placer can have started any.
         placed_elsewhere: Ids of the targets on which an earlier placer may
             have started tasks; None if they are not known.
+        entries: Names of the entries that wait for the outcome.
+        lease_ended_at: Time at which a run was last counted as ended because
+            its lease was over; 0 if none was.
         tasks: All tasks.
         waiting: Tasks without a run, as last set by `set_waiting`.
         open_tasks: Number of tasks that are not done.
@@ -131,6 +134,8 @@
     deadline: float
     unseen_runs_until: float = 0.0
     placed_elsewhere: tuple[str, ...] | None = None
+    entries: set[str] = attrs.field(factory=set)
+    lease_ended_at: float = 0.0
     tasks: list[Task] = attrs.field(factory=list)
     waiting: list[Task] = attrs.field(factory=list)
     open_tasks: int = 0
--- a/anvilford/placement/tests/test_two_placers.py
+++ b/anvilford/placement/tests/test_two_placers.py
@@ -49,9 +49,35 @@
     site.add_placer("zone", 2)
     site.offer("zone", inside, again=True, placed=("far",))
     site.run(1.0)
-    site.placers["site"].withdraw(inside.job_id, "entry_silent", site.now)
+    site.placers["site"].withdraw(
+        inside.job_id, "entry", "entry_silent", site.now
+    )
+    site.run(8.0)
+    case.assertEqual(site.find_overlapping_tasks(), [])
+
+
+def test_job_of_a_silent_entry_starts_again(case):
+    """Guards against a second run after the end of a lease known too early.
+
+    The entry had offered its job to the leader of a cut-off zone, which kept
+    the run alive, and the first leader had not noticed its silence yet.
+    """
+    site = make_site()
+    site.placers["site"].fleet.targets["near"].suspended_until = 0.3
+    inside = job(seconds=1.5)
+    site.offer("site", inside)
+    site.run(0.2)
+    cut_zone(site)
+    site.faults.silent_placers.add("site")
+    site.run(0.8)
+    site.add_placer("zone", 2)
+    site.offer("zone", inside, again=True, placed=("far",))
     site.run(8.0)
     case.assertEqual(site.find_overlapping_tasks(), [])
+    case.assertIn(
+        OutcomeKind.COMPLETED,
+        [o.kind for _, name, _, o in site.outcomes if name == "zone"],
+    )
 
 
 def test_refusal_of_an_earlier_fence_releases_runs(case):
