Step down as leader of a zone below a higher fencing token

A leader of the whole site that meets an entry with a higher token claims its targets again before it takes the offer. A leader of one zone ignored the token: it placed the job on targets that it took for its own, although the entry had followed another leader that had reached the zone meanwhile, and a run of the job could be at one of them. It steps down now, as it already does when a target refuses it. The test fails before.

--- a/anvilford/node/_coordination.py
+++ b/anvilford/node/_coordination.py
@@ -215,19 +215,22 @@
         )
 
     def raise_fence_above(self, fence: int) -> None:
-        """Raises this leader's fencing token above one that a member followed.
+        """Reacts to a fencing token that a member followed, if it is higher.
 
-        The token is higher if another member led the member's zone while the
-        zone was cut off. The targets of that zone obey only the higher token,
-        and may run jobs that the member now offers to this leader.
+        Targets may obey that token and run jobs that the member now offers to
+        this leader. A leader of the whole site raises its own token and claims
+        all targets again. A leader of one zone steps down, since the other
+        leader has reached its zone.
 
         Args:
             fence: Highest fencing token that the member followed.
         """
-        if not self._is_leading or self.leader.is_partial:
+        if not self._is_leading or fence <= self.leader.fence:
             return
-        if fence > self.leader.fence:
-            self.membership.raise_term(fence // FENCING_TOKENS_PER_TERM)
+        self.membership.raise_term(fence // FENCING_TOKENS_PER_TERM)
+        if self.leader.is_partial:
+            self._step_down("fence_lost")
+        else:
             self._raise_term()
 
     async def receive_query(self, querying_member: Member) -> Opinion:
--- a/anvilford/node/tests/test_coordination.py
+++ b/anvilford/node/tests/test_coordination.py
@@ -145,3 +145,20 @@
 
     asyncio.run(scenario())
     case.assertIsNone(coordinator.leader)
+
+
+def test_leader_of_a_zone_outlives_a_higher_fence(case, coordinator):
+    """Guards against a second run started by the leader of a zone.
+
+    It took an offer from an entry that had followed a leader with a higher
+    token, and started the job although a target ran it under that token.
+    """
+
+    async def scenario():
+        coordinator._start_leading(Leader(2, LOCAL_MEMBER, is_partial=True))
+        coordinator.raise_fence_above(Leader(4, OTHER_MEMBER).fence)
+
+    asyncio.run(scenario())
+    case.assertIsNone(coordinator.driver)
+    case.assertIsNone(coordinator.leader)
+    case.assertEqual(coordinator.term, 4)
