Give leaders of one term different fencing tokens on large sites

A cut-off zone and the rest of a site elect a leader of the same term each. Targets obey both leaders then, and nothing keeps them from running a task twice.

--- a/anvilford/leadership/_model.py
+++ b/anvilford/leadership/_model.py
@@ -6,8 +6,10 @@
 
 # Number of fencing tokens reserved for each term. The hash of the leader's name
 # selects the token within the term, so that members that lead in the same term
-# without knowing of each other normally use different tokens.
-FENCING_TOKENS_PER_TERM = 64
+# without knowing of each other normally use different tokens. Leaders of one
+# zone use the lower half: they often lead in the same term as the leader of the
+# site, and may reach the same targets.
+FENCING_TOKENS_PER_TERM = 128
 
 
 @attrs.frozen
@@ -50,10 +52,10 @@
     @property
     def fence(self) -> int:
         """Fencing token of the orders that this leader sends to targets."""
-        offset = zlib.crc32(self.member.name.encode()) % (
-            FENCING_TOKENS_PER_TERM - 1
-        )
-        return self.term * FENCING_TOKENS_PER_TERM + 1 + offset
+        half = FENCING_TOKENS_PER_TERM // 2
+        offset = zlib.crc32(self.member.name.encode()) % (half - 1)
+        first = 1 if self.is_partial else 1 + half
+        return self.term * FENCING_TOKENS_PER_TERM + first + offset
 
 
 @attrs.frozen
--- a/anvilford/leadership/tests/test_election.py
+++ b/anvilford/leadership/tests/test_election.py
@@ -168,3 +168,13 @@
     fences = {Leader(3, m).fence for m in MEMBERS}
     case.assertEqual(len(fences), len(MEMBERS))
     case.assertLess(max(fences), min(Leader(4, m).fence for m in MEMBERS))
+
+
+def test_leaders_of_one_term_share_a_fence(case):
+    """Guards against two leaders of one term that targets both obey."""
+    names = [f"entry-{zone}-{n}" for zone in "abcdefghij" for n in range(30)]
+    fences = {
+        Leader(2, Member(name, "a", "127.0.0.1:1", 1.0, "t")).fence
+        for name in names
+    }
+    case.assertEqual(len(fences), len(names))
