Merge what a repeated offer knows into the job that it joins

An entry that returns from the leader of a cut-off zone offers its job again and names the targets of its runs. If the site's leader still had the job, it joined the offer and ignored that: it started a waiting task as soon as any target was free, while the run was alive on a target that had not answered yet. It also ignored the tasks named as done, which would have run a second time.

The targets, the unknown ones and the tasks that are done are merged now, and runs that were found are adopted. The test overlaps before.

--- a/anvilford/placement/_placer.py
+++ b/anvilford/placement/_placer.py
@@ -125,12 +125,7 @@
         within `OUTCOME_RETENTION_S` is answered with its outcome.
         """
         if offer.job_id in self.jobs:
-            job = self.jobs[offer.job_id]
-            job.entries.add(offer.entry)
-            job.deadline = max(job.deadline, now + offer.remaining)
-            self._log_decision(
-                "offer joined", job.job_id, {"entry": offer.entry}
-            )
+            self._join(self.jobs[offer.job_id], offer, now)
             return
         known = self.outcomes.get(offer.job_id)
         if known is not None:
@@ -162,6 +157,31 @@
             self._waiting[job.job_id] = job
         self._complete_if_done(job, now)
 
+    def _join(self, job: Job, offer: Offer, now: float) -> None:
+        """Adds an entry to a job in progress, with what it knows of the job.
+
+        The entry may have offered the job to another placer meanwhile.
+        """
+        job.entries.add(offer.entry)
+        job.deadline = max(job.deadline, now + offer.remaining)
+        if offer.again:
+            job.unseen_runs_until = now + UNSEEN_RUNS_WINDOW_S
+            job.add_possible_targets(
+                offer.placed if offer.placed_is_known else None
+            )
+            job.mark_done(offer.done)
+        self._log_decision(
+            "offer joined",
+            job.job_id,
+            {
+                "entry": offer.entry,
+                "again": offer.again,
+                "placed_elsewhere": job.placed_elsewhere,
+            },
+        )
+        self.fleet.adopt_runs(job, now)
+        self._update_waiting(job, now)
+
     def record_contact(self, entry: str, now: float) -> None:
         """Records that an entry follows this placer, and no other one."""
         self._entry_contacts[entry] = now
@@ -250,14 +270,17 @@
     def _adopt_runs_for_waiting_jobs(self, now: float) -> None:
         """Assigns newly found runs to jobs that were offered before."""
         for job in list(self._waiting.values()):
-            if not self.fleet.adopt_runs(job, now):
-                continue
-            job.set_waiting(
-                [t for t in job.waiting if t.phase is TaskPhase.WAITING]
-            )
-            if not job.waiting:
-                self._waiting.pop(job.job_id, None)
-            self._complete_if_done(job, now)
+            if self.fleet.adopt_runs(job, now):
+                self._update_waiting(job, now)
+
+    def _update_waiting(self, job: Job, now: float) -> None:
+        """Updates the waiting tasks of a job after tasks were adopted or done."""
+        job.set_waiting(
+            [t for t in job.waiting if t.phase is TaskPhase.WAITING]
+        )
+        if not job.waiting:
+            self._waiting.pop(job.job_id, None)
+        self._complete_if_done(job, now)
 
     # Decisions on the admission and placement of jobs.
 
@@ -273,11 +296,7 @@
             {offer.entry},
         )
         job.initialize()
-        done = set(offer.done)
-        for task in job.tasks:
-            if task.key in done:
-                task.phase = TaskPhase.DONE
-                job.open_tasks -= 1
+        job.mark_done(offer.done)
         return job
 
     def _check_admission(self, job: Job, now: float) -> Outcome | None:
--- a/anvilford/placement/_state.py
+++ b/anvilford/placement/_state.py
@@ -164,6 +164,25 @@
             + self.policy.allowance_ms / 1000
         )
 
+    def mark_done(self, keys: Iterable[str]) -> None:
+        """Marks waiting tasks as done, given as "step.index"."""
+        done = set(keys)
+        for task in self.tasks:
+            if task.phase is TaskPhase.WAITING and task.key in done:
+                task.phase = TaskPhase.DONE
+                self.open_tasks -= 1
+
+    def add_possible_targets(self, placed: tuple[str, ...] | None) -> None:
+        """Adds targets on which another placer may have started tasks.
+
+        Args:
+            placed: Ids of the targets; None if they are not known.
+        """
+        if placed is None or self.placed_elsewhere is None:
+            self.placed_elsewhere = None
+        else:
+            self.placed_elsewhere = (*self.placed_elsewhere, *placed)
+
     @property
     def objective_deadline(self) -> float:
         """Time until which the answer has its full value."""
--- a/anvilford/placement/tests/test_two_placers.py
+++ b/anvilford/placement/tests/test_two_placers.py
@@ -31,6 +31,15 @@
     site.faults.partitioned_pairs = {("site", "far"), ("zone", "near")}
 
 
+def start_on_far(site, seconds):
+    """Starts a job of one task on target "far"."""
+    site.placers["site"].fleet.targets["near"].suspended_until = 0.3
+    started = job(seconds=seconds)
+    site.offer("site", started)
+    site.run(0.2)
+    return started
+
+
 def test_run_kept_alive_by_another_placer_starts_again(case):
     """Guards against a second run after another placer extended the lease.
 
@@ -63,10 +72,7 @@
     the run alive, and the first leader had not noticed its silence yet.
     """
     site = make_site()
-    site.placers["site"].fleet.targets["near"].suspended_until = 0.3
-    inside = job(seconds=1.5)
-    site.offer("site", inside)
-    site.run(0.2)
+    inside = start_on_far(site, 1.5)
     cut_zone(site)
     site.faults.silent_placers.add("site")
     site.run(0.8)
@@ -80,6 +86,30 @@
     )
 
 
+def test_offer_of_a_returning_entry_joins_blindly(case):
+    """Guards against a second run when an entry offers a kept job again.
+
+    The offer names a target that another placer has used; the placer joined it
+    to the job and started a waiting task without the target's report.
+    """
+    site = make_site()
+    moved = start_on_far(site, 1.55)
+    cut_zone(site)
+    site.faults.silent_placers.add("site")
+    site.run(0.8)
+    site.add_placer("zone", 2)
+    site.offer("zone", moved, again=True, placed_is_known=False)
+    site.run(1.36)
+    site.remove_placer("zone")
+    site.faults.partitioned_pairs.clear()
+    site.faults.silent_placers.clear()
+    site.placers["site"].record_contact("entry", site.now)
+    site.placers["site"].raise_fence(3, site.now)
+    site.offer("site", moved, again=True, placed=("far",))
+    site.run(8.0)
+    case.assertEqual(site.find_overlapping_tasks(), [])
+
+
 def test_refusal_of_an_earlier_fence_releases_runs(case):
     """Guards against a second run after a refusal that came too late.
 
