Stop a job as soon as one of its entries is silent

Two entries wait for a job (the caller has sent it again). One of them is in a zone that is cut off and offers the job to the zone's leader, which adopts its runs, or starts it once the first leader must have stopped it. That one only removed the silent entry and went on for the other one, and so both placed the job.

The job now ends as lost for all entries that wait, which is true: its runs are stopped, and the caller may send it again. The test overlaps if only the entry is removed. The leader also no longer fails with an exception when it steps down while it stops such jobs.

--- a/anvilford/node/_coordination.py
+++ b/anvilford/node/_coordination.py
@@ -578,7 +578,9 @@
         self.driver.placer.record_contact(self.local_member.name, now)
         self.heartbeats.expire(now)
         for entry in self.driver.waiting_entries() - self.heartbeats.live_names:
-            self.driver.withdraw_entry(entry)
+            self.driver.stop_jobs_of(entry)
+            if self.driver is None:
+                return  # The member has stepped down after a suspension.
         if not self.leader.is_partial:
             self.membership.members = self.heartbeats.known_members()
         self.waiting_jobs = self.driver.placer.count_waiting_jobs()
--- a/anvilford/node/_driver.py
+++ b/anvilford/node/_driver.py
@@ -179,14 +179,10 @@
         self.placer.withdraw(job_id, entry, reason, self._read_clock())
         self._run_effects()
 
-    def withdraw_entry(self, entry: str) -> None:
-        """Withdraws all jobs of an entry that sends no heartbeats."""
-        for job_id in [
-            job_id
-            for job_id, waiters in self._waiters.items()
-            if entry in waiters
-        ]:
-            self.withdraw(job_id, entry, "entry_silent")
+    def stop_jobs_of(self, entry: str) -> None:
+        """Stops all jobs of an entry that may follow another leader."""
+        self.placer.stop_jobs_of(entry, self._read_clock())
+        self._run_effects()
 
     def waiting_entries(self) -> set[str]:
         """Returns the names of the entries that wait for a job."""
--- a/anvilford/placement/_placer.py
+++ b/anvilford/placement/_placer.py
@@ -200,6 +200,18 @@
         if not job.entries:
             self._end_job(job, Outcome(OutcomeKind.LOST, reason), now)
 
+    def stop_jobs_of(self, entry: str, now: float) -> None:
+        """Stops all jobs of an entry that may have left for another placer.
+
+        A job ends with outcome `LOST` for all entries that wait for it, since
+        the other placer may start its tasks once they have been stopped here.
+        """
+        for job in list(self.jobs.values()):
+            if entry in job.entries:
+                self._end_job(
+                    job, Outcome(OutcomeKind.LOST, "entry_silent"), now
+                )
+
     def release_jobs(self, now: float) -> None:
         """Releases all jobs with their runs, for another placer to adopt.
 
--- a/anvilford/placement/tests/test_two_placers.py
+++ b/anvilford/placement/tests/test_two_placers.py
@@ -1,6 +1,7 @@
 """Tests of two placers that reach different parts of the site."""
 
 from anvilford.order_model import PlacementSimulation
+from anvilford.placement import Offer
 from anvilford.placement import OutcomeKind
 from anvilford.placement.tests._shared import job
 from anvilford.placement.tests._shared import make_target
@@ -86,6 +87,28 @@
     )
 
 
+def test_job_of_two_entries_outlives_a_silent_one(case):
+    """Guards against a second run after one of two entries became silent.
+
+    That entry had offered the job to the leader of its zone. The other one was
+    still heard, so that the first leader went on with the job.
+    """
+    site = make_site()
+    shared = start_on_far(site, 1.5)
+    placer = site.placers["site"]
+    again = Offer(
+        shared.job_id, "inside", shared.kind.policy, shared.spec, 0.0, 1.5
+    )
+    placer.offer(again, site.now)
+    cut_zone(site)
+    site.run(0.8)
+    placer.stop_jobs_of("inside", site.now)
+    site.add_placer("zone", 2)
+    site.offer("zone", shared, again=True, placed_is_known=False)
+    site.run(8.0)
+    case.assertEqual(site.find_overlapping_tasks(), [])
+
+
 def test_offer_of_a_returning_entry_joins_blindly(case):
     """Guards against a second run when an entry offers a kept job again.
 
