Count only answered heartbeats as proof that an entry stayed

A heartbeat is sent after the answer to the previous one, so it proves the time of that one. An entry with a higher fencing token has followed another leader: the jobs that it had offered here before are stopped before the targets are claimed again; its repeated offers bring them back with what they know. A leader that is stopping steps down instead of raising its token. Both tests fail before.

--- a/anvilford/node/_coordination.py
+++ b/anvilford/node/_coordination.py
@@ -197,14 +197,15 @@
     def receive_heartbeat(self, message: Heartbeat) -> HeartbeatReply:
         """Records a member's heartbeat and returns the reply."""
         if self._is_leading:
-            now = clock.now()
-            self.heartbeats.record_heartbeat(message.member, now)
-            self.driver.placer.record_contact(message.member.name, now)
+            sent_after = self.heartbeats.record_heartbeat(
+                message.member, clock.now()
+            )
+            self.driver.placer.record_contact(message.member.name, sent_after)
             if not self.leader.is_partial:
                 # The reply includes the members heard so far, so that they
                 # know each other if this leader ends right after its start.
                 self.membership.members = self.heartbeats.known_members()
-            self.raise_fence_above(message.fence)
+            self.raise_fence_above(message.fence, message.member.name)
         return HeartbeatReply(
             self.term,
             self._is_leading,
@@ -214,23 +215,27 @@
             self.site.routing_table.version if self.site.routing_table else 0,
         )
 
-    def raise_fence_above(self, fence: int) -> None:
+    def raise_fence_above(self, fence: int, entry: str) -> None:
         """Reacts to a fencing token that a member followed, if it is higher.
 
         Targets may obey that token and run jobs that the member now offers to
         this leader. A leader of the whole site raises its own token and claims
-        all targets again. A leader of one zone steps down, since the other
-        leader has reached its zone.
+        all targets again. It also stops the jobs that the member offered to it
+        before, since they may have been placed by the other leader. A leader of
+        one zone steps down, since the other leader has reached its zone.
 
         Args:
             fence: Highest fencing token that the member followed.
+            entry: Name of the member.
         """
         if not self._is_leading or fence <= self.leader.fence:
             return
         self.membership.raise_term(fence // FENCING_TOKENS_PER_TERM)
-        if self.leader.is_partial:
+        if self.leader.is_partial or self.is_stopping:
             self._step_down("fence_lost")
-        else:
+            return
+        self.driver.stop_jobs_of(entry)
+        if self._is_leading:
             self._raise_term()
 
     async def receive_query(self, querying_member: Member) -> Opinion:
@@ -570,6 +575,8 @@
         self.membership.term = leader.term
         self._set_leader(leader)
         self.driver.raise_fence(leader.fence)
+        if not self._is_leading:
+            return  # The member has stepped down after a suspension.
         self._announce(leader)
         self._row_write_due_at = clock.now()
 
--- a/anvilford/node/_main.py
+++ b/anvilford/node/_main.py
@@ -265,7 +265,7 @@
         coordination = self.coordinator
         match message:
             case Offer():
-                coordination.raise_fence_above(message.fence)
+                coordination.raise_fence_above(message.fence, message.entry)
                 driver = coordination.driver
                 if driver is None:
                     return Outcome(OutcomeKind.MOVED, "not_leading")
--- a/anvilford/node/_members.py
+++ b/anvilford/node/_members.py
@@ -38,15 +38,23 @@
         }
         self.live_names = set(self._last_heartbeats)
 
-    def record_heartbeat(self, member: Member, now: float) -> None:
-        """Records a heartbeat of a member; the member counts as live."""
+    def record_heartbeat(self, member: Member, now: float) -> float:
+        """Records a heartbeat of a member; the member counts as live.
+
+        Returns:
+            Time of the member's previous heartbeat, 0 if there is none. The
+            member sends a heartbeat after the answer to the previous one, so
+            that it was sent after this time, however late it arrived.
+        """
         if member.name not in self.live_names:
             self.live_names.add(member.name)
             _logger.info(
                 "first heartbeat from a new or returning member",
                 extra={"member": member.name},
             )
+        _, previous = self._last_heartbeats.get(member.name, (member, 0.0))
         self._last_heartbeats[member.name] = (member, now)
+        return previous
 
     def expire(self, now: float) -> None:
         """Updates the live members and removes those past their retention."""
--- a/anvilford/node/tests/test_coordination.py
+++ b/anvilford/node/tests/test_coordination.py
@@ -11,6 +11,7 @@
 from anvilford.leadership import Opinion
 from anvilford.node import _clock as clock
 from anvilford.node._coordination import LeadershipCoordinator
+from anvilford.protocol import Heartbeat
 from anvilford.protocol import LeaderQuery
 from anvilford.telemetry import Counters
 from testkit import fixture
@@ -156,9 +157,50 @@
 
     async def scenario():
         coordinator._start_leading(Leader(2, LOCAL_MEMBER, is_partial=True))
-        coordinator.raise_fence_above(Leader(4, OTHER_MEMBER).fence)
+        coordinator.raise_fence_above(
+            Leader(4, OTHER_MEMBER).fence, OTHER_MEMBER.name
+        )
 
     asyncio.run(scenario())
     case.assertIsNone(coordinator.driver)
     case.assertIsNone(coordinator.leader)
     case.assertEqual(coordinator.term, 4)
+
+
+def test_late_heartbeat_counts_as_new(case, coordinator):
+    """Guards against a second run after a heartbeat that arrived late.
+
+    The leader took the time of the arrival for that at which the member still
+    followed it. The member had gone over to another leader since.
+    """
+
+    async def scenario():
+        coordinator._start_leading(Leader(2, LOCAL_MEMBER))
+        coordinator.receive_heartbeat(Heartbeat(OTHER_MEMBER, 0))
+        answered_at = clock.now()
+        await asyncio.sleep(0.01)
+        coordinator.receive_heartbeat(Heartbeat(OTHER_MEMBER, 0))
+        return answered_at
+
+    answered_at = asyncio.run(scenario())
+    name, followed_at = coordinator.driver.placer.record_contact.call_args.args
+    case.assertEqual(name, OTHER_MEMBER.name)
+    case.assertLessEqual(followed_at, answered_at)
+
+
+def test_jobs_of_a_returning_entry_go_on(case, coordinator):
+    """Guards against a second run of jobs that an entry offered elsewhere.
+
+    The entry had followed the leader of a cut-off zone. The leader that it
+    returned to still had its jobs and started their tasks again.
+    """
+
+    async def scenario():
+        coordinator._start_leading(Leader(2, LOCAL_MEMBER))
+        coordinator.receive_heartbeat(
+            Heartbeat(OTHER_MEMBER, Leader(3, OTHER_MEMBER).fence)
+        )
+
+    asyncio.run(scenario())
+    coordinator.driver.stop_jobs_of.assert_called_once_with(OTHER_MEMBER.name)
+    case.assertEqual(coordinator.leader, Leader(4, LOCAL_MEMBER))
--- a/anvilford/placement/_placer.py
+++ b/anvilford/placement/_placer.py
@@ -182,9 +182,9 @@
         self.fleet.adopt_runs(job, now)
         self._update_waiting(job, now)
 
-    def record_contact(self, entry: str, now: float) -> None:
-        """Records that an entry follows this placer, and no other one."""
-        self._entry_contacts[entry] = now
+    def record_contact(self, entry: str, followed_at: float) -> None:
+        """Records that an entry followed this placer at a time in seconds."""
+        self._entry_contacts[entry] = followed_at
 
     def withdraw(
         self, job_id: str, entry: str, reason: str, now: float
@@ -442,7 +442,8 @@
 
         That placer would have adopted the job's runs and extended their leases,
         so that they continue after the end of the lease known here. An entry
-        that is heard after that end has not offered the job elsewhere before.
+        that followed this placer after that end has not offered the job
+        elsewhere before.
         """
         return job.lease_ended_at > 0 and any(
             self._entry_contacts.get(entry, 0.0) <= job.lease_ended_at
