--- a/anvilford/leadership/_model.py
+++ b/anvilford/leadership/_model.py
@@ -6,10 +6,9 @@
 
 # Number of fencing tokens reserved for each term. The hash of the leader's name
 # selects the token within the term, so that members that lead in the same term
-# without knowing of each other normally use different tokens. Leaders of one
-# zone use the lower half: they often lead in the same term as the leader of the
-# site, and may reach the same targets.
-FENCING_TOKENS_PER_TERM = 128
+# without knowing of each other use different tokens. Targets would obey both of
+# them otherwise, so that the number is much larger than that of pairs of members.
+FENCING_TOKENS_PER_TERM = 1 << 20
 
 
 @attrs.frozen
@@ -52,10 +51,10 @@
     @property
     def fence(self) -> int:
         """Fencing token of the orders that this leader sends to targets."""
-        half = FENCING_TOKENS_PER_TERM // 2
-        offset = zlib.crc32(self.member.name.encode()) % (half - 1)
-        first = 1 if self.is_partial else 1 + half
-        return self.term * FENCING_TOKENS_PER_TERM + first + offset
+        offset = zlib.crc32(self.member.name.encode()) % (
+            FENCING_TOKENS_PER_TERM - 1
+        )
+        return self.term * FENCING_TOKENS_PER_TERM + 1 + offset
 
 
 @attrs.frozen
