Simulate zone cuts with two leaders from seeds

Entries follow the leader of the site or, while their zone is cut off, one of the zone. Heartbeats, withdrawals, repeated offers and tokens follow the node package; cuts, delays, lost answers and late orders are drawn from a seed. No task may have two runs at a time.

--- a/anvilford/order_model/__init__.py
+++ b/anvilford/order_model/__init__.py
@@ -13,6 +13,7 @@
 from anvilford.order_model._site import PlacementSimulation
 from anvilford.order_model._target import FakeTarget
 from anvilford.order_model._target import overlapping_tasks
+from anvilford.order_model._zone_cut import ZoneCutSimulation
 
 __all__ = [
     "Arrival",
@@ -21,6 +22,7 @@
     "PlacementSimulation",
     "Result",
     "InjectedFaults",
+    "ZoneCutSimulation",
     "draw_arrivals",
     "overlapping_tasks",
 ]
--- a/anvilford/order_model/_site.py
+++ b/anvilford/order_model/_site.py
@@ -136,7 +136,12 @@
         heapq.heappush(self._events, entry)
 
     def offer(
-        self, name: str, arrival: Arrival, again: bool = False, **fields
+        self,
+        name: str,
+        arrival: Arrival,
+        again: bool = False,
+        entry: str = "entry",
+        **fields,
     ) -> None:
         """Offers a job to a placer now.
 
@@ -144,6 +149,7 @@
             name: Name of the placer.
             arrival: The job.
             again: True if the job may have been offered to a placer before.
+            entry: Name of the entry that offers the job.
             **fields: Further fields of the `Offer`.
         """
         for index, seconds in enumerate(arrival.run_times_s):
@@ -151,7 +157,7 @@
             self.task_demands[task] = (arrival.spec.steps[0].need, seconds)
         offer = Offer(
             arrival.job_id,
-            "entry",
+            entry,
             arrival.kind.policy,
             arrival.spec,
             max(self.now - arrival.arrival_time, 0.0),
