Let a job that comes back wait for runs of the other placer

An entry loses the site's leader, offers its job to the leader of its zone and returns before the 0.6 s are over after which its silence counts. The site's leader still has the job: it joined the repeated offer and ignored that the job may have runs elsewhere, and where. A task whose run has ended or lapsed for this leader, and that the other leader has moved or kept, started again before its target had answered the new claim. A heartbeat of the entry also proved that the job had not moved, although it only came back.

--- a/anvilford/placement/_placer.py
+++ b/anvilford/placement/_placer.py
@@ -128,8 +128,12 @@
             job = self.jobs[offer.job_id]
             job.entries.add(offer.entry)
             job.deadline = max(job.deadline, now + offer.remaining)
+            if offer.again:
+                self._add_unseen_runs(job, offer, now)
             self._log_decision(
-                "offer joined", job.job_id, {"entry": offer.entry}
+                "offer joined",
+                job.job_id,
+                {"entry": offer.entry, "again": offer.again},
             )
             return
         known = self.outcomes.get(offer.job_id)
@@ -162,6 +166,18 @@
             self._waiting[job.job_id] = job
         self._complete_if_done(job, now)
 
+    def _add_unseen_runs(self, job: Job, offer: Offer, now: float) -> None:
+        """Lets a job in progress wait for runs that another placer started.
+
+        The entry offered the job to that placer and came back before its
+        silence was noticed.
+        """
+        job.unseen_runs_until = now + UNSEEN_RUNS_WINDOW_S
+        if not offer.placed_is_known or job.placed_elsewhere is None:
+            job.placed_elsewhere = None
+        else:
+            job.placed_elsewhere += offer.placed
+
     def record_contact(self, entry: str, now: float) -> None:
         """Records that an entry follows this placer, and no other one."""
         self._entry_contacts[entry] = now
@@ -216,7 +232,15 @@
         self._views.clear()
 
     def raise_fence(self, fence: int, now: float) -> None:
-        """Adopts a higher fencing token and claims all targets with it."""
+        """Adopts a higher fencing token and claims all targets with it.
+
+        Another placer is active: it may have extended leases whose ends are
+        known here.
+        """
+        for job in self.jobs.values():
+            if job.lease_ended_at:
+                job.unseen_runs_until = now + UNSEEN_RUNS_WINDOW_S
+                job.placed_elsewhere = None
         self.fleet.raise_fence(fence, now)
 
     def handle_start_answer(
--- /dev/null
+++ b/anvilford/placement/tests/test_handovers.py
@@ -0,0 +1,95 @@
+"""Tests of jobs that return to a placer, or reach a new one, with runs."""
+
+from anvilford.order_model import PlacementSimulation
+from anvilford.placement.tests._shared import job
+from anvilford.placement.tests._shared import make_target
+from testkit import function_tests
+
+load_tests = function_tests(__name__)
+__all__ = ["load_tests"]
+
+
+def make_cut_off_site(lease_ends_early):
+    """Returns a site and a job with a run on "far", which is then cut off.
+
+    The leader of the zone has found the run; the site's leader still has the
+    job. Its lease for "far" has ended if `lease_ends_early`.
+    """
+    site = PlacementSimulation(
+        [
+            make_target("near", speed=2.0),
+            make_target("far", speed=1.0),
+            make_target("far2", speed=0.9),
+        ],
+        one_way_delay_s=0.005,
+    )
+    site.add_placer("site", 1)
+    site.run(0.1)
+    site.placers["site"].fleet.targets["near"].suspended_until = 0.3
+    work = job(seconds=2.0)
+    site.offer("site", work)
+    site.run(0.36)
+    site.faults.partitioned_pairs = {
+        ("site", "far"), ("site", "far2"), ("zone", "near")
+    }  # fmt: skip
+    site.run(0.9)
+    site.faults.silent_placers.add("site")
+    site.run(1.15 if lease_ends_early else 0.95)
+    site.add_placer("zone", 2)
+    site.offer("zone", work, again=True, placed=("far",))
+    site.run(1.4 if lease_ends_early else 1.0)
+    return site, work
+
+
+def return_to_site(site, work, placed, late_target="", offer_delay=0.0):
+    """Ends the cut; the entry offers the job to the site's leader again.
+
+    The first polls of `late_target` get no answer. The offer comes
+    `offer_delay` seconds after the heartbeat with the higher token.
+    """
+    site.placers["zone"].release_jobs(site.now)
+    site.remove_placer("zone")
+    site.faults.partitioned_pairs = {("site", late_target)}
+    site.faults.silent_placers.clear()
+    site.placers["site"].record_contact("entry", site.now)
+    site.placers["site"].raise_fence(3, site.now)
+    site.run(site.now + offer_delay)
+    site.offer("site", work, again=True, placed=placed)
+    site.run(site.now + 0.1)
+    site.faults.partitioned_pairs.clear()
+    site.run(8.0)
+
+
+def test_job_that_returns_after_its_lease_runs_twice(case):
+    """Guards against a second run of a job that another placer has kept.
+
+    The entry came back before its silence was noticed; the job that it offered
+    again was joined without regard to the targets that it named.
+    """
+    for offer_delay in (0.0, 0.03):
+        with case.subTest(offer_delay=offer_delay):
+            site, work = make_cut_off_site(lease_ends_early=True)
+            case.assertTrue(site.targets["far"].running)
+            return_to_site(site, work, ("far",), "far", offer_delay)
+            case.assertEqual(site.find_overlapping_tasks(), [])
+
+
+def test_run_on_a_second_target_is_overlooked(case):
+    """Guards against a second run if another placer moved the task.
+
+    Its first run had failed, and the next one was on another target.
+    """
+    for late_target in ("", "far2"):
+        with case.subTest(late_target=late_target):
+            site, work = make_cut_off_site(lease_ends_early=False)
+            far = site.targets["far"]
+            zone = site.placers["zone"]
+            zone.fleet.targets["far"].suspended_until = 3.0
+            far.fails_all_tasks = True
+            site.run(site.now + 0.01)
+            far.fails_all_tasks = False
+            # The pending poll reports the failure after its wait.
+            site.run(site.now + 0.2)
+            case.assertTrue(site.targets["far2"].running)
+            return_to_site(site, work, ("far2",), late_target)
+            case.assertEqual(site.find_overlapping_tasks(), [])
