Look for another run of a task before it starts again

A target reports a run of a task, then another target a later run of it, which another leader has started. Only the first target was remembered for the task. Once its run had ended, the task started again beside the second run, which was stopped as unclaimed 0.15 to 0.7 s later.

--- a/anvilford/placement/_placer.py
+++ b/anvilford/placement/_placer.py
@@ -274,14 +274,18 @@
     def _adopt_runs_for_waiting_jobs(self, now: float) -> None:
         """Assigns newly found runs to jobs that were offered before."""
         for job in list(self._waiting.values()):
-            if not self.fleet.adopt_runs(job, now):
-                continue
-            job.set_waiting(
-                [t for t in job.waiting if t.phase is TaskPhase.WAITING]
-            )
-            if not job.waiting:
-                self._waiting.pop(job.job_id, None)
-            self._complete_if_done(job, now)
+            self._adopt_runs(job, now)
+
+    def _adopt_runs(self, job: Job, now: float) -> None:
+        """Assigns known runs and ends to the waiting tasks of a job."""
+        if not self.fleet.adopt_runs(job, now):
+            return
+        job.set_waiting(
+            [t for t in job.waiting if t.phase is TaskPhase.WAITING]
+        )
+        if not job.waiting:
+            self._waiting.pop(job.job_id, None)
+        self._complete_if_done(job, now)
 
     # Decisions on the admission and placement of jobs.
 
@@ -547,6 +551,8 @@
         task.phase = TaskPhase.WAITING
         job.set_waiting([*job.waiting, task])
         self._waiting[job.job_id] = job
+        # A run that another placer started may have been found meanwhile.
+        self._adopt_runs(job, now)
 
     def _complete_if_done(self, job: Job, now: float) -> None:
         if job.open_tasks == 0:
--- a/anvilford/placement/tests/test_handovers.py
+++ b/anvilford/placement/tests/test_handovers.py
@@ -77,9 +77,10 @@
 def test_run_on_a_second_target_is_overlooked(case):
     """Guards against a second run if another placer moved the task.
 
-    Its first run had failed, and the next one was on another target.
+    Its first run had failed, and the next one was on another target. Their
+    reports came in either order.
     """
-    for late_target in ("", "far2"):
+    for late_target in ("", "far", "far2"):
         with case.subTest(late_target=late_target):
             site, work = make_cut_off_site(lease_ends_early=False)
             far = site.targets["far"]
