--- a/anvilford/node/_main.py
+++ b/anvilford/node/_main.py
@@ -265,7 +265,7 @@
         coordination = self.coordinator
         match message:
             case Offer():
-                coordination.raise_fence_above(message.fence, message.entry)
+                coordination.raise_fence_above(message.fence)
                 driver = coordination.driver
                 if driver is None:
                     return Outcome(OutcomeKind.MOVED, "not_leading")
--- a/anvilford/placement/_placer.py
+++ b/anvilford/placement/_placer.py
@@ -248,7 +248,15 @@
         self._views.clear()
 
     def raise_fence(self, fence: int, now: float) -> None:
-        """Adopts a higher fencing token and claims all targets with it."""
+        """Adopts a higher fencing token and claims all targets with it.
+
+        Another placer is active: it may have extended leases whose ends are
+        known here.
+        """
+        for job in self.jobs.values():
+            if job.lease_ended_at:
+                job.unseen_runs_until = now + UNSEEN_RUNS_WINDOW_S
+                job.placed_elsewhere = None
         self.fleet.raise_fence(fence, now)
 
     def handle_start_answer(
@@ -282,8 +290,12 @@
     def _adopt_runs_for_waiting_jobs(self, now: float) -> None:
         """Assigns newly found runs to jobs that were offered before."""
         for job in list(self._waiting.values()):
-            if self.fleet.adopt_runs(job, now):
-                self._update_waiting(job, now)
+            self._adopt_runs(job, now)
+
+    def _adopt_runs(self, job: Job, now: float) -> None:
+        """Assigns known runs and ends to the waiting tasks of a job."""
+        if self.fleet.adopt_runs(job, now):
+            self._update_waiting(job, now)
 
     def _update_waiting(self, job: Job, now: float) -> None:
         """Updates the waiting tasks of a job after tasks were adopted or done."""
@@ -555,6 +567,8 @@
         task.phase = TaskPhase.WAITING
         job.set_waiting([*job.waiting, task])
         self._waiting[job.job_id] = job
+        # A run that another placer started may have been found meanwhile.
+        self._adopt_runs(job, now)
 
     def _complete_if_done(self, job: Job, now: float) -> None:
         if job.open_tasks == 0:
