Close the connection to a silent leader that was replaced

A member follows a leader that announces itself. If the old one is silent, its own heartbeat to it is still unanswered, and since it now follows another one it never closed that connection. Offers that wait for an answer there hung until their deadline, and the new leader, to which nobody offered their jobs, stopped the runs.

The connection is closed when the leader changes while a heartbeat is overdue, as it is when the member notices the silence itself. A leader that still answers, for instance one that stops as planned, keeps it. The test fails before.

--- a/anvilford/node/_coordination.py
+++ b/anvilford/node/_coordination.py
@@ -323,6 +323,15 @@
         self.membership.raise_term(leader.term)
         if leader.member != self.local_member:
             self._close_driver()
+        previous = self.leader
+        if (
+            previous is not None
+            and previous.member != leader.member
+            and self.leader_is_unresponsive
+        ):
+            # Offers without an answer fail now and go to the new leader, which
+            # stops runs that no entry offers to it.
+            self.links.disconnect(previous.member.address)
         self._set_leader(leader)
         self._wake.set()
 
--- a/anvilford/node/tests/test_coordination.py
+++ b/anvilford/node/tests/test_coordination.py
@@ -28,7 +28,14 @@
 
 
 class FakePeerLinks:
-    """Connections to a lost leader and to a member without a leader."""
+    """Connections to a lost leader and to a member without a leader.
+
+    Attributes:
+        disconnected: Addresses to which connections were closed.
+    """
+
+    def __init__(self):
+        self.disconnected = []
 
     async def call(self, address, message, timeout):
         """Answers a leader query to the live member; other calls fail."""
@@ -40,8 +47,9 @@
     def send(self, address, message):
         """Ignores a one-way message."""
 
-    def reset(self, address):
-        """Does nothing, as there are no connections."""
+    def disconnect(self, address):
+        """Records the address, as there are no connections."""
+        self.disconnected.append(address)
 
 
 class FakeLeaderRow:
@@ -184,3 +192,25 @@
     name, followed_at = coordinator.driver.placer.record_contact.call_args.args
     case.assertEqual(name, OTHER_MEMBER.name)
     case.assertLessEqual(followed_at, answered_at)
+
+
+def test_offers_hang_at_a_leader_that_was_replaced(case, coordinator):
+    """Guards against offers that are not repeated to a new leader.
+
+    The member followed the leader that announced itself, but kept the
+    connection to the silent one, on which its offers waited for an answer.
+    """
+
+    async def scenario():
+        coordinator._follow(LOST_LEADER)
+        step = asyncio.ensure_future(coordinator._follow_step())
+        await asyncio.sleep(0)
+        coordinator._heartbeat_pending_since = clock.now() - 0.1
+        coordinator.receive_announcement(Leader(2, OTHER_MEMBER))
+        step.cancel()
+
+    asyncio.run(scenario())
+    case.assertEqual(coordinator.leader, Leader(2, OTHER_MEMBER))
+    case.assertEqual(
+        coordinator.links.disconnected, [LOST_LEADER.member.address]
+    )
