Let the lease end if only stopped runs are left at a target

A run whose stop was sent but not confirmed still counted as a reason to extend the lease. If the stops are lost, the run of a withdrawn job went on without end, while another placer that is offered the job waits 1.8 s and then starts it. Without a claimed run that should go on, the lease is left to end. test_withdrawn_run_keeps_its_lease: the run never ended before, now it lapses within 1.1 s.

--- a/anvilford/order_model/_target.py
+++ b/anvilford/order_model/_target.py
@@ -10,6 +10,7 @@
 from anvilford.placement import Accepted
 from anvilford.placement import EndedTask
 from anvilford.placement import LifeReplaced
+from anvilford.placement import NoAnswer
 from anvilford.placement import OrderAnswer
 from anvilford.placement import Poll
 from anvilford.placement import PollAnswer
@@ -59,6 +60,7 @@
         speed: Speed of the target; run times are divided by it.
         fails_all_tasks: If True, running tasks fail at the next `advance`.
         is_stalled: If True, no task makes progress.
+        ignores_stops: If True, stops get no answer and have no effect.
         accepts_any_incarnation: If True, an order is accepted whatever process
             start time it names. The platform's protocol names only the id.
         running: Runs in progress by task name.
@@ -77,6 +79,7 @@
         self.speed = speed
         self.fails_all_tasks = False
         self.is_stalled = False
+        self.ignores_stops = False
         self.accepts_any_incarnation = False
         self.running: dict[str, _RunningWork] = {}
         self.unacknowledged_ends: list[EndedTask] = []
@@ -179,6 +182,8 @@
 
     def stop(self, order: StopRun, now: float) -> OrderAnswer:
         """Handles a request to stop a run."""
+        if self.ignores_stops:
+            return NoAnswer()
         self.advance(now)
         refusal = self._check_order(order.fence, order.incarnation)
         if refusal is not None:
--- a/anvilford/placement/_fleet.py
+++ b/anvilford/placement/_fleet.py
@@ -265,7 +265,7 @@
         # belong to a placer that cannot reach the target and counts on the end
         # of the lease.
         if (
-            target.has_claimed_runs
+            target.needs_lease
             and not target.has_unclaimed_runs
             and target.ownership is Ownership.OWNED
             and not target.missed_polls
--- a/anvilford/placement/_state.py
+++ b/anvilford/placement/_state.py
@@ -327,6 +327,15 @@
         """Whether any run on the target belongs to a job of this placer."""
         return any(run.task is not None for run in self.runs.values())
 
+    @property
+    def needs_lease(self) -> bool:
+        """Whether any claimed run should go on, rather than being stopped."""
+        return any(
+            run.task is not None
+            and run.phase not in (RunPhase.STOPPING, RunPhase.STOPPED)
+            for run in self.runs.values()
+        )
+
     @property
     def has_unclaimed_runs(self) -> bool:
         """Whether any run on the target is not claimed by an offer yet."""
--- a/anvilford/placement/tests/test_two_placers.py
+++ b/anvilford/placement/tests/test_two_placers.py
@@ -3,6 +3,7 @@
 from anvilford.order_model import PlacementSimulation
 from anvilford.placement import Offer
 from anvilford.placement import OutcomeKind
+from anvilford.placement import RunEnd
 from anvilford.placement.tests._shared import job
 from anvilford.placement.tests._shared import make_target
 from testkit import function_tests
@@ -183,3 +184,23 @@
         [outcome.kind for _, _, _, outcome in site.outcomes],
         [OutcomeKind.COMPLETED],
     )
+
+
+def test_withdrawn_run_keeps_its_lease(case):
+    """Guards against a run that goes on although its job was withdrawn.
+
+    The stop was lost, and polls extended the lease for the run alone. Another
+    placer waits only 1.8 s before it starts the job.
+    """
+    site = make_site()
+    first = start_on_far(site, 4.0)
+    target = site.targets["far"]
+    target.ignores_stops = True
+    site.placers["site"].withdraw(
+        first.job_id, "entry", "caller_left", site.now
+    )
+    site._execute_effects("site")
+    withdrawn_at = site.now
+    site.run(4.0)
+    case.assertEqual([how for *_, how in target.ends], [RunEnd.LAPSED])
+    case.assertLess(target.ends[0][0], withdrawn_at + 1.1)
