Pass on targets that an earlier placer had named

A placer that hands its jobs on names the targets of the runs that it knows. Those that the offer had named, and that it had not reached yet, were left out, so that the next placer started the job without waiting for them. The test fails before.

--- a/anvilford/placement/_placer.py
+++ b/anvilford/placement/_placer.py
@@ -220,7 +220,10 @@
         """
         for job in list(self.jobs.values()):
             done = tuple(t.key for t in job.tasks if t.phase is TaskPhase.DONE)
-            placed = self.fleet.target_ids_of_job(job)
+            placed = (
+                *self.fleet.target_ids_of_job(job),
+                *(job.placed_elsewhere or ()),
+            )
             moved = Outcome(OutcomeKind.MOVED, "placer_left", 0, done, placed)
             self.effects.append(Settle(job.job_id, moved))
         self.jobs.clear()
--- a/anvilford/placement/tests/test_two_placers.py
+++ b/anvilford/placement/tests/test_two_placers.py
@@ -204,3 +204,20 @@
     site.run(4.0)
     case.assertEqual([how for *_, how in target.ends], [RunEnd.LAPSED])
     case.assertLess(target.ends[0][0], withdrawn_at + 1.1)
+
+
+def test_released_job_names_only_its_own_targets(case):
+    """Guards against a second run of a job that is handed on twice.
+
+    The placer had not found the runs of the first one yet when it left, and did
+    not pass on the targets that the offer had named.
+    """
+    site = make_site()
+    moved = job(seconds=1.0)
+    site.placers["site"].fleet.targets["near"].suspended_until = 9.0
+    site.offer("site", moved, again=True, placed=("gone",))
+    site.placers["site"].release_jobs(site.now)
+    site._execute_effects("site")
+    _, _, _, outcome = site.outcomes[-1]
+    case.assertIs(outcome.kind, OutcomeKind.MOVED)
+    case.assertIn("gone", outcome.placed)
