List two ways to TWICE that remain when a caller sends a job again

Both need a caller that comes back at another entry while its job still runs, which no leader can know.

--- a/anvilford/placement/tests/test_two_placers.py
+++ b/anvilford/placement/tests/test_two_placers.py
@@ -221,3 +221,42 @@
     _, _, _, outcome = site.outcomes[-1]
     case.assertIs(outcome.kind, OutcomeKind.MOVED)
     case.assertIn("gone", outcome.placed)
+
+
+def test_job_sent_again_outside_a_cut_off_zone(case):
+    """Guards against a second run of a job that the leader has withdrawn.
+
+    The entry in the zone does not notice that its caller is gone, so that the
+    zone's leader continues the run. The caller resubmits outside the zone.
+    """
+    site = make_site()
+    moved = start_on_far(site, 1.55)
+    cut_zone(site)
+    site.run(0.8)
+    site.placers["site"].stop_jobs_of("entry", site.now)
+    site.add_placer("zone", 2)
+    site.offer("zone", moved, again=True, placed_is_known=False)
+    site.run(1.5)
+    case.assertTrue(site.targets["far"].running)
+    site.offer("site", moved, entry="outside")
+    site.run(8.0)
+    case.assertEqual(site.find_overlapping_tasks(), [])
+
+
+def test_job_sent_again_to_a_new_leader(case):
+    """Guards against a second run of a job that is offered as if it were new.
+
+    The caller resubmits at another entry just after a change of the leader, and
+    the first poll of the target that runs the job is lost.
+    """
+    site = make_site()
+    first = start_on_far(site, 2.0)
+    site.remove_placer("site")
+    site.run(0.65)
+    site.faults.partitioned_pairs = {("new", "far")}
+    site.add_placer("new", 2)
+    site.run(0.66)
+    site.faults.partitioned_pairs.clear()
+    site.offer("new", first, entry="other")
+    site.run(8.0)
+    case.assertEqual(site.find_overlapping_tasks(), [])
