--- a/anvilford/placement/tests/test_two_placers.py
+++ b/anvilford/placement/tests/test_two_placers.py
@@ -1,5 +1,7 @@
 """Tests of two placers that reach different parts of the site."""
 
+import attrs
+
 from anvilford.order_model import PlacementSimulation
 from anvilford.placement import Offer
 from anvilford.placement import OutcomeKind
@@ -238,7 +240,8 @@
     site.offer("zone", moved, again=True, placed_is_known=False)
     site.run(1.5)
     case.assertTrue(site.targets["far"].running)
-    site.offer("site", moved, entry="outside")
+    resubmitted = attrs.evolve(moved, arrival_time=site.now)
+    site.offer("site", resubmitted, entry="outside")
     site.run(8.0)
     case.assertEqual(site.find_overlapping_tasks(), [])
 
