Keep SIGHUP pending until an entry can obey it

Seen: SIGHUP within about 0.5 s of its start ended an entry (status -1), and the settings that it announced were not read. Cause: the entry handled the signal only once its components had started; the import alone takes 0.4 s. Change: `anvilford.node.main` blocks the signal before it imports the program. It stays pending, and the entry unblocks it when its handler is installed, so the settings are read as they are then. The soak's entry uses the same `main`. Evidence: test_reload_during_the_start holds a process in its start (settings from a named pipe) and signals it there. What is left is the start of the interpreter, before any line of the program; only its parent could ignore the signal there. Not changed: anvilford.daemon handles SIGTERM and SIGINT before it starts anything; it promises no reload, and SIGHUP ends it at any time.

--- a/anvilford/node/_main.py
+++ b/anvilford/node/_main.py
@@ -109,6 +109,7 @@
             loop.add_signal_handler(signal.SIGTERM, self._begin_stop)
             loop.add_signal_handler(signal.SIGINT, self._begin_stop)
             loop.add_signal_handler(signal.SIGHUP, self._reload_settings)
+            signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
             gc.collect()
             # The objects created so far live as long as the process, so the
             # garbage collector need not examine them.
@@ -365,16 +366,8 @@
         self._stopped.set()
 
 
-def main(argv: list[str] | None = None) -> int:
-    """Runs an entry until a planned stop is complete.
-
-    Args:
-        argv: Command line arguments; None uses those of the process.
-
-    Returns:
-        Exit status: 0 after a planned stop or valid `--check`, 2 if the
-        settings are invalid.
-    """
+def run_command(argv: list[str] | None) -> int:
+    """Runs an entry; see `anvilford.node.main`, which calls it."""
     parser = argparse.ArgumentParser(
         prog="anvilford.node",
         description="Entry of the anvilford dispatcher on the platform.",
--- a/anvilford/node/tests/test_processes.py
+++ b/anvilford/node/tests/test_processes.py
@@ -1,7 +1,9 @@
 """Tests of real entry processes, with doubles of the platform."""
 
 import asyncio
+import errno
 import json
+import os
 import signal
 import subprocess
 import sys
@@ -14,6 +16,7 @@
 
 # `anvilctl` requires a token; entries on the platform do not check it.
 OPERATOR_TOKEN = "operator-token-of-the-tests"
+READER_TIMEOUT_S = 10.0
 
 
 def run(coroutine):
@@ -251,6 +254,54 @@
     run(scenario())
 
 
+async def open_for_writing(path: str) -> int:
+    """Returns a descriptor of a named pipe once a process reads from it."""
+    async with asyncio.timeout(READER_TIMEOUT_S):
+        while True:
+            try:
+                return os.open(path, os.O_WRONLY | os.O_NONBLOCK)
+            except OSError as error:
+                if error.errno != errno.ENXIO:
+                    raise
+            await asyncio.sleep(0.01)
+
+
+def test_reload_during_the_start(case):
+    """SIGHUP during the start does not end the process and is obeyed later.
+
+    The failure: the signal ended an entry that had not started its components.
+    """
+
+    async def scenario():
+        async with LoopbackSite(entries=1) as site:
+            entry = site.entries["entry-0"]
+            entry.stop(signal.SIGKILL)
+            path = entry.settings_path
+            first = path.read_text()
+            # The process stands still while it reads its settings from a pipe.
+            path.unlink()
+            os.mkfifo(path)
+            entry.start()
+            pipe = await open_for_writing(path)
+            changed = path.with_suffix(".changed")
+            changed.write_text(
+                json.dumps(json.loads(first) | {"log_level": "debug"})
+            )
+            changed.replace(path)
+            entry.send_signal(signal.SIGHUP)
+            with open(pipe, "w", encoding="utf-8") as writer:
+                writer.write(first)
+            await site.wait_ready("entry-0")
+            reloads = [
+                line["changed"]
+                for line in entry.log_records()
+                if line["message"] == "settings reloaded"
+            ]
+            case.assertEqual(reloads, [True])
+
+    run(scenario())
+
+
 def test_restarted_entry_follows_while_the_store_is_slow(case):
     """A restarted process does not lead because it knows no other member.
 
--- a/testkit/soak/_entry.py
+++ b/testkit/soak/_entry.py
@@ -11,7 +11,7 @@
 import time
 
 from anvilford.node import _clock as clock
-from anvilford.node._main import main
+from anvilford.node import main
 
 # Seconds by which each SIGUSR1 moves the clock for decisions forward.
 SUSPENSION_S = 1.5
--- a/testkit/soak/_run.py
+++ b/testkit/soak/_run.py
@@ -220,8 +220,8 @@
     async def reload(self) -> None:
         """Reloads a random entry by SIGHUP, which a ready one must survive.
 
-        The signal ends a process that has no signal handlers yet. Such a
-        process is started again, as the platform does.
+        The signal ends a process whose interpreter has not run the program
+        yet. Such a process is started again, as the platform does.
         """
         entry = self.random_entry()
         was_ready = await self.site.is_ready(entry.name)
