Hold all slots in the test of cancellation until it cancels

Cause: of the test, not of the program. It waited for the first start of a job of 40 tasks of 800 ms, and nothing kept slots taken until the cancellation. Change: jobs of 40 tasks of 30 s at both entries hold every slot of the targets (asked of the targets) before the queued job comes, so that it can start nowhere, also not in a slot lent by the other entry. All earlier assertions stay, and those on the running job now hold for the one at the second entry as well.

--- a/anvilford/daemon/tests/test_callers.py
+++ b/anvilford/daemon/tests/test_callers.py
@@ -17,6 +17,8 @@
 
 CONNECTIONS = 64
 ROUNDS = 6
+# Slots of a target, as `standins.target` sets them.
+TARGET_SLOTS = 8
 AUTHORIZATION = {"Authorization": f"Bearer {cluster.CALLER_TOKEN}"}
 
 
@@ -161,6 +163,17 @@
     case.assertEqual(system.submit(site, entry, fits).outcome, "complete")
 
 
+def free_slots(site):
+    """Returns the number of slots at all targets in which no task runs."""
+    free = 0
+    for address, _ in site.targets.values():
+        url = f"http://{address}/stats"
+        free += (
+            TARGET_SLOTS - site.http.request("GET", url).json()["slots_in_use"]
+        )
+    return free
+
+
 def test_cancel(case, site):
     """A cancelled job reports truthfully which of its tasks have started.
 
@@ -168,32 +181,43 @@
     `failed`, and exactly the tasks that never started are `not_run`.
     """
     first, second = site.entries
-    running = system.distinct_job(40, 800)
+    running = system.distinct_job(40, 30_000, 60_000)
+    # Without it the second entry could lend slots while the queued job waits.
+    other = system.distinct_job(40, 30_000, 60_000)
     queued = system.distinct_job(2, 50)
-    with system.BackgroundSubmission(site, first, running) as long:
-        system.wait_until(case, site.task_starts, 5)
+    with (
+        system.BackgroundSubmission(site, first, running) as long,
+        system.BackgroundSubmission(site, second, other) as others,
+    ):
+        system.wait_until(case, lambda: free_slots(site) == 0, 15)
         with system.BackgroundSubmission(site, first, queued) as waiting:
-            # The second entry forwards the cancellation to the owner.
-            for background in (waiting, long):
+            # The other entry forwards the cancellation to the owner.
+            for background, entry in (
+                (waiting, second),
+                (long, second),
+                (others, first),
+            ):
                 path = f"submissions/{background.submission_id}"
                 system.wait_until(
                     case,
-                    lambda path=path: site.caller_request(
-                        "GET", first, path
-                    ).json()
-                    == {"outcome": "pending", "submitted": True},
+                    lambda path=path, owner=background.entry: (
+                        site.caller_request("GET", owner, path).json()
+                        == {"outcome": "pending", "submitted": True}
+                    ),
                     5,
                 )
-                site.caller_request("DELETE", second, path)
+                site.caller_request("DELETE", entry, path)
     case.assertEqual(waiting.result.outcome, "not_run", waiting.result)
     case.assertEqual(waiting.result.body["reason"], "cancelled")
-    case.assertEqual(long.result.outcome, "failed", long.result)
-    case.assertEqual(long.result.body["reason"], "cancelled")
-    system.check_starts(case, site, [waiting.result, long.result])
+    results = [long.result, others.result]
+    system.check_starts(case, site, [waiting.result, *results])
     counts = system.starts_by_echo(site)
-    states = zip(long.result.echoes, long.result.body["tasks"], strict=True)
-    for echo, state in states:
-        case.assertEqual(counts[echo] == 0, state == "not_run", echo)
+    for result in results:
+        case.assertEqual(result.outcome, "failed", result)
+        case.assertEqual(result.body["reason"], "cancelled")
+        states = zip(result.echoes, result.body["tasks"], strict=True)
+        for echo, state in states:
+            case.assertEqual(counts[echo] == 0, state == "not_run", echo)
     again = system.submit_with_id(site, second, long.submission_id, running)
     case.assertEqual(again.body, long.result.body)
 
