Start the target client's threads before its first call

Seen: beside load test_outcomes_agree_with_the_targets_log ended calls up to 1.98 s after their deadline (limit 0.5 s). Callers of the daemon see the same in the first seconds of an entry: the event loop stands still. Cause: the thread pool starts its threads when calls are submitted, on the loop's thread, and Thread.start waits until the new thread has had a core. Evidence: runs of the test beside three busy loops (load 17), with the longest gap between two steps of the loop. Before: 3 of 24 failed, gaps up to 0.948 s, of which the process used 8 ms of processor time, the loop's own thread waited 5 ms for a core, and another thread of the process waited 944 ms. Change: the client starts all its threads when it is entered. test_calls_start_no_threads counts threads; it failed before and passes now.

--- a/anvilford/targets/_client.py
+++ b/anvilford/targets/_client.py
@@ -71,10 +71,8 @@
         self._next_idle_check = 0.0
 
     def __enter__(self) -> "TargetClient":
-        self._threads = concurrent.futures.ThreadPoolExecutor(
-            self.settings.threads, "target"
-        )
-        self._cancel_threads = concurrent.futures.ThreadPoolExecutor(
+        self._threads = _start_threads(self.settings.threads, "target")
+        self._cancel_threads = _start_threads(
             self.settings.cancel_threads, "target-cancel"
         )
         return self
@@ -248,6 +246,22 @@
             target.last_used_at = time.monotonic()
 
 
+def _start_threads(
+    count: int, name: str
+) -> concurrent.futures.ThreadPoolExecutor:
+    """Returns an executor of which all threads run.
+
+    An executor starts its threads when calls are submitted, and the start of a
+    thread waits until it has a core. That would block the event loop.
+    """
+    threads = concurrent.futures.ThreadPoolExecutor(count, name)
+    # Each thread waits for the last one, so each call starts another thread.
+    all_started = threading.Barrier(count)
+    for _ in range(count):
+        threads.submit(all_started.wait)
+    return threads
+
+
 def _set_outcome(outcome: asyncio.Future, result: AttemptOutcome) -> None:
     if not outcome.done():
         outcome.set_result(result)
--- a/anvilford/targets/tests/test_client.py
+++ b/anvilford/targets/tests/test_client.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import random
+import threading
 import time
 
 import attrs
@@ -170,6 +171,34 @@
             )
 
 
+def test_calls_start_no_threads(case):
+    """Guards against a loop that waits for a new thread to get a core.
+
+    The failure: the loop stood still for up to 1 s on a busy machine, since the
+    first calls started the threads that they needed.
+    """
+
+    async def start(target):
+        with TargetClient(SETTINGS, lambda _: 4) as client:
+            before = set(threading.enumerate())
+            attempts = [
+                Attempt(
+                    target.address, time.monotonic() + 9, None, f"a/{number}"
+                )
+                for number in range(12)
+            ]
+            starts = asyncio.gather(
+                *(client.start(attempt, 9000, "") for attempt in attempts)
+            )
+            await asyncio.gather(starts, *map(client.cancel, attempts))
+            return {
+                thread.name for thread in set(threading.enumerate()) - before
+            }
+
+    with TargetStandin("127.0.0.1:0") as target:
+        case.assertEqual(asyncio.run(start(target)), set())
+
+
 def test_loop_runs_while_many_calls_wait(case):
     """Guards against calls that block the event loop's thread.
 
