Stop the target in a thread in the test of its log

Seen: after the client's threads are started early, the loop of test_outcomes_agree_with_the_targets_log still stood still for 0.20 and 0.32 s beside load while it did not wait for a core itself. Cause: of the test. It started and stopped its target on the client's loop, and that waits for the target's thread (trials: up to 0.74 s). Change: the target's restarts run in a thread of their own, with a random source of their own. No assertion or limit changes.

--- a/anvilford/targets/tests/test_client.py
+++ b/anvilford/targets/tests/test_client.py
@@ -275,21 +275,24 @@
             case.assertLess(time.monotonic(), attempt.deadline + 0.5)
             await asyncio.sleep(rng.random() * rng.choice((0, 0.05)))
 
-    async def crash(target, end):
+    def crash(target, end):
+        # Runs in a thread of its own, since the start and stop of a target
+        # block. The calls' random source must not be shared with it.
+        draw = random.Random(8).random
         while time.monotonic() < end:
             with target:
-                await asyncio.sleep(rng.random() * 0.2)
-                target.set_faults(drop_after_start=rng.random() < 0.3)
-                await asyncio.sleep(rng.random() * 0.1)
+                time.sleep(draw() * 0.2)
+                target.set_faults(drop_after_start=draw() < 0.3)
+                time.sleep(draw() * 0.1)
             logs.extend(target.log)
             target = TargetStandin(target.address)
-            await asyncio.sleep(rng.random() * 0.03)
+            time.sleep(draw() * 0.03)
 
     async def start(target):
         end = time.monotonic() + 1.5
         with TargetClient(settings, lambda _: 12) as client:
             calls = (call(client, i, target.address, end) for i in range(14))
-            await asyncio.gather(crash(target, end), *calls)
+            await asyncio.gather(asyncio.to_thread(crash, target, end), *calls)
 
     with TargetStandin("127.0.0.1:0") as first:
         pass
