Let the target wait for the loop instead of timing the loop

Change: the target holds each answer until the loop has seen, in a step of its own, that four requests wait. A call that blocks the loop therefore never gets its answer, however long it would have blocked; that four calls run at once, and that no fifth connection is made, is checked as well. The limit of 0.06 s now holds for the processor time of a step. A wait of the loop that ends by itself and depends on no answer is no longer seen by this test; the known one, a thread's start, has its own test.

--- a/standins/_raw.py
+++ b/standins/_raw.py
@@ -14,7 +14,8 @@
     A script is a list of steps: bytes are sent, a number sleeps for so many
     seconds, "read" reads one request, "hold" waits until the client sends a
     byte or closes, and "reset" makes the close of the connection a reset (RST).
-    The connection is closed at the end of the script.
+    A function is called with the request last read, and its result is sent. The
+    connection is closed at the end of the script.
 
     Attributes:
         address: "IP:port", once entered.
@@ -50,11 +51,13 @@
                 ).start()
 
     def _play(self, sock: socket.socket, script: list[Any]) -> None:
+        request = ""
         with sock, contextlib.suppress(OSError):
             for step in script:
                 match step:
                     case "read":
-                        self.requests.append(read_request(sock))
+                        request = read_request(sock)
+                        self.requests.append(request)
                     case "hold":
                         sock.recv(1)
                     case "reset":
@@ -64,6 +67,8 @@
                         )
                     case bytes():
                         sock.sendall(step)
+                    case _ if callable(step):
+                        sock.sendall(step(request))
                     case _:
                         time.sleep(step)
 
