Repeat attempts that ran out of time before their first byte

Seen: test_lost_connections_are_unknown failed beside load with NOT_SENT, for a body of 8 MB (2 of 8 runs) and for a small one (the other failure of that kind). The deadline of 0.2 s passed before the first byte, while 8 MB were encoded (0.12 s) or while a thread waited for a core; NOT_SENT was true. Change: such an attempt is repeated with twice the time, up to 1.6 s, but only if the target agrees that no byte arrived, which was not checked before. The outcomes asked stay the same; the limit stays 0.6 s past the deadline. The stalled target stalls for 2 s, longer than the longest deadline.

--- a/anvilford/targets/tests/test_classification.py
+++ b/anvilford/targets/tests/test_classification.py
@@ -110,6 +110,9 @@
     The target resets the connection, stops responding or responds slowly while
     the request is sent or the response is read. The outcome must be unknown,
     and each attempt must end soon after its deadline.
+
+    On a busy machine the deadline can pass before the first byte. If the target
+    received none either, the attempt is repeated with more time.
     """
     big = "x" * 8_000_000
     table = [
@@ -118,7 +121,7 @@
         (["read", "reset"], None, {LOST}),
         (["read", "hold"], None, {TIMEOUT}),
         (["read", *[b"H", 0.05] * 40], None, {TIMEOUT}),
-        ([1.0], big, {TIMEOUT}),
+        ([2.0], big, {TIMEOUT}),
         ([0.05, "reset"], big, {LOST}),
         (
             ["read", encode_answer(200, {}, length=900), "reset"],
@@ -127,11 +130,17 @@
         ),
     ]
     for script, payload, expected in table:
-        started = time.monotonic()
-        with RawServer(script) as target:
-            (outcome,) = run_attempts(target.address, (0.2, payload))
+        for seconds in (0.2, 0.4, 0.8, 1.6):
+            started = time.monotonic()
+            with RawServer(script) as target:
+                (outcome,) = run_attempts(target.address, (seconds, payload))
+                elapsed = time.monotonic() - started
+                if outcome in expected or outcome != NOT_SENT:
+                    break
+                target.wait()
+            case.assertFalse(target.received_any, script)
         case.assertIn(outcome, expected, script)
-        case.assertLess(time.monotonic() - started, 0.8)
+        case.assertLess(elapsed, seconds + 0.6)
 
 
 def test_nothing_sent_is_provable(case):
--- a/standins/_raw.py
+++ b/standins/_raw.py
@@ -23,6 +23,8 @@
             Further connections remain unaccepted.
         requests: Text of all requests read.
         connections: Number of connections accepted.
+        received_any: Whether a byte of a request arrived on any connection;
+            final once `wait` has returned.
     """
 
     def __init__(self, *scripts: list[Any]):
@@ -30,6 +32,8 @@
         self.address = ""
         self.requests: list[str] = []
         self.connections = 0
+        self.received_any = False
+        self._players: list[threading.Thread] = []
 
     def __enter__(self) -> "RawServer":
         self.listener = socket.create_server(("127.0.0.1", 0))
@@ -46,9 +50,20 @@
             for script in self.scripts:
                 sock, _ = self.listener.accept()
                 self.connections += 1
-                threading.Thread(
+                player = threading.Thread(
                     target=self._play, args=(sock, script), daemon=True
-                ).start()
+                )
+                player.start()
+                self._players.append(player)
+
+    def wait(self) -> None:
+        """Waits until the scripts of all accepted connections have ended."""
+        for player in self._players:
+            player.join()
+
+    def _look_for_bytes(self, sock: socket.socket, flags: int = 0) -> None:
+        if sock.recv(1, socket.MSG_PEEK | flags):
+            self.received_any = True
 
     def _play(self, sock: socket.socket, script: list[Any]) -> None:
         request = ""
@@ -56,6 +71,7 @@
             for step in script:
                 match step:
                     case "read":
+                        self._look_for_bytes(sock)
                         request = read_request(sock)
                         self.requests.append(request)
                     case "hold":
@@ -71,6 +87,7 @@
                         sock.sendall(step(request))
                     case _:
                         time.sleep(step)
+            self._look_for_bytes(sock, socket.MSG_DONTWAIT)
 
 
 def read_request(sock: socket.socket) -> str:
