Report the end of a run whose start is refused as old

A job that was withdrawn comes back to the same leader with run numbers that begin anew, and a target that stopped an earlier run of a task refuses the start. The run number of the task was raised before the run was ended, so that the end was taken for that of an earlier run: the task stayed without a run, and the job hung until its deadline. The number is raised afterwards.

--- a/anvilford/placement/_fleet.py
+++ b/anvilford/placement/_fleet.py
@@ -333,16 +333,21 @@
         """Ends a refused run, which the target has not started."""
         if reason is Refusal.FENCE:
             self._handle_fence_lost(target, order)
-        # The target has seen a higher run number for the task. The next run
-        # number is raised by a whole token's range, to exceed it.
-        if reason is Refusal.OLD_RUN and run.task is not None:
-            run.task.run += RUNS_PER_FENCE
         if reason is Refusal.NO_ROOM:
             target.is_full = True
             self._send_poll(target, now, is_probe=True)
         if reason in (Refusal.UNHEALTHY, Refusal.INVALID, Refusal.TICKET):
             self._record_failure(target, "start_" + reason, now)
         self._finish_run(target, run, "refused_" + reason, now)
+        task = run.task
+        if (
+            reason is Refusal.OLD_RUN
+            and task is not None
+            and task.phase is TaskPhase.WAITING
+        ):
+            # The target has seen a higher run number for the task. The next one
+            # is raised by a whole token's range, to exceed it.
+            task.run += RUNS_PER_FENCE
 
     def handle_stop_answer(
         self, order: StopRun, answer: OrderAnswer, now: float
--- a/anvilford/placement/tests/test_placer.py
+++ b/anvilford/placement/tests/test_placer.py
@@ -391,3 +391,26 @@
     other = made.add_placer("r", 3)
     case.assertEqual(other.fleet.restore_speeds(speeds), 1)
     case.assertEqual(other.fleet.targets["slow"].speed, 1.0)
+
+
+def test_job_hangs_after_a_start_refused_as_old(case):
+    """Guards against a job that hangs when it is offered again.
+
+    Its run numbers begin anew under the same token, so that the target refuses
+    the start; the end of that run was not reported for the task.
+    """
+    site = PlacementSimulation([make_target("only")])
+    site.add_placer("p", 1)
+    site.run(0.1)
+    work = job(seconds=0.3, at=0.1)
+    site.offer("p", work)
+    site.run(0.2)
+    site.placers["p"].withdraw(work.job_id, "entry", "caller_lost", site.now)
+    site._execute_effects("p")
+    site.run(0.5)
+    case.assertFalse(site.targets["only"].running)
+    site.offer("p", attrs.evolve(work, arrival_time=site.now))
+    site.run(2.0)
+    case.assertEqual(site.placers["p"].jobs, {})
+    *_, outcome = site.outcomes[-1]
+    case.assertIs(outcome.kind, OutcomeKind.COMPLETED)
