Wait for all claims if a run of an earlier token has ended

The leader of a cut-off zone moves a task to another target after its run has failed. The entry returns, and its heartbeat makes the site's leader raise its token before the offer is there. The first claim reports the old run as gone, and the task started at once, while the moved run was alive on a target that had not answered.

The test of a second target now also covers an offer that comes 0.03 s after the heartbeat; these cases overlap before.

--- a/anvilford/placement/_fleet.py
+++ b/anvilford/placement/_fleet.py
@@ -144,6 +144,10 @@
             # a run.
             self._send_poll(target, now, is_probe=True)
 
+    def started_under_earlier_fence(self, run_number: int) -> bool:
+        """Returns whether a run was started before the token was raised."""
+        return run_number <= self.fence * RUNS_PER_FENCE
+
     # Methods that send commands to targets.
 
     def start(self, task: Task, target: Target, now: float) -> None:
--- a/anvilford/placement/_placer.py
+++ b/anvilford/placement/_placer.py
@@ -96,6 +96,7 @@
         self._waiting: dict[str, Job] = {}
         self._entry_contacts: dict[str, float] = {}
         self._views: dict[str, ServiceView] = {}
+        self._earlier_runs_end_by = 0.0
 
     @property
     def fence(self) -> int:
@@ -254,14 +255,19 @@
         """Adopts a higher fencing token and claims all targets with it.
 
         Another placer is active: it may have extended leases whose ends are
-        known here.
+        known here, or have moved runs that this placer takes for its own.
         """
+        self._earlier_runs_end_by = now + UNSEEN_RUNS_WINDOW_S
         for job in self.jobs.values():
             if job.lease_ended_at:
-                job.unseen_runs_until = now + UNSEEN_RUNS_WINDOW_S
-                job.placed_elsewhere = None
+                self._expect_unseen_runs(job)
         self.fleet.raise_fence(fence, now)
 
+    def _expect_unseen_runs(self, job: Job) -> None:
+        """Lets a job wait for the claims that follow a raised token."""
+        job.unseen_runs_until = self._earlier_runs_end_by
+        job.placed_elsewhere = None
+
     def handle_start_answer(
         self, order: StartRun, answer: OrderAnswer, now: float
     ) -> None:
@@ -567,6 +573,11 @@
         )
         if cause == "lease_ended":
             job.lease_ended_at = now
+        if (
+            now < self._earlier_runs_end_by
+            and self.fleet.started_under_earlier_fence(task.run)
+        ):
+            self._expect_unseen_runs(job)
         task.phase = TaskPhase.WAITING
         job.set_waiting([*job.waiting, task])
         self._waiting[job.job_id] = job
--- a/anvilford/placement/tests/test_handovers.py
+++ b/anvilford/placement/tests/test_handovers.py
@@ -78,19 +78,20 @@
     """Guards against a second run if another placer moved the task.
 
     Its first run had failed, and the next one was on another target. Their
-    reports came in either order.
+    reports came in either order, before or after the repeated offer.
     """
     for late_target in ("", "far", "far2"):
-        with case.subTest(late_target=late_target):
-            site, work = make_cut_off_site(lease_ends_early=False)
-            far = site.targets["far"]
-            zone = site.placers["zone"]
-            zone.fleet.targets["far"].suspended_until = 3.0
-            far.fails_all_tasks = True
-            site.run(site.now + 0.01)
-            far.fails_all_tasks = False
-            # The pending poll reports the failure after its wait.
-            site.run(site.now + 0.2)
-            case.assertTrue(site.targets["far2"].running)
-            return_to_site(site, work, ("far2",), late_target)
-            case.assertEqual(site.find_overlapping_tasks(), [])
+        for offer_delay in (0.0, 0.03):
+            with case.subTest(late=late_target, offer_delay=offer_delay):
+                site, work = make_cut_off_site(lease_ends_early=False)
+                far = site.targets["far"]
+                zone = site.placers["zone"]
+                zone.fleet.targets["far"].suspended_until = 3.0
+                far.fails_all_tasks = True
+                site.run(site.now + 0.01)
+                far.fails_all_tasks = False
+                # The pending poll reports the failure after its wait.
+                site.run(site.now + 0.2)
+                case.assertTrue(site.targets["far2"].running)
+                return_to_site(site, work, ("far2",), late_target, offer_delay)
+                case.assertEqual(site.find_overlapping_tasks(), [])
