Name all targets of a released job whose runs are not known

If an entry did not know the targets of a job's earlier runs, a placer that handed the job on named only its own, and another entry that waited for the job took them for complete. For as long as such runs may exist, all targets of the placer are named now. The test overlaps before. A leader of one zone knows only the targets there, so that this does not help beyond its zone.

--- a/anvilford/placement/_placer.py
+++ b/anvilford/placement/_placer.py
@@ -221,16 +221,26 @@
         """
         for job in list(self.jobs.values()):
             done = tuple(t.key for t in job.tasks if t.phase is TaskPhase.DONE)
-            placed = (
-                *self.fleet.target_ids_of_job(job),
-                *(job.placed_elsewhere or ()),
+            moved = Outcome(
+                OutcomeKind.MOVED,
+                "placer_left",
+                0,
+                done,
+                self._possible_targets(job, now),
             )
-            moved = Outcome(OutcomeKind.MOVED, "placer_left", 0, done, placed)
             self.effects.append(Settle(job.job_id, moved))
         self.jobs.clear()
         self._waiting.clear()
         self.fleet.clear()
-        del now
+
+    def _possible_targets(self, job: Job, now: float) -> tuple[str, ...]:
+        """Returns the ids of all targets that may run tasks of a job."""
+        known = self.fleet.target_ids_of_job(job)
+        if now >= job.unseen_runs_until:
+            return known
+        if job.placed_elsewhere is None:
+            return tuple(self.fleet.targets)
+        return (*known, *job.placed_elsewhere)
 
     # Handlers of events from the platform's target list and from targets.
 
--- a/anvilford/placement/tests/test_handovers.py
+++ b/anvilford/placement/tests/test_handovers.py
@@ -95,3 +95,46 @@
                 case.assertTrue(site.targets["far2"].running)
                 return_to_site(site, work, ("far2",), late_target, offer_delay)
                 case.assertEqual(site.find_overlapping_tasks(), [])
+
+
+def test_released_job_hides_that_its_targets_are_unknown(case):
+    """Guards against a second run of a job that is handed on twice.
+
+    An entry named no target but said that they are unknown; another entry that
+    waits for the job offers it to the next placer with the targets of `MOVED`.
+    """
+    site = PlacementSimulation(
+        [make_target("near", speed=2.0), make_target("far")],
+        one_way_delay_s=0.005,
+    )
+    site.add_placer("first", 1)
+    site.run(0.1)
+    site.placers["first"].fleet.targets["near"].suspended_until = 0.3
+    work = job(seconds=2.0)
+    site.offer("first", work)
+    site.run(0.3)
+    case.assertTrue(site.targets["far"].running)
+    site.remove_placer("first")
+    site.faults.partitioned_pairs = {("second", "far"), ("third", "far")}
+    site.add_placer("second", 2)
+    site.run(0.4)
+    # "inside" lost the first placer; "outside" has the caller's second request.
+    site.placers["second"].fleet.targets["near"].suspended_until = 9.0
+    site.offer("second", work, entry="outside")
+    site.offer(
+        "second", work, again=True, entry="inside", placed_is_known=False
+    )
+    site.run(0.42)
+    site.placers["second"].release_jobs(site.now)
+    site._execute_effects("second")
+    *_, outcome = site.outcomes[-1]
+    site.remove_placer("second")
+    site.add_placer("third", 3)
+    site.run(0.45)
+    site.offer(
+        "third", work, again=True, entry="outside", placed=outcome.placed
+    )
+    site.run(0.5)
+    site.faults.partitioned_pairs.clear()
+    site.run(6.0)
+    case.assertEqual(site.find_overlapping_tasks(), [])
