Keep tasks that an offer names as done from starting again

An entry returns with tasks that were done at another placer. If this placer still had a run of such a task, the name was ignored, and when the run was found gone the task started again after it had ended. The names are kept beside those that targets report as done.

--- a/anvilford/placement/_placer.py
+++ b/anvilford/placement/_placer.py
@@ -170,7 +170,7 @@
             job.add_possible_targets(
                 offer.placed if offer.placed_is_known else None
             )
-            job.mark_done(offer.done)
+            self.fleet.tasks_found_done.update(job.task_names(offer.done))
         self._log_decision(
             "offer joined",
             job.job_id,
@@ -339,7 +339,7 @@
             {offer.entry},
         )
         job.initialize()
-        job.mark_done(offer.done)
+        self.fleet.tasks_found_done.update(job.task_names(offer.done))
         return job
 
     def _check_admission(self, job: Job, now: float) -> Outcome | None:
--- a/anvilford/placement/_state.py
+++ b/anvilford/placement/_state.py
@@ -164,13 +164,10 @@
             + self.policy.allowance_ms / 1000
         )
 
-    def mark_done(self, keys: Iterable[str]) -> None:
-        """Marks waiting tasks as done, given as "step.index"."""
-        done = set(keys)
-        for task in self.tasks:
-            if task.phase is TaskPhase.WAITING and task.key in done:
-                task.phase = TaskPhase.DONE
-                self.open_tasks -= 1
+    def task_names(self, keys: Iterable[str]) -> list[str]:
+        """Returns the names of tasks given as "step.index"."""
+        selected = set(keys)
+        return [task.name for task in self.tasks if task.key in selected]
 
     def add_possible_targets(self, placed: tuple[str, ...] | None) -> None:
         """Adds targets on which another placer may have started tasks.
--- a/anvilford/placement/tests/test_handovers.py
+++ b/anvilford/placement/tests/test_handovers.py
@@ -1,6 +1,7 @@
 """Tests of jobs that return to a placer, or reach a new one, with runs."""
 
 from anvilford.order_model import PlacementSimulation
+from anvilford.placement import RunEnd
 from anvilford.placement.tests._shared import job
 from anvilford.placement.tests._shared import make_target
 from testkit import function_tests
@@ -138,3 +139,37 @@
     site.faults.partitioned_pairs.clear()
     site.run(6.0)
     case.assertEqual(site.find_overlapping_tasks(), [])
+
+
+def test_task_done_at_another_placer_starts_again(case):
+    """Guards against a run after one that ended as done elsewhere.
+
+    The returning offer names the task as done, but the placer still has a run.
+    """
+    site = PlacementSimulation(
+        [make_target("near", speed=2.0), make_target("far")],
+        one_way_delay_s=0.005,
+    )
+    site.add_placer("site", 1)
+    site.run(0.1)
+    site.placers["site"].fleet.targets["near"].suspended_until = 0.3
+    work = job(seconds=0.5)
+    site.offer("site", work)
+    site.run(0.3)
+    site.faults.partitioned_pairs = {("site", "far"), ("zone", "near")}
+    site.run(0.4)
+    site.add_placer("zone", 2)
+    site.offer("zone", work, again=True, placed=("far",))
+    site.run(0.85)
+    ends = [how for *_, how in site.targets["far"].ends]
+    case.assertEqual(ends, [RunEnd.DONE])
+    site.remove_placer("zone")
+    site.faults.partitioned_pairs.clear()
+    placer = site.placers["site"]
+    case.assertIn(work.job_id, placer.jobs)
+    placer.record_contact("entry", site.now)
+    placer.raise_fence(3, site.now)
+    site.offer("site", work, again=True, done=("0.0",), placed=("far",))
+    site.run(6.0)
+    ends = [e for t in site.targets.values() for e in t.ends]
+    case.assertEqual(len(ends), 1, ends)
