End the start of the target client if a thread cannot start

If the system refuses a thread, those that had started waited for it without end, and the interpreter waited for them: the process neither served nor ended. The barrier is aborted now and the error is raised.

--- a/anvilford/targets/_client.py
+++ b/anvilford/targets/_client.py
@@ -249,16 +249,24 @@
 def _start_threads(
     count: int, name: str
 ) -> concurrent.futures.ThreadPoolExecutor:
-    """Returns an executor of which all threads run.
+    """Returns an executor whose threads have all been started.
 
     An executor starts its threads when calls are submitted, and the start of a
     thread waits until it has a core. That would block the event loop.
+
+    Raises:
+        RuntimeError: The system refused to start a thread.
     """
     threads = concurrent.futures.ThreadPoolExecutor(count, name)
     # Each thread waits for the last one, so each call starts another thread.
     all_started = threading.Barrier(count)
-    for _ in range(count):
-        threads.submit(all_started.wait)
+    try:
+        for _ in range(count):
+            threads.submit(all_started.wait)
+    except RuntimeError:
+        all_started.abort()
+        threads.shutdown(wait=False, cancel_futures=True)
+        raise
     return threads
 
 
--- a/anvilford/targets/tests/test_client.py
+++ b/anvilford/targets/tests/test_client.py
@@ -4,6 +4,8 @@
 import json
 import random
 import re
+import subprocess
+import sys
 import threading
 import time
 
@@ -25,6 +27,21 @@
 
 load_tests = function_tests(__name__)
 
+# Fails to start the third of four threads.
+FAILING_START = """
+import threading
+from anvilford.targets._client import _start_threads
+start, count = threading.Thread.start, 0
+def limited(thread):
+    global count
+    count += 1
+    if count == 3:
+        raise RuntimeError("can't start new thread")
+    start(thread)
+threading.Thread.start = limited
+_start_threads(4, "target")
+"""
+
 
 def test_waiting_attempts_end_unsent_at_the_deadline(case):
     """Guards against tasks that are sent after their deadline.
@@ -315,3 +332,20 @@
             case.assertIn(attempt_id, started, outcome)
     kinds = {type(outcome) for outcome in outcomes.values()}
     case.assertGreaterEqual(len(kinds), 3, kinds)
+
+
+def test_process_hangs_if_a_thread_cannot_start(case):
+    """Guards against a process that neither starts nor ends.
+
+    The threads that had started wait for the missing one without end.
+    """
+    try:
+        ended = subprocess.run(
+            [sys.executable, "-c", FAILING_START],
+            timeout=5,
+            capture_output=True,
+            check=False,
+        )
+    except subprocess.TimeoutExpired:
+        case.fail("still running after 5 s")
+    case.assertEqual(ended.returncode, 1)
