Decide in one place whether a leader claims its targets again

Whether a leader that meets a higher token claims the site again or steps down was decided in two places, and a third, the delayed claim, did not ask: a leader that was stopping claimed all targets against its successor. A leader that had stepped down while it stopped the jobs of silent entries also went on with its step, and wrote its row without a leader. Both tests fail before.

--- a/anvilford/node/_coordination.py
+++ b/anvilford/node/_coordination.py
@@ -229,10 +229,7 @@
         if not self._is_leading or fence <= self.leader.fence:
             return
         self.membership.raise_term(fence // FENCING_TOKENS_PER_TERM)
-        if self.leader.is_partial or self.is_stopping:
-            self._step_down("fence_lost")
-        else:
-            self._raise_term()
+        self._claim_or_step_down()
 
     async def receive_query(self, querying_member: Member) -> Opinion:
         """Answers the query of a member that searches for a leader.
@@ -523,10 +520,12 @@
             return
         now = clock.now()
         self._expire_members(now)
+        if self.driver is None:
+            return  # The member has stepped down after a suspension.
         if leader.is_partial:
             await self._hand_back_zone()
         elif self._raise_fence_at and now >= self._raise_fence_at:
-            self._raise_term()
+            self._claim_or_step_down()
         elif now >= self._row_write_due_at and not self.is_stopping:
             self._start_row_write()
 
@@ -573,6 +572,18 @@
             # the next write can succeed.
             self._row_write_due_at = clock.now()
 
+    @property
+    def _may_claim_site(self) -> bool:
+        """Whether this leader may take targets back from another one."""
+        return not self.is_stopping and not self.leader.is_partial
+
+    def _claim_or_step_down(self) -> None:
+        """Claims all targets with a higher token, or steps down."""
+        if self._may_claim_site:
+            self._raise_term()
+        else:
+            self._step_down("fence_lost")
+
     def _raise_term(self) -> None:
         """Raises this leader's term, so that all targets obey it again."""
         self._raise_fence_at = 0.0
@@ -605,7 +616,7 @@
         """
         if driver is not self.driver:
             return
-        if self.is_stopping or (self.leader and self.leader.is_partial):
+        if not self._may_claim_site:
             self._step_down("fence_lost")
         elif not self._raise_fence_at:
             self._raise_fence_at = clock.now() + FENCE_RAISE_DELAY_S
--- a/anvilford/node/tests/test_coordination.py
+++ b/anvilford/node/tests/test_coordination.py
@@ -212,3 +212,38 @@
     case.assertEqual(
         coordinator.links.disconnected, [LOST_LEADER.member.address]
     )
+
+
+def test_member_that_stepped_down_writes_the_row(case, coordinator):
+    """Guards against a row write without a leader after a suspension."""
+
+    async def scenario():
+        coordinator._start_leading(Leader(2, LOCAL_MEMBER))
+        driver = coordinator.driver
+        driver.waiting_entries.return_value = {"silent"}
+        driver.stop_jobs_of.side_effect = lambda entry: (
+            coordinator.on_suspended(driver)
+        )
+        await coordinator._lead_step()
+        await asyncio.sleep(0.01)
+
+    asyncio.run(scenario())
+    case.assertIsNone(coordinator.leader)
+    case.assertIsNone(coordinator._row_write_task)
+
+
+def test_stopping_leader_raises_its_term(case, coordinator):
+    """Guards against new claims by a leader that should step down.
+
+    A target obeyed a higher token less than a second before the stop.
+    """
+
+    async def scenario():
+        coordinator._start_leading(Leader(2, LOCAL_MEMBER))
+        coordinator.on_fence_lost(coordinator.driver)
+        coordinator.is_stopping = True
+        coordinator._raise_fence_at = clock.now()
+        await coordinator._lead_step()
+
+    asyncio.run(scenario())
+    case.assertNotEqual(coordinator.leader, Leader(3, LOCAL_MEMBER))
