--- a/anvilford/leadership/_model.py
+++ b/anvilford/leadership/_model.py
@@ -6,8 +6,9 @@
 
 # Number of fencing tokens reserved for each term. The hash of the leader's name
 # selects the token within the term, so that members that lead in the same term
-# without knowing of each other use different tokens. Targets would obey both of
-# them otherwise, so that the number is much larger than that of pairs of members.
+# without knowing of each other normally use different tokens. Targets would
+# obey both of them otherwise, so there are far more tokens than pairs of
+# members. All entries of a site must use the same number.
 FENCING_TOKENS_PER_TERM = 1 << 20
 
 
--- a/anvilford/node/_coordination.py
+++ b/anvilford/node/_coordination.py
@@ -197,10 +197,10 @@
     def receive_heartbeat(self, message: Heartbeat) -> HeartbeatReply:
         """Records a member's heartbeat and returns the reply."""
         if self._is_leading:
-            sent_after = self.heartbeats.record_heartbeat(
+            followed_at = self.heartbeats.record_heartbeat(
                 message.member, clock.now()
             )
-            self.driver.placer.record_contact(message.member.name, sent_after)
+            self.driver.placer.record_contact(message.member.name, followed_at)
             if not self.leader.is_partial:
                 # The reply includes the members heard so far, so that they
                 # know each other if this leader ends right after its start.
--- a/anvilford/node/_members.py
+++ b/anvilford/node/_members.py
@@ -42,9 +42,10 @@
         """Records a heartbeat of a member; the member counts as live.
 
         Returns:
-            Time of the member's previous heartbeat, 0 if there is none. The
-            member sends a heartbeat after the answer to the previous one, so
-            that it was sent after this time, however late it arrived.
+            Time of the member's previous heartbeat, 0 if there is none. A
+            member normally sends a heartbeat after the answer to the previous
+            one, so that it was sent after this time, however late it arrived.
+            It may send two without an answer while it searches for a leader.
         """
         if member.name not in self.live_names:
             self.live_names.add(member.name)
--- a/anvilford/node/tests/test_callers.py
+++ b/anvilford/node/tests/test_callers.py
@@ -58,7 +58,7 @@
     driver.withdraw.assert_called_once()
 
 
-def test_lost_caller_finds_its_job(case):
+def test_job_of_a_lost_caller_ends_too_early(case):
     """Guards against work lost when the leader serves the whole site."""
     seconds, driver = asyncio.run(lose_caller(is_partial=False))
     case.assertGreater(seconds, 1.3)
--- a/anvilford/node/tests/test_coordination.py
+++ b/anvilford/node/tests/test_coordination.py
@@ -247,3 +247,32 @@
 
     asyncio.run(scenario())
     case.assertNotEqual(coordinator.leader, Leader(3, LOCAL_MEMBER))
+
+
+def test_heartbeat_is_sent_while_another_has_no_answer(case, coordinator):
+    """Guards against late heartbeats that count as proof of each other.
+
+    The leader takes a heartbeat as sent after the previous one was answered.
+    """
+    unanswered = []
+
+    async def call(address, message, timeout):
+        del timeout
+        if isinstance(message, Heartbeat):
+            unanswered.append(address)
+            await asyncio.sleep(1.0)
+        raise AssertionError("not reached")
+
+    coordinator.links.call = call
+
+    async def scenario():
+        coordinator._follow(LOST_LEADER)
+        step = asyncio.ensure_future(coordinator._follow_step())
+        await asyncio.sleep(0.01)
+        query = asyncio.ensure_future(coordinator.receive_query(OTHER_MEMBER))
+        await asyncio.sleep(0.01)
+        step.cancel()
+        query.cancel()
+
+    asyncio.run(scenario())
+    case.assertEqual(unanswered, [LOST_LEADER.member.address])
--- a/anvilford/placement/_fleet.py
+++ b/anvilford/placement/_fleet.py
@@ -98,8 +98,8 @@
         self.on_task_event = on_task_event
         self.tasks_found_done: set[str] = set()
         self.found_foreign_runs = False
-        # Ids of targets on which further runs of a task were found, by task.
-        self._further_targets: dict[str, list[str]] = {}
+        # Ids of targets beside `target_by_task` that may run a task, by name.
+        self._other_targets: dict[str, list[str]] = {}
 
     def target_ids_of_job(self, job: Job) -> tuple[str, ...]:
         """Returns the ids of targets that may run tasks of a job."""
@@ -111,7 +111,7 @@
         self.targets.clear()
         self.rebuild_index()
         self.target_by_task.clear()
-        self._further_targets.clear()
+        self._other_targets.clear()
 
     def apply_target_list(
         self,
@@ -482,9 +482,12 @@
                 now,
             )
             target.reserve(run)
-            if self.target_by_task.setdefault(run.task_name, target) != target:
-                further = self._further_targets.setdefault(run.task_name, [])
-                further.append(target.record.target_id)
+            if (
+                self.target_by_task.setdefault(run.task_name, target)
+                is not target
+            ):
+                others = self._other_targets.setdefault(run.task_name, [])
+                others.append(target.record.target_id)
             self.found_foreign_runs = True
             if not is_claim:
                 # Unknown runs of earlier placers appear when this placer claims
@@ -630,20 +633,20 @@
         target.release(run)
         if self.target_by_task.get(run.task_name) is target:
             del self.target_by_task[run.task_name]
-            self._index_further_run(run.task_name)
+            self._index_other_run(run.task_name)
         task = run.task
         if task is not None and task.run == run.number:
             self.on_task_event(task, cause, now)
 
-    def _index_further_run(self, task_name: str) -> None:
-        """Sets the target of a task to another one that has a run of it."""
-        further = self._further_targets.pop(task_name, [])
-        while further and task_name not in self.target_by_task:
-            target = self.targets.get(further.pop())
+    def _index_other_run(self, task_name: str) -> None:
+        """Indexes another target that has a run of the task."""
+        others = self._other_targets.pop(task_name, [])
+        while others and task_name not in self.target_by_task:
+            target = self.targets.get(others.pop())
             if target is not None and task_name in target.runs:
                 self.target_by_task[task_name] = target
-        if further:
-            self._further_targets[task_name] = further
+        if others:
+            self._other_targets[task_name] = others
 
     def _find_run(
         self, order: StartRun | StopRun
--- a/anvilford/placement/_placer.py
+++ b/anvilford/placement/_placer.py
@@ -51,8 +51,8 @@
 # building a view takes longer than all other work for an event.
 MAX_VIEW_AGE_S = 0.01
 # Time after which all runs of an earlier placer have ended, from the repeated
-# offer of the job. That placer withdraws the jobs of entries that were silent
-# for 0.6 s, and its leases last 1.02 s.
+# offer of the job. That placer stops the jobs of entries that were silent for
+# 0.6 s, and its leases last 1.02 s.
 UNSEEN_RUNS_WINDOW_S = 1.8
 # Time after a repeated offer by which earlier runs on reachable targets have
 # been found; any others are on unreachable targets. Callers repeat a request
@@ -473,8 +473,8 @@
 
         That placer would have adopted the job's runs and extended their leases,
         so that they continue after the end of the lease known here. An entry
-        that followed this placer after that end has not offered the job
-        elsewhere before.
+        that followed this placer after that end has stayed, or its return was
+        noticed by its token (`raise_fence`) or its offer (`_join`).
         """
         return job.lease_ended_at > 0 and any(
             self._entry_contacts.get(entry, 0.0) <= job.lease_ended_at
