--- a/benchmarks/hunt.py
+++ b/benchmarks/hunt.py
@@ -103,27 +103,45 @@
         Contents of the journal entry that the bench wrote.
 
     Raises:
-        BenchFailedError: The bench wrote no entry, or one without days.
+        BenchFailedError: The bench wrote no entry for these arguments, or one
+            without days.
     """
     before = set(JOURNAL.glob("*.json"))
     run = subprocess.run(
         [str(bench), *arguments], stdout=subprocess.PIPE, text=True, check=False
     )
     new = sorted(set(JOURNAL.glob("*.json")) - before)
-    if not new:
+    entries = [json.loads(path.read_text("utf-8")) for path in new]
+    own = [entry for entry in entries if _is_entry_of(entry, arguments)]
+    if not own:
         raise BenchFailedError(
-            "the bench wrote no entry to its journal folder; its exit status is"
-            f" {run.returncode}"
+            "the bench wrote no entry of this run to its journal folder; its"
+            f" exit status is {run.returncode}"
         )
-    entry = json.loads(new[-1].read_text("utf-8"))
+    entry = own[-1]
     if not entry.get("days"):
         raise BenchFailedError(
-            f"journal entry {new[-1]} contains no days; error of the bench:"
+            f"journal entry {entry['id']} contains no days; error of the bench:"
             f" {entry.get('error')}"
         )
     return entry
 
 
+def _is_entry_of(entry: dict[str, Any], arguments: Sequence[str]) -> bool:
+    """Returns whether a journal entry is that of a run with the arguments.
+
+    Other runs may write to the journal at the same time. An entry holds only
+    the file name of the site.
+    """
+    verb, site, *rest = arguments
+    played_site, *played_rest = entry["argv"]
+    return (
+        entry["cmd"] == verb
+        and pathlib.PurePath(played_site).name == pathlib.PurePath(site).name
+        and played_rest == rest
+    )
+
+
 def broken_rules(day: dict[str, Any]) -> dict[str, int]:
     """Returns the violations in a day by rule; a fault counts as one."""
     rules = dict(day["rules"])
--- a/benchmarks/tests/test_hunt.py
+++ b/benchmarks/tests/test_hunt.py
@@ -30,9 +30,14 @@
         {"name": "hunt-ab12-3", "rules": {}, "fault": "no request is served"},
     ]
 entry = {"id": f"{number:08x}", "head": "c0ffee00", "days": days}
-entry["argv"] = [verb, site, *rest]
+entry |= {"cmd": verb, "argv": [".../" + pathlib.Path(site).name, *rest]}
 (journal / f"{number:08x}.json").write_text(json.dumps(entry))
 """
+# Writes an entry of another run after that of the bench.
+OTHER_RUN = """
+entry |= {"id": "other", "argv": [".../other.toml"], "days": days[:1]}
+(journal / f"{number:08x}z.json").write_text(json.dumps(entry))
+"""
 
 
 @fixture
@@ -75,19 +80,28 @@
     status, text = call("replay", *options)
     case.assertEqual(status, 0)
     case.assertIn("clean", text)
-    played = [
-        json.loads(p.read_text())["argv"]
+    entries = [
+        json.loads(p.read_text())
         for p in sorted(pathlib.Path("journal").glob("*.json"))[2:4]
     ]
     case.assertEqual(
-        played,
+        [[entry["cmd"], *entry["argv"]] for entry in entries],
         [
-            ["run", "a/site.toml", "mix", "--seed", "8"],
-            ["replay", "a/site.toml", "hunt-ab12-3"],
+            ["run", ".../site.toml", "mix", "--seed", "8"],
+            ["replay", ".../site.toml", "hunt-ab12-3"],
         ],
     )
 
 
+def test_entry_of_another_run_is_recorded(case, bench):
+    """Guards against a hunt recorded with the days of a run beside it."""
+    bench.write_text(BENCH + OTHER_RUN, "utf-8")
+    options = ("--bench", str(bench), "--record", "found.json")
+    call("run", *options, "a/site.toml")
+    (kept,) = json.loads(pathlib.Path("found.json").read_text())["hunts"]
+    case.assertEqual((kept["journal"], kept["days"]), ("00000000", 3))
+
+
 def test_bench_without_an_entry_is_an_error(case, bench):
     """Checks that a bench that writes no journal entry raises an error.
 
