--- a/anvilford/placement/_placer.py
+++ b/anvilford/placement/_placer.py
@@ -94,8 +94,11 @@
             fence, now, options, self.effects, self._handle_task_event
         )
         self._waiting: dict[str, Job] = {}
+        # Latest time at which each entry is known to have followed this placer.
         self._entry_contacts: dict[str, float] = {}
         self._views: dict[str, ServiceView] = {}
+        # Time by which runs that other placers started before the token was
+        # last raised have ended.
         self._earlier_runs_end_by = 0.0
 
     @property
