Classify every malformed message of the platform as a failed call

A report with a clock of 1e999, a task name that is a list, a row_version of null or 100,000 nested brackets raised OverflowError, TypeError or RecursionError. The poll of that target then stayed pending, so it was never polled or used again; the task that follows the target list ended for good; a caller's request was answered 500.

Cause: the decoders caught the exceptions of the JSON module and of missing fields, but not those of infinite numbers, deep nesting and wrong types that are only used later.

Why it works: one tuple of exceptions and strict checks of strings and 64-bit integers serve all decoders. One malformed row makes the page of the store malformed, since a watch would never report the row again.

--- a/anvilford/platform/_caller_requests.py
+++ b/anvilford/platform/_caller_requests.py
@@ -8,6 +8,7 @@
 from anvilford.placement import JobSpec
 from anvilford.placement import Resources
 from anvilford.placement import StepSpec
+from anvilford.platform._decoding import DECODE_ERRORS
 
 # Name of the header in lower case, because parsed headers have lower-case
 # names. Its value is a duration in milliseconds, not a point in time.
@@ -73,7 +74,7 @@
                 f"a job must have from 1 to {_MAX_TASKS_PER_JOB} tasks"
             )
         return JobSpec(str(raw.get("spec", "")), steps)
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except DECODE_ERRORS as error:
         return InvalidJobBody(repr(error))
 
 
--- a/anvilford/platform/_documents.py
+++ b/anvilford/platform/_documents.py
@@ -8,6 +8,9 @@
 from anvilford.placement import QueuePolicy
 from anvilford.placement import Resources
 from anvilford.placement import TargetRecord
+from anvilford.platform._decoding import DECODE_ERRORS
+from anvilford.platform._decoding import require_int
+from anvilford.platform._decoding import require_str
 from anvilford.platform._store import StoreRow
 from anvilford.routing import RequestLimits
 from anvilford.routing import Route
@@ -55,7 +58,7 @@
                 int(limits.get("max_body_bytes", default.body_bytes)),
             ),
         )
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except DECODE_ERRORS as error:
         return MalformedDocument(row.key, row.version, repr(error))
 
 
@@ -87,37 +90,25 @@
             )
         capacity = entry["capacity"]
         address, zone, service = (
-            _require_str(entry[name]) for name in ("address", "zone", "service")
+            require_str(entry[name]) for name in ("address", "zone", "service")
         )
         return TargetRecord(
             target_id=row.key,
-            incarnation=_require_int(entry.get("born", 0)),
+            incarnation=require_int(entry.get("born", 0)),
             address=address,
             zone=zone,
             service=service,
             draining=entry["state"] == "draining",
-            cold_ms=_require_int(entry.get("cold_remaining_ms", 0)),
+            cold_ms=require_int(entry.get("cold_remaining_ms", 0)),
             capacity=Resources(
-                _require_int(capacity["cpu"]),
-                _require_int(capacity["mem_mb"]),
-                _require_int(capacity.get("gpu", 0)),
+                require_int(capacity["cpu"]),
+                require_int(capacity["mem_mb"]),
+                require_int(capacity.get("gpu", 0)),
             ),
             labels=tuple(
-                _require_str(label) for label in entry.get("labels", ())
+                require_str(label) for label in entry.get("labels", ())
             ),
             version=row.version,
         )
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except DECODE_ERRORS as error:
         return MalformedDocument(row.key, row.version, repr(error))
-
-
-def _require_str(value: Any) -> str:
-    if not isinstance(value, str):
-        raise TypeError(f"expected a string, got {value!r}")
-    return value
-
-
-def _require_int(value: Any) -> int:
-    if isinstance(value, bool) or not isinstance(value, int):
-        raise TypeError(f"expected an integer, got {value!r}")
-    return value
--- a/anvilford/platform/_store.py
+++ b/anvilford/platform/_store.py
@@ -11,6 +11,9 @@
 from anvilford.http1 import CallFailed
 from anvilford.http1 import ClientResponse
 from anvilford.http1 import HttpClient
+from anvilford.platform._decoding import DECODE_ERRORS
+from anvilford.platform._decoding import require_int
+from anvilford.platform._decoding import require_str
 
 
 @attrs.frozen
@@ -126,15 +129,18 @@
                 }
             )
             page = await self._get(f"/v1/rows-get?{query}", timeout)
-            if page is None:
-                return StoreFailed("status 410")
-            if isinstance(page, StoreFailed):
-                return page
-            rows += _decode_rows(page)
+            match page:
+                case HistoryLost():
+                    return StoreFailed("status 410")
+                case StoreFailed():
+                    return page
+            rows += page.rows
             if version is None:
-                version = int(page.get("row_version", 0))
-            if not page.get("has_more") or not rows:
+                version = page.version
+            if not page.has_more or not page.rows:
                 return Snapshot(tuple(rows), version)
+            if page.rows[-1].key < first:
+                return StoreFailed("pages do not advance")
             # The next page starts at a key, inclusive. The appended zero byte
             # makes it start after the last row of this page.
             first = rows[-1].key + "\0"
@@ -158,13 +164,9 @@
             {"table": table, "after": after, "wait_ms": wait_ms}
         )
         page = await self._get(f"/v1/rows-feed?{query}", timeout)
-        if page is None:
-            return HistoryLost()
-        if isinstance(page, StoreFailed):
+        if isinstance(page, HistoryLost | StoreFailed):
             return page
-        return Snapshot(
-            tuple(_decode_rows(page)), int(page.get("row_version", 0))
-        )
+        return Snapshot(page.rows, page.version)
 
     async def write(
         self,
@@ -200,13 +202,13 @@
             case CallFailed(sent, reason):
                 return StoreFailed(reason, may_have_taken_effect=sent)
             case ClientResponse(200, data) if (
-                page := _decode_object(data)
+                page := _decode_page(data)
             ) is not None:
-                return Written(int(page.get("row_version", 0)))
+                return Written(page.version)
             case ClientResponse(412, data) if (
-                page := _decode_object(data)
+                page := _decode_page(data)
             ) is not None:
-                return Conflict(tuple(_decode_rows(page)))
+                return Conflict(page.rows)
             case ClientResponse(200):
                 return StoreFailed(
                     "malformed answer", may_have_taken_effect=True
@@ -216,52 +218,70 @@
 
     async def _get(
         self, path: str, timeout: float
-    ) -> dict[str, Any] | StoreFailed | None:
-        """Sends a GET request and decodes the JSON object in the response.
+    ) -> "_Page | HistoryLost | StoreFailed":
+        """Sends a GET request and decodes the page of rows in the response.
 
         Returns:
-            The object, or None if the store answered 410 because it no longer
-            has the requested history.
+            The page; `HistoryLost` if the store answered 410.
         """
         answer = await self.http.call(self.address, "GET " + path, b"", timeout)
         match answer:
             case CallFailed(_, reason):
                 return StoreFailed(reason)
             case ClientResponse(200, data):
-                page = _decode_object(data)
-                return StoreFailed("malformed answer") if page is None else page
+                return _decode_page(data) or StoreFailed("malformed answer")
             case ClientResponse(410):
-                return None
+                return HistoryLost()
             case ClientResponse(status):
                 return StoreFailed(f"status {status}")
 
 
-def _decode_object(data: bytes) -> dict[str, Any] | None:
-    """Decodes a response body; returns None if it is not a JSON object."""
+@attrs.frozen
+class _Page:
+    """Decoded body of a response.
+
+    Attributes:
+        rows: The rows.
+        version: Version of the store, or that of the written rows.
+        has_more: Whether rows of the table follow this page.
+    """
+
+    rows: tuple[StoreRow, ...]
+    version: int
+    has_more: bool
+
+
+def _decode_page(data: bytes) -> _Page | None:
+    """Decodes a response body; returns None if it is malformed.
+
+    One malformed row makes the whole page malformed: if it were left out, a
+    watch would never report its change again.
+    """
     try:
-        value = json.loads(data)
-    except ValueError:
-        return None
-    return value if isinstance(value, dict) else None
-
-
-def _decode_rows(page: dict[str, Any]) -> list[StoreRow]:
-    rows = []
-    for raw in page.get("rows", ()):
-        if raw.get("part"):
-            continue
-        try:
-            value = base64.b64decode(raw.get("value") or "", validate=True)
-        except (binascii.Error, ValueError, TypeError):
-            # The decoders of the content report an empty value as malformed.
-            value = b""
-        rows.append(
-            StoreRow(
-                raw.get("table", ""),
-                raw.get("key", ""),
-                value,
-                int(raw.get("row_version", 0)),
-                bool(raw.get("deleted")),
-            )
+        page = json.loads(data)
+        return _Page(
+            tuple(
+                _decode_row(raw)
+                for raw in page.get("rows", ())
+                if not raw.get("part")
+            ),
+            require_int(page.get("row_version", 0)),
+            bool(page.get("has_more")),
         )
-    return rows
+    except DECODE_ERRORS:
+        return None
+
+
+def _decode_row(raw: dict[str, Any]) -> StoreRow:
+    try:
+        value = base64.b64decode(raw.get("value") or "", validate=True)
+    except (binascii.Error, ValueError, TypeError):
+        # The decoders of the content report an empty value as malformed.
+        value = b""
+    return StoreRow(
+        require_str(raw.get("table", "")),
+        require_str(raw.get("key", "")),
+        value,
+        require_int(raw.get("row_version", 0)),
+        bool(raw.get("deleted")),
+    )
--- a/anvilford/platform/_target_calls.py
+++ b/anvilford/platform/_target_calls.py
@@ -21,6 +21,9 @@
 from anvilford.placement import RunningTask
 from anvilford.placement import StartRun
 from anvilford.placement import StopRun
+from anvilford.platform._decoding import DECODE_ERRORS
+from anvilford.platform._decoding import require_int
+from anvilford.platform._decoding import require_str
 
 # Refusals by the value of "reason" in a response with status 409.
 _REFUSAL_BY_REASON = {
@@ -157,13 +160,17 @@
     try:
         body = json.loads(data) if data else {}
         clock_ms = body.get("clock_ms")
-    except (ValueError, AttributeError):
+        if clock_ms is not None:
+            clock_ms = require_int(clock_ms)
+        reason = str(body.get("reason"))
+    except DECODE_ERRORS:
         return NoAnswer()
-    if status == 200 and isinstance(clock_ms, int):
+    if status == 200 and clock_ms is not None:
         return Accepted(clock_ms)
     if status == 409:
-        reason = _REFUSAL_BY_REASON.get(body.get("reason"), Refusal.INVALID)
-        return Refused(reason, clock_ms)
+        return Refused(
+            _REFUSAL_BY_REASON.get(reason, Refusal.INVALID), clock_ms
+        )
     if status == 400:
         return Refused(Refusal.INVALID, clock_ms)
     return NoAnswer()
@@ -173,16 +180,23 @@
     try:
         body = json.loads(data)
         return Report(
-            int(body["clock_ms"]),
+            require_int(body["clock_ms"]),
             tuple(
-                RunningTask(row[0], int(row[1]), int(row[3]))
+                RunningTask(
+                    require_str(row[0]), require_int(row[1]), int(row[3])
+                )
                 for row in body.get("running") or ()
             ),
             tuple(
-                EndedTask(int(row[0]), row[1], int(row[2]), RunEnd(row[3]))
+                EndedTask(
+                    require_int(row[0]),
+                    require_str(row[1]),
+                    require_int(row[2]),
+                    RunEnd(row[3]),
+                )
                 for row in body.get("ended") or ()
             ),
-            int(body.get("born", 0)),
+            require_int(body.get("born", 0)),
         )
-    except (ValueError, KeyError, TypeError, IndexError, AttributeError):
+    except DECODE_ERRORS:
         return NoAnswer()
--- a/anvilford/platform/tests/test_store.py
+++ b/anvilford/platform/tests/test_store.py
@@ -1,8 +1,10 @@
 """Tests for the store client against an in-process stand-in of the store."""
 
 import asyncio
+import json
 from unittest import mock
 
+from anvilford.http1 import ClientResponse
 from anvilford.http1 import HttpClient
 from anvilford.platform import Conflict
 from anvilford.platform import HistoryLost
@@ -27,6 +29,18 @@
     asyncio.run(main())
 
 
+def read_pages(pages):
+    """Reads a table from a store that answers with the given pages."""
+    http = mock.Mock(spec=HttpClient)
+    http.call = mock.AsyncMock(
+        side_effect=[
+            ClientResponse(200, json.dumps(page).encode()) for page in pages
+        ]
+    )
+    client = StoreClient(http, "127.0.0.1:1")
+    return asyncio.run(client.read("servers", 1.0))
+
+
 def test_write_needs_the_expected_version(case):
     """A write with an outdated version must be rejected.
 
@@ -106,7 +120,16 @@
     ]
     row = {"key": "a", "value": "", "row_version": 5}
     pages[0]["rows"] = [row]
-    client = StoreClient(mock.Mock(), "127.0.0.1:1")
-    with mock.patch.object(client, "_get", side_effect=pages):
-        snapshot = asyncio.run(client.read("servers", 1.0))
+    snapshot = read_pages(pages)
     case.assertEqual(snapshot.version, 7)
+
+
+def test_pages_that_repeat_a_row_end_the_read(case):
+    """A store that answers each page with the same rows must not be read on.
+
+    The read would never end, and its rows would fill the memory.
+    """
+    row = {"key": "a", "value": "", "row_version": 5}
+    page = {"rows": [row], "row_version": 7, "has_more": True}
+    answer = read_pages([page] * 3)
+    case.assertEqual(answer, StoreFailed("pages do not advance"))
