Keep following targets and tables after an unexpected exception

An exception while a target's answer was decoded left its poll pending for the rest of the term, one in a tick of the placer ended all ticks, and one in a listener of a table ended the task that reads the table: leases were no longer extended, or an old target list stayed in use, without any failed request that would name the cause.

Cause: a coroutine or timer that reschedules itself only after its work.

Why it works: an order that raises counts as unanswered, which the placer handles already; a tick schedules the next one first; a table is read again after an exception in its listeners. Each is logged with its traceback.

--- a/anvilford/node/_driver.py
+++ b/anvilford/node/_driver.py
@@ -10,12 +10,15 @@
 from anvilford.placement import Decision
 from anvilford.placement import Effect
 from anvilford.placement import FenceLost
+from anvilford.placement import NoAnswer
 from anvilford.placement import Offer
+from anvilford.placement import OrderAnswer
 from anvilford.placement import Outcome
 from anvilford.placement import OutcomeKind
 from anvilford.placement import PlacementOptions
 from anvilford.placement import Placer
 from anvilford.placement import Poll
+from anvilford.placement import PollAnswer
 from anvilford.placement import Settle
 from anvilford.placement import StartRun
 from anvilford.placement import StopRun
@@ -216,10 +219,11 @@
         now = self._read_clock()
         if self._closed:
             return
-        self.placer.tick(now)
-        self._run_effects()
+        # Scheduled first, so that an exception cannot end the ticks.
         loop = asyncio.get_running_loop()
         self._tick_timer = loop.call_later(TICK_INTERVAL_S, self._tick)
+        self.placer.tick(now)
+        self._run_effects()
 
     def _run_effects(self) -> None:
         """Applies the placer's effects and schedules its next dispatch."""
@@ -283,23 +287,24 @@
         target = self.placer.fleet.targets.get(order.target_id)
         if target is None:
             return
-        address = target.record.address
         sent_at = clock.now()
         match order:
             case StartRun():
                 kind, observe = "start", self.placer.handle_start_answer
-                answer = await self.target_client.start(
-                    address, order, START_ORDER_TIMEOUT_S
-                )
             case StopRun():
                 kind, observe = "stop", self.placer.handle_stop_answer
-                answer = await self.target_client.stop(
-                    address, order, STOP_ORDER_TIMEOUT_S
-                )
-            case Poll(wait_ms=wait_ms):
+            case Poll():
                 kind, observe = "poll", self.placer.handle_poll_answer
-                timeout = wait_ms / 1000 + POLL_TIMEOUT_MARGIN_S
-                answer = await self.target_client.poll(address, order, timeout)
+        try:
+            answer = await self._call_target(target.record.address, order)
+        except Exception:
+            # The placer waits for an answer to each order: without one, it
+            # would never poll the target again.
+            _logger.exception(
+                "order to a target raised an exception; it counts as unanswered",
+                extra={"target": order.target_id, "kind": kind},
+            )
+            answer = NoAnswer()
         outcome = type(answer).__name__.lower()
         self.counters.increment("target_orders", kind=kind, outcome=outcome)
         if kind == "start":
@@ -311,3 +316,20 @@
             return
         observe(order, answer, now)
         self._run_effects()
+
+    async def _call_target(
+        self, address: str, order: StartRun | StopRun | Poll
+    ) -> OrderAnswer | PollAnswer:
+        """Sends an order to a target and returns the target's answer."""
+        match order:
+            case StartRun():
+                return await self.target_client.start(
+                    address, order, START_ORDER_TIMEOUT_S
+                )
+            case StopRun():
+                return await self.target_client.stop(
+                    address, order, STOP_ORDER_TIMEOUT_S
+                )
+            case Poll(wait_ms=wait_ms):
+                timeout = wait_ms / 1000 + POLL_TIMEOUT_MARGIN_S
+                return await self.target_client.poll(address, order, timeout)
--- a/anvilford/node/_sync.py
+++ b/anvilford/node/_sync.py
@@ -88,11 +88,21 @@
         """Reads and watches the table until cancelled."""
         failures = 0
         while True:
-            succeeded = await (
-                self._read_table()
-                if self._needs_full_read
-                else self._watch_table()
-            )
+            try:
+                succeeded = await (
+                    self._read_table()
+                    if self._needs_full_read
+                    else self._watch_table()
+                )
+            except Exception:
+                # A listener may fail on one change; the changes that follow
+                # must still be read.
+                _logger.exception(
+                    "change of the table raised an exception; reading it again",
+                    extra={"table": self.table},
+                )
+                self._needs_full_read = True
+                succeeded = False
             if succeeded:
                 failures = 0
                 continue
--- a/anvilford/node/tests/test_driver.py
+++ b/anvilford/node/tests/test_driver.py
@@ -1,23 +1,32 @@
 """Tests of `PlacerDriver`."""
 
 import asyncio
+import contextlib
 from unittest import mock
 
 from anvilford.node import _clock as clock
 from anvilford.node._driver import PlacerDriver
 from anvilford.node._driver import SUSPENSION_THRESHOLD_S
+from anvilford.node._driver import TICK_INTERVAL_S
 from anvilford.placement import JobSpec
 from anvilford.placement import Offer
 from anvilford.placement import OutcomeKind
 from anvilford.placement import PlacementOptions
 from anvilford.placement import QueuePolicy
+from anvilford.placement import Report
 from anvilford.placement import Resources
 from anvilford.placement import StepSpec
+from anvilford.placement import TargetRecord
+from anvilford.placement._state import Ownership
 from anvilford.telemetry import Counters
 from testkit import function_tests
 
 load_tests = function_tests(__name__)
 
+TARGET = TargetRecord(
+    "r1", 3, "127.0.0.1:1", "a", "line", False, 0, Resources(8000), (), 1
+)
+
 
 def make_driver() -> PlacerDriver:
     """Returns a driver without targets that closes after a suspension."""
@@ -54,3 +63,46 @@
         case.assertEqual(outcome.kind, OutcomeKind.MOVED)
 
     asyncio.run(scenario())
+
+
+def test_order_that_raises_counts_as_unanswered(case):
+    """A target must be polled again after its poll raised an exception.
+
+    The poll would stay pending, and the target would never be used again.
+    """
+
+    async def scenario():
+        driver = make_driver()
+        driver.target_client.poll = mock.AsyncMock(
+            side_effect=[
+                OverflowError(),
+                Report(5, (), (), TARGET.incarnation),
+            ]
+        )
+        with case.assertLogs("anvilford.node._driver", "ERROR"):
+            driver.start([TARGET], [])
+            await asyncio.sleep(3 * TICK_INTERVAL_S)
+        target = driver.placer.fleet.targets[TARGET.target_id]
+        case.assertIs(target.ownership, Ownership.OWNED)
+        driver.close()
+
+    asyncio.run(scenario())
+
+
+def test_ticks_go_on_after_an_exception(case):
+    """An exception in one tick must not end the ticks.
+
+    Without them, leases are not extended and lost runs do not start again.
+    """
+
+    async def scenario():
+        driver = make_driver()
+        asyncio.get_running_loop().set_exception_handler(mock.Mock())
+        driver.placer.tick = mock.Mock(side_effect=[KeyError(), None, None])
+        with contextlib.suppress(KeyError):
+            driver.start([], [])
+        await asyncio.sleep(3 * TICK_INTERVAL_S)
+        case.assertGreater(driver.placer.tick.call_count, 1)
+        driver.close()
+
+    asyncio.run(scenario())
