Prove by a heartbeat when it was sent, and send member lists only once

Two faults of the same message, whose fields change together.

A leader that was held up read two at once, so the second proved nothing. A reply carries the leader's time now and the next heartbeat repeats it: it was sent after that time by construction. Heartbeats carry a digest of the list now, and a reply has the list only if it differs. A digest of the content needs no rule for restarts and changes of the leader.

Builds from before cannot read these heartbeats (fields are required), so the rule of docs/OPERATIONS.md against two builds side by side holds for them too.

--- a/anvilford/leadership/__init__.py
+++ b/anvilford/leadership/__init__.py
@@ -8,6 +8,7 @@
 from anvilford.leadership._election import Follow
 from anvilford.leadership._election import Lead
 from anvilford.leadership._election import Wait
+from anvilford.leadership._model import digest_members
 from anvilford.leadership._model import FENCING_TOKENS_PER_TERM
 from anvilford.leadership._model import Leader
 from anvilford.leadership._model import Member
@@ -25,5 +26,6 @@
     "ElectionState",
     "Wait",
     "decide_action",
+    "digest_members",
     "find_leader",
 ]
--- a/anvilford/leadership/_model.py
+++ b/anvilford/leadership/_model.py
@@ -1,6 +1,8 @@
 """Data types of the leader election."""
 
+import hashlib
 import zlib
+from collections.abc import Iterable
 
 import attrs
 
@@ -33,6 +35,19 @@
     token: str
 
 
+def digest_members(members: Iterable[Member]) -> int:
+    """Returns a digest of a set of members, as a signed 64-bit integer.
+
+    Members with equal digests have equal attributes, in any order; 0 for no
+    members.
+    """
+    rows = sorted(attrs.astuple(member) for member in members)
+    if not rows:
+        return 0
+    digest = hashlib.blake2b(repr(rows).encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big", signed=True)
+
+
 @attrs.frozen
 class Leader:
     """The member that places jobs, and the term in which it leads.
--- a/anvilford/node/_coordination.py
+++ b/anvilford/node/_coordination.py
@@ -34,6 +34,7 @@
 from anvilford.protocol import Heartbeat
 from anvilford.protocol import HeartbeatReply
 from anvilford.protocol import LeaderAnnounced
+from anvilford.protocol import Message
 from anvilford.telemetry import Counters
 
 HEARTBEAT_INTERVAL_S = 0.15
@@ -120,6 +121,11 @@
         self._wake = asyncio.Event()
         self._leader_contact_at = clock.now()
         self._heartbeat_pending_since: float | None = None
+        # One heartbeat at a time: the answer to the next one shows that the
+        # leader is alive after the failure that caused a query.
+        self._heartbeat_lock = asyncio.Lock()
+        # Token of the leader's process and `sent_at` of its last reply.
+        self._last_answer = ("", 0.0)
         self._raise_fence_at = 0.0
         self._row_write_due_at = 0.0
         self._speeds_write_due_at = 0.0
@@ -196,23 +202,29 @@
 
     def receive_heartbeat(self, message: Heartbeat) -> HeartbeatReply:
         """Records a member's heartbeat and returns the reply."""
+        now = clock.now()
         if self._is_leading:
-            followed_at = self.heartbeats.record_heartbeat(
-                message.member, clock.now()
+            self.heartbeats.record_heartbeat(message.member, now)
+            # The heartbeat itself may have been sent long before it was read.
+            self.driver.placer.record_contact(
+                message.member.name, min(message.answered_at, now)
             )
-            self.driver.placer.record_contact(message.member.name, followed_at)
             if not self.leader.is_partial:
                 # The reply includes the members heard so far, so that they
                 # know each other if this leader ends right after its start.
                 self.membership.members = self.heartbeats.known_members()
             self.raise_fence_above(message.fence)
+        digest = self.membership.members_digest
+        sends_members = self._is_leading and message.members_digest != digest
         return HeartbeatReply(
             self.term,
             self._is_leading,
             self.is_stopping,
-            self.membership.members if self._is_leading else (),
+            self.membership.members if sends_members else (),
             self.waiting_jobs if self._is_leading else {},
             self.site.routing_table.version if self.site.routing_table else 0,
+            digest,
+            now,
         )
 
     def raise_fence_above(self, fence: int) -> None:
@@ -384,22 +396,24 @@
         Returns:
             True if the member replies that it leads and is not stopping.
         """
-        answer = await self.links.call(
-            leader.member.address,
-            Heartbeat(self.local_member, self.fence),
-            timeout,
-        )
-        match answer.default_value(None):
+        try:
+            async with asyncio.timeout(timeout), self._heartbeat_lock:
+                reply = await self._exchange_heartbeat(leader, timeout)
+        except TimeoutError:
+            reply = None
+        match reply:
             case HeartbeatReply(leading=True) as reply:
                 self.site.refresh_if_older(reply.configuration_version)
-                if reply.members:
-                    self.membership.replace_members(reply.members)
+                self.membership.apply_member_list(
+                    reply.members, reply.members_digest
+                )
                 self.waiting_jobs = reply.pending
                 self.membership.raise_term(reply.term)
                 if self.leader == leader and reply.term > leader.term:
                     self._set_leader(
                         Leader(reply.term, leader.member, leader.is_partial)
                     )
+                self._last_answer = (leader.member.token, reply.sent_at)
                 if not reply.leaving:
                     self._leader_contact_at = clock.now()
                     return True
@@ -411,6 +425,22 @@
                 self.counters.increment("heartbeats_failed")
         return False
 
+    async def _exchange_heartbeat(
+        self, leader: Leader, timeout: float
+    ) -> Message | None:
+        """Sends a heartbeat; returns the reply, or None if the call failed."""
+        token, sent_at = self._last_answer
+        heartbeat = Heartbeat(
+            self.local_member,
+            self.fence,
+            self.membership.members_digest,
+            sent_at if token == leader.member.token else 0.0,
+        )
+        answer = await self.links.call(
+            leader.member.address, heartbeat, timeout
+        )
+        return answer.default_value(None)
+
     def _clear_resigned_leader(self, leader: Leader, reason: str) -> None:
         """Clears the leader after it replied that it no longer leads."""
         if self.leader is not None and self.leader.member == leader.member:
--- a/anvilford/node/_members.py
+++ b/anvilford/node/_members.py
@@ -30,6 +30,8 @@
         self.local_member = local_member
         self.live_names: set[str] = set()
         self._last_heartbeats: dict[str, tuple[Member, float]] = {}
+        # Result of `known_members`; None after a change.
+        self._known_members: tuple[Member, ...] | None = None
 
     def reset(self, members: list[Member], now: float) -> None:
         """Replaces all members by the given ones, which count as live."""
@@ -37,25 +39,20 @@
             member.name: (member, now) for member in members
         }
         self.live_names = set(self._last_heartbeats)
+        self._known_members = None
 
-    def record_heartbeat(self, member: Member, now: float) -> float:
-        """Records a heartbeat of a member; the member counts as live.
-
-        Returns:
-            Time of the member's previous heartbeat, 0 if there is none. A
-            member normally sends a heartbeat after the answer to the previous
-            one, so that it was sent after this time, however late it arrived.
-            It may send two without an answer while it searches for a leader.
-        """
+    def record_heartbeat(self, member: Member, now: float) -> None:
+        """Records a heartbeat of a member; the member counts as live."""
         if member.name not in self.live_names:
             self.live_names.add(member.name)
             _logger.info(
                 "first heartbeat from a new or returning member",
                 extra={"member": member.name},
             )
-        _, previous = self._last_heartbeats.get(member.name, (member, 0.0))
+        known, _ = self._last_heartbeats.get(member.name, (None, 0.0))
+        if known != member:
+            self._known_members = None
         self._last_heartbeats[member.name] = (member, now)
-        return previous
 
     def expire(self, now: float) -> None:
         """Updates the live members and removes those past their retention."""
@@ -63,6 +60,7 @@
         for name, (_, received_at) in list(self._last_heartbeats.items()):
             if now - received_at > MEMBER_RETENTION_S:
                 del self._last_heartbeats[name]
+                self._known_members = None
         live = {
             name
             for name, (_, received_at) in self._last_heartbeats.items()
@@ -84,5 +82,12 @@
         }
 
     def known_members(self) -> tuple[Member, ...]:
-        """Returns the members that count towards the majority."""
-        return tuple(member for member, _ in self._last_heartbeats.values())
+        """Returns the members that count towards the majority.
+
+        The tuple is the same object until the members change.
+        """
+        if self._known_members is None:
+            self._known_members = tuple(
+                member for member, _ in self._last_heartbeats.values()
+            )
+        return self._known_members
--- a/anvilford/node/_search.py
+++ b/anvilford/node/_search.py
@@ -9,6 +9,7 @@
 import attrs
 
 from anvilford.leadership import decide_action
+from anvilford.leadership import digest_members
 from anvilford.leadership import ElectionAction
 from anvilford.leadership import ElectionState
 from anvilford.leadership import Leader
@@ -56,6 +57,10 @@
     members: tuple[Member, ...] = ()
     querying_members: dict[str, Member] = attrs.field(factory=dict)
     member_list_received: bool = False
+    _digested_members: tuple[Member, ...] = attrs.field(
+        default=(), init=False, repr=False
+    )
+    _digest: int = attrs.field(default=0, init=False, repr=False)
 
     @property
     def other_members(self) -> list[Member]:
@@ -73,9 +78,27 @@
         """Raises the term to the highest of the given ones, if it is lower."""
         self.term = max(self.term, *terms)
 
-    def replace_members(self, members: tuple[Member, ...]) -> None:
-        """Replaces the members by the list that a leader sent."""
-        self.members = members
+    @property
+    def members_digest(self) -> int:
+        """Digest of `members`, computed once for each list."""
+        if self._digested_members is not self.members:
+            self._digested_members = self.members
+            self._digest = digest_members(self.members)
+        return self._digest
+
+    def apply_member_list(
+        self, members: tuple[Member, ...], digest: int
+    ) -> None:
+        """Applies the member list of a leader's heartbeat reply.
+
+        Args:
+            members: The list; empty if it is the one that is known.
+            digest: Digest of the list.
+        """
+        if members:
+            self.members = members
+        elif digest != self.members_digest:
+            return  # The list changed after the heartbeat was sent.
         self.member_list_received = True
         self.querying_members.clear()
 
--- a/anvilford/protocol/_messages.py
+++ b/anvilford/protocol/_messages.py
@@ -315,10 +315,16 @@
     Attributes:
         member: The sender.
         fence: Highest fencing token of any leader that the sender followed.
+        members_digest: Digest of the member list that the sender has.
+        answered_at: `HeartbeatReply.sent_at` of the last reply that the sender
+            received from this leader; 0 if there is none. It proves that the
+            sender followed the leader after that time.
     """
 
     member: Member
     fence: int
+    members_digest: int = 0
+    answered_at: float = 0.0
 
 
 @attrs.frozen
@@ -329,11 +335,15 @@
         term: Highest leadership term known to the replying member.
         leading: True if the replying member leads in that term.
         leaving: True once the replying member is about to stop.
-        members: Members known to the leader; empty if it does not lead.
+        members: Members known to the leader; empty if it does not lead, or if
+            the heartbeat has the digest of this list.
         pending: Number of jobs that have not begun, by queue; empty if it does
             not lead.
         configuration_version: Version of the configuration that the replying
             member uses; 0 if it has none.
+        members_digest: Digest of the members known to the leader.
+        sent_at: Time of the reply on the clock of the replying member, in
+            seconds.
     """
 
     term: int
@@ -342,6 +352,8 @@
     members: tuple[Member, ...]
     pending: dict[str, int]
     configuration_version: int
+    members_digest: int
+    sent_at: float
 
 
 @attrs.frozen
--- a/anvilford/protocol/anvilford.thrift
+++ b/anvilford/protocol/anvilford.thrift
@@ -216,6 +216,8 @@
 struct Heartbeat {
   1: required Member member
   2: required i64 fence
+  3: required i64 members_digest
+  4: required double answered_at
 }
 
 struct HeartbeatReply {
@@ -225,6 +227,8 @@
   4: required list<Member> members
   5: required map<string, i64> pending
   6: required i64 configuration_version
+  7: required i64 members_digest
+  8: required double sent_at
 }
 
 struct LeaderQuery {
--- a/anvilford/protocol/wire/ttypes.py
+++ b/anvilford/protocol/wire/ttypes.py
@@ -845,13 +845,17 @@
     Attributes:
      - member
      - fence
+     - members_digest
+     - answered_at
 
     """
 
 
-    def __init__(self, member=None, fence=None,):
+    def __init__(self, member=None, fence=None, members_digest=None, answered_at=None,):
         self.member = member
         self.fence = fence
+        self.members_digest = members_digest
+        self.answered_at = answered_at
 
     def __repr__(self):
         L = ['%s=%r' % (key, value)
@@ -874,17 +878,21 @@
      - members
      - pending
      - configuration_version
+     - members_digest
+     - sent_at
 
     """
 
 
-    def __init__(self, term=None, leading=None, leaving=None, members=None, pending=None, configuration_version=None,):
+    def __init__(self, term=None, leading=None, leaving=None, members=None, pending=None, configuration_version=None, members_digest=None, sent_at=None,):
         self.term = term
         self.leading = leading
         self.leaving = leaving
         self.members = members
         self.pending = pending
         self.configuration_version = configuration_version
+        self.members_digest = members_digest
+        self.sent_at = sent_at
 
     def __repr__(self):
         L = ['%s=%r' % (key, value)
@@ -1248,6 +1256,8 @@
     None,  # 0
     (1, TType.STRUCT, 'member', [Member, None], None, ),  # 1
     (2, TType.I64, 'fence', None, None, ),  # 2
+    (3, TType.I64, 'members_digest', None, None, ),  # 3
+    (4, TType.DOUBLE, 'answered_at', None, None, ),  # 4
 )
 all_structs.append(HeartbeatReply)
 HeartbeatReply.thrift_spec = (
@@ -1258,6 +1268,8 @@
     (4, TType.LIST, 'members', (TType.STRUCT, [Member, None], False), None, ),  # 4
     (5, TType.MAP, 'pending', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 5
     (6, TType.I64, 'configuration_version', None, None, ),  # 6
+    (7, TType.I64, 'members_digest', None, None, ),  # 7
+    (8, TType.DOUBLE, 'sent_at', None, None, ),  # 8
 )
 all_structs.append(LeaderQuery)
 LeaderQuery.thrift_spec = (
