--- a/anvilford/http1/tests/test_exchange.py
+++ b/anvilford/http1/tests/test_exchange.py
@@ -2,6 +2,10 @@
 
 import asyncio
 import contextlib
+import socket
+import struct
+
+import uvloop
 
 from anvilford.http1 import CallFailed
 from anvilford.http1 import ClientResponse
@@ -144,3 +148,34 @@
             case.assertEqual(client.idle_connection_count(listener.address), 0)
 
     asyncio.run(scenario())
+
+
+def test_reset_is_told_from_a_close(case):
+    """A caller that closed its connection must not count as one that broke.
+
+    The job of the former is stopped at once, while the latter is expected to
+    send its request again. Runs on the event loop of the entries.
+    """
+
+    async def disconnect(by_reset):
+        disconnected = asyncio.get_running_loop().create_future()
+
+        async def handler(request):
+            disconnected.set_result(await request.disconnected)
+            return Response(200)
+
+        async with listening(handler) as (listener, _):
+            host, _, port = listener.address.rpartition(":")
+            with socket.create_connection((host, int(port))) as caller:
+                caller.sendall(b"POST /x HTTP/1.1\r\nContent-Length: 0\r\n\r\n")
+                await asyncio.sleep(0.05)
+                if by_reset:
+                    linger = struct.pack("ii", 1, 0)
+                    caller.setsockopt(
+                        socket.SOL_SOCKET, socket.SO_LINGER, linger
+                    )
+            return await asyncio.wait_for(disconnected, 1.0)
+
+    for by_reset in (True, False):
+        with case.subTest(by_reset=by_reset):
+            case.assertEqual(uvloop.run(disconnect(by_reset)), by_reset)
--- a/anvilford/node/_main.py
+++ b/anvilford/node/_main.py
@@ -13,6 +13,8 @@
 import signal
 import sys
 
+import uvloop
+
 from anvilford.http1 import HttpClient
 from anvilford.http1 import HttpListener
 from anvilford.http1 import ListenerLimits
@@ -400,7 +402,7 @@
         {"node": settings.name},
         LogRateLimiter(output),
     )
-    asyncio.run(_serve(settings, arguments.settings))
+    uvloop.run(_serve(settings, arguments.settings))
     return 0
 
 
