Read the target list rarely where it is not used

Cause: each entry reads the whole target list every 1.5 s, since each target writes its row as often, and decodes every row again, though only the leader uses the records.

Why it works: the leader's heartbeat replies carry the version of the last change other than a rewritten row. A member reads the list when that is newer than its own, at most every 1.5 s as before, else every 10 s; the store keeps 20 s. A member that starts to lead reads it at once. Rows are decoded when the records are used, once for each version. The order of changes is as before: a removed target is decoded when its row disappears.

Tests: five in node/tests/test_sync.py, among them test_change_that_the_leader_reports_is_read_soon and test_target_with_a_malformed_row_counts_as_removed.

--- a/anvilford/node/_coordination.py
+++ b/anvilford/node/_coordination.py
@@ -225,6 +225,7 @@
             self.site.routing_table.version if self.site.routing_table else 0,
             digest,
             now,
+            self.site.changed_version if self._is_leading else 0,
         )
 
     def raise_fence_above(self, fence: int) -> None:
@@ -404,6 +405,7 @@
         match reply:
             case HeartbeatReply(leading=True) as reply:
                 self.site.refresh_if_older(reply.configuration_version)
+                self.site.refresh_targets_if_older(reply.targets_version)
                 self.membership.apply_member_list(
                     reply.members, reply.members_digest
                 )
--- a/anvilford/node/_sync.py
+++ b/anvilford/node/_sync.py
@@ -1,9 +1,12 @@
 """Local copies of the configuration and target list in the store."""
 
 import asyncio
+import contextlib
 import logging
 from collections.abc import Callable
 
+import attrs
+
 from anvilford.node import _clock as clock
 from anvilford.placement import TargetRecord
 from anvilford.platform import CONFIGURATION_KEY
@@ -34,11 +37,14 @@
 # Targets removed from the list are remembered for this long. The longest
 # partitions of the users' sites last 12 s.
 REMOVED_TARGET_RETENTION_S = 20.0
-# Pause between two watches of the target list, by whether this entry places
-# jobs. Each target writes its row every 1.5 s, so without a pause the watches
-# would return immediately, one after another. The leader must learn within 2 s
-# that a target leaves.
-TARGET_LIST_PAUSE_S = {False: 1.5, True: 0.25}
+# Pause between two watches of the target list. Each target writes its row every
+# 1.5 s, so without a pause the watches would return immediately, one after
+# another. The leader must learn within 2 s that a target leaves. The others
+# read the list when the leader reports a change, at most once in the shorter
+# time, and otherwise after the longer one, which is well below the 20 s for
+# which the store keeps changes.
+LEADER_LIST_PAUSE_S = 0.25
+FOLLOWER_LIST_PAUSE_S = (1.5, 10.0)
 
 _logger = logging.getLogger(__name__)
 
@@ -54,8 +60,10 @@
         table: Name of the table.
         on_change: Called with all rows by key after each change.
         counters: Receives the number of store calls and of failures.
-        watch_pause: Returns the seconds between an answer and the next watch;
-            the pause lets the next answer carry several changes.
+        watch_pause: Returns the shortest and the longest pause between an
+            answer and the next watch, in seconds. The pause lets the next
+            answer carry several changes; `wake` ends it after the shortest
+            time.
         rows: Rows by key.
         version: Version of the store whose changes are included in `rows`.
         is_loaded: True after the first complete read.
@@ -69,7 +77,7 @@
         table: str,
         on_change: Callable[[dict[str, StoreRow]], None],
         counters: Counters,
-        watch_pause: Callable[[], float] = lambda: 0.0,
+        watch_pause: Callable[[], tuple[float, float]] = lambda: (0.0, 0.0),
     ):
         self.store = store
         self.table = table
@@ -83,6 +91,7 @@
         self._store_reachable = True
         self._needs_full_read = True
         self._watch_task: asyncio.Task | None = None
+        self._wake = asyncio.Event()
 
     async def run(self) -> None:
         """Reads and watches the table until cancelled."""
@@ -117,6 +126,30 @@
         if self._watch_task is not None:
             self._watch_task.cancel()
 
+    def wake(self) -> None:
+        """Watches the table again soon, because it has changes."""
+        self._wake.set()
+
+    async def _pause(self) -> None:
+        """Waits before the next watch.
+
+        The pause is determined anew after a wake, since this entry may have
+        become the leader.
+        """
+        started = clock.now()
+        while True:
+            shortest, longest = self.watch_pause()
+            end = shortest if self._wake.is_set() else longest
+            left = started + end - clock.now()
+            if left <= 0:
+                self._wake.clear()
+                return
+            if self._wake.is_set():
+                await asyncio.sleep(left)
+                continue
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._wake.wait(), left)
+
     async def _read_table(self) -> bool:
         """Reads the whole table; returns whether the answer was usable."""
         self._count_store_call("read")
@@ -167,7 +200,7 @@
             case Snapshot(rows, version):
                 self._record_contact()
                 self._apply_changes(rows, version)
-                await asyncio.sleep(self.watch_pause())
+                await self._pause()
         return True
 
     def _apply_changes(self, rows: tuple[StoreRow, ...], version: int) -> None:
@@ -215,20 +248,25 @@
     Attributes:
         routing_table: Routing table in force; None before the first
             configuration.
-        targets: Listed targets whose rows can be decoded.
         configuration: Local copy of the operator's table.
         target_list: Local copy of the target table.
         target_listeners: Called after each change of the target list.
-        is_placing: Whether this entry places jobs and therefore watches the
-            target list with the shorter pause. Set by the coordinator.
+        changed_version: Version of the list with the last change of a target
+            other than that of its row's version.
     """
 
     def __init__(self, store: StoreClient, counters: Counters):
         self.routing_table: RoutingTable | None = None
-        self.targets: tuple[TargetRecord, ...] = ()
         self._removed_targets: dict[str, tuple[TargetRecord, float]] = {}
         self.target_listeners: list[Callable[[], None]] = []
-        self.is_placing = False
+        self.changed_version = 0
+        self._is_placing = False
+        # Rows of the target list, and the records decoded from them. Entries
+        # that do not lead need the records rarely, so they are decoded when
+        # they are read.
+        self._target_rows: dict[str, StoreRow] = {}
+        self._records: dict[str, TargetRecord] = {}
+        self._targets: tuple[TargetRecord, ...] | None = ()
         self.configuration = TableFollower(
             store, OPERATOR_TABLE, self._apply_operator_rows, counters
         )
@@ -237,16 +275,53 @@
             TARGET_TABLE,
             self._apply_target_rows,
             counters,
-            lambda: TARGET_LIST_PAUSE_S[self.is_placing],
+            self._target_list_pause,
         )
         self._reported_malformed: set[tuple[str, int]] = set()
 
+    @property
+    def is_placing(self) -> bool:
+        """Whether this entry places jobs; set by the coordinator.
+
+        It then watches the target list with the shorter pause, from now on.
+        """
+        return self._is_placing
+
+    @is_placing.setter
+    def is_placing(self, value: bool) -> None:
+        self._is_placing = value
+        if value:
+            self.target_list.wake()
+
+    def _target_list_pause(self) -> tuple[float, float]:
+        if self._is_placing:
+            return (LEADER_LIST_PAUSE_S, LEADER_LIST_PAUSE_S)
+        return FOLLOWER_LIST_PAUSE_S
+
+    @property
+    def targets(self) -> tuple[TargetRecord, ...]:
+        """Listed targets whose rows can be decoded."""
+        if self._targets is None:
+            self._targets = self._decode_targets()
+        return self._targets
+
+    def refresh_targets_if_older(self, version: int) -> None:
+        """Reads the target list soon if the leader has seen a newer change.
+
+        Args:
+            version: `changed_version` of the leader.
+        """
+        if version > self.target_list.version:
+            self.target_list.wake()
+
     def recently_removed_targets(self) -> list[TargetRecord]:
         """Returns targets removed from the list in the retention time.
 
         They may be cut off by a partition and still run tasks that another
         leader started.
         """
+        if self._targets is None:
+            self._targets = self._decode_targets()
         earliest = clock.now() - REMOVED_TARGET_RETENTION_S
         return [
             record
@@ -295,24 +370,56 @@
                 )
 
     def _apply_target_rows(self, rows: dict[str, StoreRow]) -> None:
-        records = []
-        for row in rows.values():
-            match decode_target(row):
-                case TargetRecord() as record:
-                    records.append(record)
-                case MalformedDocument(key, version, reason):
-                    self._warn_malformed_once(key, version, reason)
         now = clock.now()
-        listed = {record.target_id for record in records}
-        for record in self.targets:
-            if record.target_id not in listed:
-                self._removed_targets[record.target_id] = (record, now)
-        for target_id in listed:
-            self._removed_targets.pop(target_id, None)
-        self.targets = tuple(records)
+        for target_id in self._target_rows.keys() - rows.keys():
+            record = self._decode_row(self._target_rows[target_id])
+            if record is not None:
+                self._removed_targets[target_id] = (record, now)
+        self._target_rows = dict(rows)
+        self._targets = None
         for listener in self.target_listeners:
             listener()
 
+    def _decode_targets(self) -> tuple[TargetRecord, ...]:
+        """Decodes the rows; updates `changed_version` and removed targets."""
+        previous = self._records
+        self._records = {}
+        has_changes = False
+        for target_id, row in self._target_rows.items():
+            old = previous.get(target_id)
+            record = (
+                old
+                if old is not None and old.version == row.version
+                else self._decode_row(row)
+            )
+            if record is None:
+                continue
+            self._records[target_id] = record
+            has_changes = (
+                has_changes
+                or old is None
+                or attrs.evolve(record, version=old.version) != old
+            )
+        if has_changes or previous.keys() != self._records.keys():
+            self.changed_version = self.target_list.version
+        # A target whose row can no longer be decoded counts as removed.
+        for target_id in previous.keys() - self._records.keys():
+            self._removed_targets.setdefault(
+                target_id, (previous[target_id], clock.now())
+            )
+        for target_id in self._records.keys() & self._removed_targets.keys():
+            del self._removed_targets[target_id]
+        return tuple(self._records.values())
+
+    def _decode_row(self, row: StoreRow) -> TargetRecord | None:
+        """Returns the target of a row; None if it cannot be decoded."""
+        match decode_target(row):
+            case TargetRecord() as record:
+                return record
+            case MalformedDocument(key, version, reason):
+                self._warn_malformed_once(key, version, reason)
+        return None
+
     def _warn_malformed_once(self, key: str, version: int, reason: str) -> None:
         """Logs a row that cannot be decoded, once for each of its versions."""
         if (key, version) in self._reported_malformed:
--- a/anvilford/node/tests/test_sync.py
+++ b/anvilford/node/tests/test_sync.py
@@ -1,11 +1,18 @@
 """Tests of the local copies of the store's tables."""
 
 import asyncio
+import json
 from unittest import mock
 
+import attrs
+
 from anvilford.http1 import HttpClient
+from anvilford.node import _sync
+from anvilford.node._sync import SiteView
 from anvilford.node._sync import TableFollower
 from anvilford.platform import StoreClient
+from anvilford.platform import StoreRow
+from anvilford.platform import TARGET_TABLE
 from anvilford.telemetry import Counters
 from standins.rows import RowStore
 from testkit import function_tests
@@ -36,3 +43,133 @@
 
     with case.assertLogs("anvilford.node._sync", "ERROR"):
         asyncio.run(scenario())
+
+
+TARGET = {
+    "service": "s",
+    "address": "10.0.0.1:80",
+    "zone": "a",
+    "state": "ready",
+    "capacity": {"cpu": 16000, "mem_mb": 1024, "gpu": 0},
+}
+
+
+def with_site(scenario):
+    """Runs an async test body with a store of one target and a view of it."""
+
+    async def main():
+        async with RowStore() as store:
+            store.put(TARGET_TABLE, "r1", TARGET)
+            with HttpClient() as http:
+                client = StoreClient(http, store.address)
+                site = SiteView(client, Counters())
+                task = asyncio.ensure_future(site.target_list.run())
+                await wait_until(lambda: site.targets)
+                await scenario(store, site)
+                task.cancel()
+
+    with mock.patch.object(_sync, "FOLLOWER_LIST_PAUSE_S", (0.05, 30.0)):
+        asyncio.run(main())
+
+
+async def wait_until(condition, timeout=1.0):
+    """Waits until a condition holds."""
+    async with asyncio.timeout(timeout):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+async def start_pause(store, site):
+    """Lets the view read one more change, after which it pauses."""
+    store.put(TARGET_TABLE, "r1", {**TARGET, "seq": 1})
+    version = site.target_list.version
+    await wait_until(lambda: site.target_list.version > version)
+
+
+def test_change_that_the_leader_reports_is_read_soon(case):
+    """A member must know a drained target although it reads the list rarely.
+
+    It would start tasks there if it became the leader.
+    """
+
+    async def scenario(store, site):
+        await start_pause(store, site)
+        store.put(TARGET_TABLE, "r1", {**TARGET, "state": "draining"})
+        await asyncio.sleep(0.1)
+        case.assertFalse(site.targets[0].draining)
+        site.refresh_targets_if_older(site.target_list.version + 1)
+        await wait_until(lambda: site.targets[0].draining)
+
+    with_site(scenario)
+
+
+def test_new_leader_reads_the_list_at_once(case):
+    """A member that starts to lead must not go by a list of seconds ago."""
+
+    async def scenario(store, site):
+        await start_pause(store, site)
+        store.put(TARGET_TABLE, "r1", {**TARGET, "state": "draining"})
+        site.is_placing = True
+        await wait_until(lambda: site.targets[0].draining)
+
+    with_site(scenario)
+
+
+def test_only_changes_of_targets_are_reported(case):
+    """Guards against members that read the list after each row is rewritten.
+
+    Each target writes its row every 1.5 s. On a site of 97 entries and 270
+    targets that made 0.23 GB of reads on a day.
+    """
+
+    async def scenario(store, site):
+        before = site.changed_version
+        case.assertGreater(before, 0)
+        await start_pause(store, site)
+        case.assertEqual(len(site.targets), 1)
+        case.assertEqual(site.changed_version, before)
+        site.is_placing = True
+        store.put(TARGET_TABLE, "r1", {**TARGET, "state": "draining"})
+        await wait_until(lambda: site.targets[0].draining)
+        case.assertGreater(site.changed_version, before)
+
+    with_site(scenario)
+
+
+def test_members_decode_no_rows_that_they_do_not_use(case):
+    """Guards against members that decode the whole list after each read."""
+    rows = {
+        f"r{n}": StoreRow(TARGET_TABLE, f"r{n}", json.dumps(TARGET).encode(), 1)
+        for n in range(3)
+    }
+    site = SiteView(mock.Mock(), Counters())
+    with mock.patch.object(
+        _sync, "decode_target", wraps=_sync.decode_target
+    ) as decode:
+        site.target_list.on_change(rows)
+        case.assertEqual(decode.call_count, 0)
+        case.assertEqual(len(site.targets), 3)
+        changed = attrs.evolve(rows["r1"], version=2)
+        site.target_list.on_change({**rows, "r1": changed})
+        case.assertEqual([t.version for t in site.targets], [1, 2, 1])
+        case.assertEqual(decode.call_count, 4)
+
+
+def test_target_with_a_malformed_row_counts_as_removed(case):
+    """A target whose row became malformed may still run tasks.
+
+    A new leader has to know it, to wait for the end of its runs.
+    """
+    row = StoreRow(TARGET_TABLE, "r1", json.dumps(TARGET).encode(), 1)
+    site = SiteView(mock.Mock(), Counters())
+    site.target_list.on_change({"r1": row})
+    case.assertEqual(len(site.targets), 1)
+    site.target_list.on_change({"r1": attrs.evolve(row, value=b"", version=2)})
+    case.assertEqual(site.targets, ())
+    removed = site.recently_removed_targets()
+    case.assertEqual([record.target_id for record in removed], ["r1"])
+    site.target_list.on_change({"r1": attrs.evolve(row, version=3)})
+    case.assertEqual(site.recently_removed_targets(), [])
+    site.target_list.on_change({})
+    removed = site.recently_removed_targets()
+    case.assertEqual([record.version for record in removed], [3])
--- a/anvilford/protocol/_messages.py
+++ b/anvilford/protocol/_messages.py
@@ -344,6 +344,8 @@
         members_digest: Digest of the members known to the leader.
         sent_at: Time of the reply on the clock of the replying member, in
             seconds.
+        targets_version: Version of the target list with the last change that
+            the leader has seen; 0 if the replying member does not lead.
     """
 
     term: int
@@ -354,6 +356,7 @@
     configuration_version: int
     members_digest: int
     sent_at: float
+    targets_version: int
 
 
 @attrs.frozen
--- a/anvilford/protocol/anvilford.thrift
+++ b/anvilford/protocol/anvilford.thrift
@@ -229,6 +229,7 @@
   6: required i64 configuration_version
   7: required i64 members_digest
   8: required double sent_at
+  9: required i64 targets_version
 }
 
 struct LeaderQuery {
--- a/anvilford/protocol/wire/ttypes.py
+++ b/anvilford/protocol/wire/ttypes.py
@@ -880,11 +880,12 @@
      - configuration_version
      - members_digest
      - sent_at
+     - targets_version
 
     """
 
 
-    def __init__(self, term=None, leading=None, leaving=None, members=None, pending=None, configuration_version=None, members_digest=None, sent_at=None,):
+    def __init__(self, term=None, leading=None, leaving=None, members=None, pending=None, configuration_version=None, members_digest=None, sent_at=None, targets_version=None,):
         self.term = term
         self.leading = leading
         self.leaving = leaving
@@ -893,6 +894,7 @@
         self.configuration_version = configuration_version
         self.members_digest = members_digest
         self.sent_at = sent_at
+        self.targets_version = targets_version
 
     def __repr__(self):
         L = ['%s=%r' % (key, value)
@@ -1270,6 +1272,7 @@
     (6, TType.I64, 'configuration_version', None, None, ),  # 6
     (7, TType.I64, 'members_digest', None, None, ),  # 7
     (8, TType.DOUBLE, 'sent_at', None, None, ),  # 8
+    (9, TType.I64, 'targets_version', None, None, ),  # 9
 )
 all_structs.append(LeaderQuery)
 LeaderQuery.thrift_spec = (
