Count a member as live only while it is proved to follow the leader

What callers saw: with two leaders beside each other, a second run of a task can start while the first one's lease is still extended.

Cause: the leader stops the jobs of an entry 0.6 s after the last heartbeat was read. A leader that is short of processor time, or was suspended for less than the 0.5 s after which it steps down, reads heartbeats late: the entry has left long before. With 0.45 s of delay the old run lasts until 2.07 s after the entry left, and another placer starts its task after 1.8 s.

Evidence: test_heartbeats_that_are_read_late_keep_no_jobs, failed before.

Why it works: a heartbeat repeats the time of the leader's last answer, so the age of that proof is known however late it is read: 0.7 s, a check every 0.05 s and a lease of 1.02 s stay within 1.8 s (test_runs_of_members_that_left_end_in_ time checks the sum). A member that gets its answers within the 0.25 s after which it searches stays live (test_answered_heartbeats_keep_a_member_live).

--- a/anvilford/node/_coordination.py
+++ b/anvilford/node/_coordination.py
@@ -23,6 +23,7 @@
 from anvilford.node._driver import PlacerDriver
 from anvilford.node._leader_row import LeaderRow
 from anvilford.node._members import HeartbeatTracker
+from anvilford.node._members import MEMBER_CHECK_INTERVAL_S
 from anvilford.node._search import LEADER_QUERY_TIMEOUT_S
 from anvilford.node._search import LeaderSearch
 from anvilford.node._search import MembershipView
@@ -204,11 +205,10 @@
         """Records a member's heartbeat and returns the reply."""
         now = clock.now()
         if self._is_leading:
-            self.heartbeats.record_heartbeat(message.member, now)
             # The heartbeat itself may have been sent long before it was read.
-            self.driver.placer.record_contact(
-                message.member.name, min(message.answered_at, now)
-            )
+            followed_at = min(message.answered_at, now)
+            self.heartbeats.record_heartbeat(message.member, now, followed_at)
+            self.driver.placer.record_contact(message.member.name, followed_at)
             if not self.leader.is_partial:
                 # The reply includes the members heard so far, so that they
                 # know each other if this leader ends right after its start.
@@ -547,7 +547,7 @@
 
     async def _lead_step(self) -> None:
         leader = self.leader
-        await self._wait_for_wake(HEARTBEAT_INTERVAL_S)
+        await self._wait_for_wake(MEMBER_CHECK_INTERVAL_S)
         if self.driver is None or self.leader != leader:
             return
         now = clock.now()
--- a/anvilford/node/_members.py
+++ b/anvilford/node/_members.py
@@ -2,12 +2,21 @@
 
 import logging
 
+import attrs
+
 from anvilford.leadership import Member
 
 # The jobs of a member without a heartbeat for this long are stopped. Related
 # times: callers resubmit a job 1.3 s after its connection broke, and the lease
 # of a run lasts 1.02 s.
 MEMBER_LIVE_TIMEOUT_S = 0.6
+# The same from the last time at which a member is proved to have followed this
+# leader. Heartbeats that a leader reads late prove an earlier time. With the
+# time between two checks and the last lease, this stays within the 1.8 s after
+# which another placer starts the member's tasks (`UNSEEN_RUNS_WINDOW_S`).
+MEMBER_PROOF_TIMEOUT_S = 0.7
+# Longest time between two checks of the members.
+MEMBER_CHECK_INTERVAL_S = 0.05
 # Members count towards the majority for this long after their last heartbeat,
 # so that members in a zone that was cut off for some seconds still count.
 MEMBER_RETENTION_S = 15.0
@@ -15,6 +24,21 @@
 _logger = logging.getLogger(__name__)
 
 
+@attrs.frozen
+class _Heartbeat:
+    """Last heartbeat of a member.
+
+    Attributes:
+        member: The sender.
+        received_at: Time at which it was read.
+        followed_at: Time after which the member is known to have sent it.
+    """
+
+    member: Member
+    received_at: float
+    followed_at: float
+
+
 class HeartbeatTracker:
     """Records when the leader last received a heartbeat of each member.
 
@@ -23,48 +47,68 @@
     Attributes:
         local_member: The leader itself, which always counts as live.
         live_names: Names of the members whose last heartbeat was received at
-            most `MEMBER_LIVE_TIMEOUT_S` ago, as of the last call of `expire`.
+            most `MEMBER_LIVE_TIMEOUT_S` ago and proves that they followed this
+            leader `MEMBER_PROOF_TIMEOUT_S` ago or later, as of the last call
+            of `expire`.
     """
 
     def __init__(self, local_member: Member):
         self.local_member = local_member
         self.live_names: set[str] = set()
-        self._last_heartbeats: dict[str, tuple[Member, float]] = {}
+        self._last_heartbeats: dict[str, _Heartbeat] = {}
         # Result of `known_members`; None after a change.
         self._known_members: tuple[Member, ...] | None = None
 
     def reset(self, members: list[Member], now: float) -> None:
         """Replaces all members by the given ones, which count as live."""
         self._last_heartbeats = {
-            member.name: (member, now) for member in members
+            member.name: _Heartbeat(member, now, now) for member in members
         }
         self.live_names = set(self._last_heartbeats)
         self._known_members = None
 
-    def record_heartbeat(self, member: Member, now: float) -> None:
-        """Records a heartbeat of a member; the member counts as live."""
+    def record_heartbeat(
+        self, member: Member, now: float, followed_at: float
+    ) -> None:
+        """Records a heartbeat of a member.
+
+        Args:
+            member: The sender, which counts as live.
+            now: Current time in seconds.
+            followed_at: Time after which the member sent the heartbeat; 0 if
+                it has not received an answer of this leader.
+        """
+        last = self._last_heartbeats.get(member.name)
+        if last is None or last.member != member:
+            self._known_members = None
         if member.name not in self.live_names:
             self.live_names.add(member.name)
+            # This leader has no jobs of the member that it could keep alive.
+            followed_at = now
             _logger.info(
                 "first heartbeat from a new or returning member",
                 extra={"member": member.name},
             )
-        known, _ = self._last_heartbeats.get(member.name, (None, 0.0))
-        if known != member:
-            self._known_members = None
-        self._last_heartbeats[member.name] = (member, now)
+        elif last is not None:
+            followed_at = max(followed_at, last.followed_at)
+        self._last_heartbeats[member.name] = _Heartbeat(
+            member, now, followed_at
+        )
 
     def expire(self, now: float) -> None:
         """Updates the live members and removes those past their retention."""
-        self._last_heartbeats[self.local_member.name] = (self.local_member, now)
-        for name, (_, received_at) in list(self._last_heartbeats.items()):
-            if now - received_at > MEMBER_RETENTION_S:
+        self._last_heartbeats[self.local_member.name] = _Heartbeat(
+            self.local_member, now, now
+        )
+        for name, last in list(self._last_heartbeats.items()):
+            if now - last.received_at > MEMBER_RETENTION_S:
                 del self._last_heartbeats[name]
                 self._known_members = None
         live = {
             name
-            for name, (_, received_at) in self._last_heartbeats.items()
-            if now - received_at <= MEMBER_LIVE_TIMEOUT_S
+            for name, last in self._last_heartbeats.items()
+            if now - last.received_at <= MEMBER_LIVE_TIMEOUT_S
+            and now - last.followed_at <= MEMBER_PROOF_TIMEOUT_S
         }
         for name in self.live_names - live:
             _logger.warning(
@@ -77,8 +121,8 @@
     def heartbeat_ages(self, now: float) -> dict[str, float]:
         """Returns the seconds since the last heartbeat, by member name."""
         return {
-            name: now - received_at
-            for name, (_, received_at) in self._last_heartbeats.items()
+            name: now - last.received_at
+            for name, last in self._last_heartbeats.items()
         }
 
     def known_members(self) -> tuple[Member, ...]:
@@ -88,6 +132,6 @@
         """
         if self._known_members is None:
             self._known_members = tuple(
-                member for member, _ in self._last_heartbeats.values()
+                last.member for last in self._last_heartbeats.values()
             )
         return self._known_members
--- /dev/null
+++ b/anvilford/node/tests/test_members.py
@@ -0,0 +1,71 @@
+"""Tests of the heartbeats that the leader receives."""
+
+from anvilford.leadership import Member
+from anvilford.node._members import HeartbeatTracker
+from anvilford.node._members import MEMBER_CHECK_INTERVAL_S
+from anvilford.node._members import MEMBER_LIVE_TIMEOUT_S
+from anvilford.node._members import MEMBER_PROOF_TIMEOUT_S
+from anvilford.placement import PlacementOptions
+from anvilford.placement._placer import UNSEEN_RUNS_WINDOW_S
+from testkit import fixture
+from testkit import function_tests
+
+load_tests = function_tests(__name__)
+
+LEADER = Member("entry-0", "a", "127.0.0.1:1", 1.0, "t0")
+OTHER = Member("entry-1", "b", "127.0.0.1:2", 1.0, "t1")
+
+
+@fixture
+def heartbeats():
+    """Tracker of a leader that has led since the time 0."""
+    tracker = HeartbeatTracker(LEADER)
+    tracker.reset([LEADER, OTHER], 0.0)
+    yield tracker
+
+
+def test_heartbeats_that_are_read_late_keep_no_jobs(case, heartbeats):
+    """A leader that was held up must not take old heartbeats for new ones.
+
+    The member left for another leader after 0.1 s. This leader stood still
+    until 0.45 s, which is too short for a step down, then read the heartbeat
+    and would have kept the member's runs alive until 2.07 s. Another placer
+    starts their tasks from 1.9 s on.
+    """
+    heartbeats.record_heartbeat(OTHER, 0.45, 0.0)
+    heartbeats.expire(0.5)
+    case.assertIn(OTHER.name, heartbeats.live_names)
+    heartbeats.expire(0.8)
+    case.assertNotIn(OTHER.name, heartbeats.live_names)
+
+
+def test_answered_heartbeats_keep_a_member_live(case, heartbeats):
+    """A member that gets its answers late, but in time, must stay live.
+
+    Its jobs would be given up although it waits for them.
+    """
+    answered_at = 0.0
+    for step in range(1, 40):
+        now = step * 0.3  # 0.15 s of interval, and as much on the way.
+        heartbeats.expire(now)
+        case.assertIn(OTHER.name, heartbeats.live_names)
+        heartbeats.record_heartbeat(OTHER, now, answered_at)
+        answered_at = now
+
+
+def test_returning_member_is_live(case, heartbeats):
+    """A member that comes back has no answer yet, but must count as live."""
+    heartbeats.expire(2.0)
+    case.assertNotIn(OTHER.name, heartbeats.live_names)
+    heartbeats.record_heartbeat(OTHER, 2.1, 0.0)
+    heartbeats.expire(2.2)
+    case.assertIn(OTHER.name, heartbeats.live_names)
+
+
+def test_runs_of_members_that_left_end_in_time(case):
+    """The times after which two placers go by each other must fit together."""
+    options = PlacementOptions()
+    lease = options.max_lease / (1.0 - options.clock_drift)
+    longest = MEMBER_PROOF_TIMEOUT_S + MEMBER_CHECK_INTERVAL_S + lease
+    case.assertLessEqual(longest, UNSEEN_RUNS_WINDOW_S)
+    case.assertLess(MEMBER_LIVE_TIMEOUT_S, MEMBER_PROOF_TIMEOUT_S)
