Answer all queries for the leader with one heartbeat

When 97 members lose a leader, each asks all others.

Evidence: test_queries_share_a_heartbeat, failed before.

Why it works: queries that arrive while a heartbeat is under way share the next one, which is sent after they arrived, so that its answer is as fresh as one of their own. A heartbeat that waited is not sent to a leader that the member has left.

--- a/anvilford/node/_coordination.py
+++ b/anvilford/node/_coordination.py
@@ -125,6 +125,8 @@
         # One heartbeat at a time: the answer to the next one shows that the
         # leader is alive after the failure that caused a query.
         self._heartbeat_lock = asyncio.Lock()
+        # Leader and task of the heartbeat that waits for the previous one.
+        self._next_heartbeat: tuple[Leader, asyncio.Task] | None = None
         # Token of the leader's process and `sent_at` of its last reply.
         self._last_answer = ("", 0.0)
         self._raise_fence_at = 0.0
@@ -398,8 +400,8 @@
             True if the member replies that it leads and is not stopping.
         """
         try:
-            async with asyncio.timeout(timeout), self._heartbeat_lock:
-                reply = await self._exchange_heartbeat(leader, timeout)
+            async with asyncio.timeout(timeout):
+                reply = await asyncio.shield(self._join_next_heartbeat(leader))
         except TimeoutError:
             reply = None
         match reply:
@@ -427,10 +429,40 @@
                 self.counters.increment("heartbeats_failed")
         return False
 
-    async def _exchange_heartbeat(
-        self, leader: Leader, timeout: float
-    ) -> Message | None:
-        """Sends a heartbeat; returns the reply, or None if the call failed."""
+    def _join_next_heartbeat(
+        self, leader: Leader
+    ) -> "asyncio.Task[Message | None]":
+        """Returns the task of a heartbeat that has not been sent yet.
+
+        Only one heartbeat is under way at a time. All that ask meanwhile share
+        the next one: with hundreds of members, dozens of queries arrive at
+        once when a leader is lost.
+        """
+        if self._next_heartbeat is None or self._next_heartbeat[0] != leader:
+            task = asyncio.ensure_future(self._exchange_heartbeat(leader))
+            self._next_heartbeat = (leader, task)
+        return self._next_heartbeat[1]
+
+    async def _exchange_heartbeat(self, leader: Leader) -> Message | None:
+        """Sends a heartbeat once the previous one has ended.
+
+        Returns:
+            The reply, or None if the call failed.
+        """
+        async with self._heartbeat_lock:
+            if (
+                self._next_heartbeat is not None
+                and self._next_heartbeat[1] is asyncio.current_task()
+            ):
+                self._next_heartbeat = None
+            followed = self.leader
+            if followed is not None and followed.member != leader.member:
+                # A heartbeat would keep this member's jobs alive there.
+                return None
+            return await self._call_leader(leader)
+
+    async def _call_leader(self, leader: Leader) -> Message | None:
+        """Sends a heartbeat now; returns the reply, or None if it failed."""
         token, sent_at = self._last_answer
         heartbeat = Heartbeat(
             self.local_member,
@@ -439,7 +471,7 @@
             sent_at if token == leader.member.token else 0.0,
         )
         answer = await self.links.call(
-            leader.member.address, heartbeat, timeout
+            leader.member.address, heartbeat, HEARTBEAT_TIMEOUT_S
         )
         return answer.default_value(None)
 
--- a/anvilford/node/tests/test_coordination.py
+++ b/anvilford/node/tests/test_coordination.py
@@ -15,6 +15,7 @@
 from anvilford.node._coordination import LeadershipCoordinator
 from anvilford.node._search import MembershipView
 from anvilford.protocol import Heartbeat
+from anvilford.protocol import HeartbeatReply
 from anvilford.protocol import LeaderQuery
 from anvilford.telemetry import Counters
 from testkit import fixture
@@ -342,3 +343,32 @@
     case.assertFalse(view.querying_members)
     case.assertEqual(view.members, members)
     case.assertEqual(digest_members(reversed(members)), view.members_digest)
+
+
+def test_queries_share_a_heartbeat(case, coordinator):
+    """A member must confirm a living leader to all that ask at once.
+
+    If each query sent a heartbeat of its own, 96 members that ask would cause
+    as many heartbeats one after the other: most answers would come too late
+    and state that the leader is lost.
+    """
+    replies = HeartbeatReply(1, True, False, (), {}, 0, 0, 0.0, 0)
+    heartbeats = []
+
+    async def call(address, message, timeout):
+        del address, timeout
+        heartbeats.append(message)
+        await asyncio.sleep(0.01)
+        return Ok(replies)
+
+    coordinator.links.call = call
+
+    async def scenario():
+        coordinator._follow(LOST_LEADER)
+        return await asyncio.gather(
+            *(coordinator.receive_query(OTHER_MEMBER) for _ in range(96))
+        )
+
+    opinions = asyncio.run(scenario())
+    case.assertTrue(all(opinion.reaches_leader for opinion in opinions))
+    case.assertLessEqual(len(heartbeats), 2)
