Hand leadership of a site to an entry with more cores

Cause: the first entry that writes the row leads a site for good. The election prefers large members, but only when a leader is lost.

Why it works: a leader that has followers with 1.25 times its cores resigns after a second, as before a planned stop: its members elect, it places jobs until then and names their targets. If nobody takes over within a second it leads on, and tries again after ten. Sites of equal entries see no change.

Tests: test_small_leader_hands_over_to_a_large_entry with real processes under load (all jobs 200, nothing twice), test_small_leader_resigns_for_a_larger_member, test_leader_that_nobody_replaces_leads_on; the first two failed before.

--- a/anvilford/leadership/__init__.py
+++ b/anvilford/leadership/__init__.py
@@ -4,6 +4,7 @@
 from anvilford.leadership._election import decide_action
 from anvilford.leadership._election import ElectionAction
 from anvilford.leadership._election import ElectionState
+from anvilford.leadership._election import find_better_leader
 from anvilford.leadership._election import find_leader
 from anvilford.leadership._election import Follow
 from anvilford.leadership._election import Lead
@@ -27,5 +28,6 @@
     "Wait",
     "decide_action",
     "digest_members",
+    "find_better_leader",
     "find_leader",
 ]
--- a/anvilford/leadership/_election.py
+++ b/anvilford/leadership/_election.py
@@ -11,6 +11,7 @@
 that are merely partitioned from a working leader from replacing it.
 """
 
+from collections.abc import Iterable
 from collections.abc import Sequence
 
 import attrs
@@ -25,6 +26,9 @@
 # A member that has just written the leader's row starts to lead within this
 # time. Until then, the other members wait for it.
 ROW_FRESH_S = 0.5
+# A leader leaves its place to a member with this many times its cores. Members
+# that differ less are worth no change of the leader.
+BETTER_CORES_RATIO = 1.25
 
 
 @attrs.frozen
@@ -98,6 +102,28 @@
     return (-member.cores, member.name)
 
 
+def find_better_leader(
+    local_member: Member, members: Iterable[Member]
+) -> Member | None:
+    """Returns the member that should lead instead of the local one.
+
+    The first member that starts leads a site, whatever its VM can bear. With
+    hundreds of targets, a small VM falls behind at the first peak.
+
+    Args:
+        local_member: The leader.
+        members: Members that follow it.
+
+    Returns:
+        The preferred candidate, if it has at least `BETTER_CORES_RATIO` times
+        the cores of the leader; else None.
+    """
+    best = min(members, key=candidate_sort_key, default=local_member)
+    if best.cores >= BETTER_CORES_RATIO * local_member.cores:
+        return best
+    return None
+
+
 def find_leader(
     local_member: Member, min_term: int, replies: Sequence[Opinion]
 ) -> Leader | None:
--- a/anvilford/node/_coordination.py
+++ b/anvilford/node/_coordination.py
@@ -12,6 +12,7 @@
 
 from anvilford.leadership import ClaimRow
 from anvilford.leadership import FENCING_TOKENS_PER_TERM
+from anvilford.leadership import find_better_leader
 from anvilford.leadership import find_leader
 from anvilford.leadership import Follow
 from anvilford.leadership import Lead
@@ -59,6 +60,14 @@
 # higher one. It lets the jobs of the leader of a cut-off zone end before the
 # targets are claimed again.
 FENCE_RAISE_DELAY_S = 1.0
+# A leader with a much better member resigns when it has led for this long:
+# members without a heartbeat no longer count as live then.
+RESIGN_AFTER_S = 1.0
+# Time for which it lets the others elect the better one. It goes on placing
+# jobs meanwhile, as in a planned stop.
+RESIGNATION_S = 1.0
+# Shortest time between two resignations, if nobody takes over.
+RESIGN_AGAIN_AFTER_S = 10.0
 
 _logger = logging.getLogger(__name__)
 
@@ -131,12 +140,19 @@
         self._last_answer = ("", 0.0)
         self._raise_fence_at = 0.0
         self._row_write_due_at = 0.0
+        self._resigning_until = 0.0
+        self._may_resign_at = 0.0
         self._speeds_write_due_at = 0.0
         self._row_write_task: asyncio.Task | None = None
         # Reference to the pending read or write of the speed row, which keeps
         # the task from being garbage-collected.
         self._speed_row_task: asyncio.Task | None = None
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether this member is stopping, or resigns as the leader."""
+        return self.is_stopping or clock.now() < self._resigning_until
+
     @property
     def term(self) -> int:
         """Highest election term that this member has seen."""
@@ -221,7 +237,7 @@
         return HeartbeatReply(
             self.term,
             self._is_leading,
-            self.is_stopping,
+            self.is_leaving,
             self.membership.members if sends_members else (),
             self.waiting_jobs if self._is_leading else {},
             self.site.routing_table.version if self.site.routing_table else 0,
@@ -263,7 +279,7 @@
                 querying_member
             )
         leader = self.leader
-        reaches_leader = self._is_leading and not self.is_stopping
+        reaches_leader = self._is_leading and not self.is_leaving
         if leader is not None and self.driver is None:
             reaches_leader = await self._send_heartbeat(
                 leader, LEADER_QUERY_TIMEOUT_S / 2
@@ -356,6 +372,8 @@
         self._heartbeat_pending_since = None
         if leader is not None:
             self.fence = max(self.fence, leader.fence)
+            if leader.member != self.local_member:
+                self._resigning_until = 0.0
         contact_age = clock.now() - self._leader_contact_at
         _logger.info(
             "leader changed",
@@ -487,7 +505,7 @@
     # Methods used while this member searches for a leader.
 
     def _can_lead(self) -> bool:
-        return not self.is_stopping and self.site.is_loaded()
+        return not self.is_leaving and self.site.is_loaded()
 
     async def _search_step(self) -> None:
         if not self.search.can_start:
@@ -542,6 +560,7 @@
         self._leader_contact_at = now
         self._row_write_due_at = now
         self._speeds_write_due_at = now + SPEEDS_WRITE_INTERVAL_S
+        self._may_resign_at = max(now + RESIGN_AFTER_S, self._may_resign_at)
         self.site.is_placing = True
         self.driver = self.create_driver(leader.fence, leader.is_partial)
         self.driver.start(
@@ -590,8 +609,35 @@
             await self._hand_back_zone()
         elif self._raise_fence_at and now >= self._raise_fence_at:
             self._claim_or_step_down()
-        elif now >= self._row_write_due_at and not self.is_stopping:
+        elif now >= self._row_write_due_at and not self.is_leaving:
             self._start_row_write()
+        self._resign_for_better_member(now)
+
+    def _resign_for_better_member(self, now: float) -> None:
+        """Lets the members elect one that bears more load, if there is one."""
+        if (
+            self.driver is None
+            or self.leader.is_partial
+            or self.is_leaving
+            or now < self._may_resign_at
+        ):
+            return
+        better = find_better_leader(
+            self.local_member, self.heartbeats.live_members()
+        )
+        if better is None:
+            return
+        self._resigning_until = now + RESIGNATION_S
+        self._may_resign_at = now + RESIGN_AGAIN_AFTER_S
+        _logger.info(
+            "resigning as leader for a member with more cores",
+            extra={
+                "term": self.term,
+                "cores": self.local_member.cores,
+                "better": better.name,
+                "better_cores": better.cores,
+            },
+        )
 
     def _start_row_write(self) -> None:
         """Starts to write the row, concurrently with the main loop.
@@ -639,7 +685,7 @@
     @property
     def _may_claim_site(self) -> bool:
         """Whether this leader may take targets back from another one."""
-        return not self.is_stopping and not self.leader.is_partial
+        return not self.is_leaving and not self.leader.is_partial
 
     def _claim_or_step_down(self) -> None:
         """Claims all targets with a higher token, or steps down."""
--- a/anvilford/node/_members.py
+++ b/anvilford/node/_members.py
@@ -125,6 +125,14 @@
             for name, last in self._last_heartbeats.items()
         }
 
+    def live_members(self) -> list[Member]:
+        """Returns the members that count as live."""
+        return [
+            last.member
+            for name, last in self._last_heartbeats.items()
+            if name in self.live_names
+        ]
+
     def known_members(self) -> tuple[Member, ...]:
         """Returns the members that count towards the majority.
 
--- a/anvilford/node/tests/test_coordination.py
+++ b/anvilford/node/tests/test_coordination.py
@@ -372,3 +372,51 @@
     opinions = asyncio.run(scenario())
     case.assertTrue(all(opinion.reaches_leader for opinion in opinions))
     case.assertLessEqual(len(heartbeats), 2)
+
+
+def test_small_leader_resigns_for_a_larger_member(case, coordinator):
+    """The first member that starts must not lead a large site for good.
+
+    On a site of 97 entries, one with 0.39 of a core led until the first peak,
+    lost its leases and was replaced 10 times within 2.5 s.
+    """
+    large = attrs.evolve(OTHER_MEMBER, cores=2.0)
+
+    async def scenario():
+        coordinator._start_leading(Leader(2, LOCAL_MEMBER))
+        coordinator._may_resign_at = 0.0
+        coordinator.receive_heartbeat(Heartbeat(OTHER_MEMBER, 0))
+        coordinator._resign_for_better_member(clock.now())
+        case.assertFalse(coordinator.is_leaving)
+        coordinator.receive_heartbeat(Heartbeat(large, 0))
+        coordinator._resign_for_better_member(clock.now())
+        reply = coordinator.receive_heartbeat(Heartbeat(large, 0))
+        opinion = await coordinator.receive_query(large)
+        coordinator.receive_announcement(Leader(3, large))
+        return reply, opinion
+
+    reply, opinion = asyncio.run(scenario())
+    case.assertTrue(reply.leaving)
+    case.assertFalse(opinion.can_lead)
+    case.assertFalse(opinion.reaches_leader)
+    case.assertEqual(coordinator.leader, Leader(3, large))
+    case.assertFalse(coordinator.is_leaving)
+
+
+def test_leader_that_nobody_replaces_leads_on(case, coordinator):
+    """A resignation without a successor must end, and not repeat at once."""
+    large = attrs.evolve(OTHER_MEMBER, cores=2.0)
+
+    async def scenario():
+        coordinator._start_leading(Leader(2, LOCAL_MEMBER))
+        coordinator._may_resign_at = 0.0
+        coordinator.receive_heartbeat(Heartbeat(large, 0))
+        now = clock.now()
+        coordinator._resign_for_better_member(now)
+        case.assertTrue(coordinator.is_leaving)
+        with mock.patch.object(clock, "now", return_value=now + 1.1):
+            coordinator._resign_for_better_member(clock.now())
+            case.assertFalse(coordinator.is_leaving)
+
+    asyncio.run(scenario())
+    case.assertEqual(coordinator.leader, Leader(2, LOCAL_MEMBER))
--- a/anvilford/node/tests/test_processes.py
+++ b/anvilford/node/tests/test_processes.py
@@ -422,3 +422,30 @@
             case.assertEqual(taken, [2])
 
     run(scenario())
+
+
+def test_small_leader_hands_over_to_a_large_entry(case):
+    """The entry with most cores leads, and the change loses no job.
+
+    Fails if the first entry that starts goes on leading, or if a job is lost
+    or started twice while the leaders change.
+    """
+
+    async def scenario():
+        async with LoopbackSite(cores={"entry-1": 2.0}) as site:
+            site.entries["entry-1"].stop(signal.SIGKILL)
+            async with asyncio.timeout(5.0):
+                while site.leader_name() in (None, "entry-1"):
+                    await asyncio.sleep(0.05)
+            site.entries["entry-1"].start()
+            statuses = []
+            end = asyncio.get_running_loop().time() + 6.0
+            while asyncio.get_running_loop().time() < end:
+                name = f"entry-{2 * (len(statuses) % 2)}"
+                answer = await site.submit(name, site.new_job_id(), 0.05, 2)
+                statuses.append(status(answer))
+            case.assertEqual(site.leader_name(), "entry-1")
+            case.assertEqual(set(statuses), {200})
+            case.assertEqual(site.find_overlapping_tasks(), [])
+
+    run(scenario())
--- a/standins/site.py
+++ b/standins/site.py
@@ -103,6 +103,7 @@
         targets: Test doubles of the targets.
         entries: Entry processes by name.
         http: HTTP client for callers' requests.
+        cores: Cores of entries by name; others have 1.0.
         wrap_store_address: Coroutine function that receives the address of the
             store and returns the one for the entries, such as a proxy's.
             Callers may replace it before entry.
@@ -110,8 +111,14 @@
         entry_module: Python module that runs an entry.
     """
 
-    def __init__(self, entries: int = 3, targets: int = 4):
+    def __init__(
+        self,
+        entries: int = 3,
+        targets: int = 4,
+        cores: dict[str, float] | None = None,
+    ):
         self.entry_count = entries
+        self.cores = cores or {}
         self.target_count = targets
         self.store = RowStore()
         self.targets: list[FakeTargetServer] = []
@@ -275,7 +282,7 @@
                     "peers": addresses[2],
                     "metrics": addresses[3],
                     "store": store,
-                    "cores": 1.0,
+                    "cores": self.cores.get(name, 1.0),
                     "stop_grace_s": 4,
                     "max_lease_ms": 1000,
                     "stop_time_ms": 50,
