Start the processes of tests in sessions of their own

Cause: the shell that had started the script exited while the test had the owner suspended. The process group became orphaned with a stopped member, to which the kernel sends SIGHUP and SIGCONT. Not load: the test passed twice at the same load with its shell alive, and failed at once when the shell exited 3 s after the start of the test.

Why it works: a process in a session of its own does not share the group.

Tests: test_entries_have_a_session_of_their_own, test_daemons_..., both failed before.

--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -384,6 +384,9 @@
                 env=os.environ | {"PYTHONUNBUFFERED": "1"},
                 stdout=output,
                 stderr=subprocess.STDOUT,
+                # In the session of the tests, the kernel would send SIGHUP to
+                # a suspended process when the shell that started them exits.
+                start_new_session=True,
             )
         process = SiteProcess(name, popen, log)
         self._stack.callback(process.kill)
--- a/standins/site.py
+++ b/standins/site.py
@@ -69,6 +69,9 @@
                 [sys.executable, "-m", self.module, str(self.settings_path)],
                 stdout=log,
                 stderr=subprocess.STDOUT,
+                # In the session of the tests, the kernel would send SIGHUP to
+                # a suspended process when the shell that started them exits.
+                start_new_session=True,
             )
 
     def send_signal(self, number: int) -> None:
--- a/standins/tests/test_site.py
+++ b/standins/tests/test_site.py
@@ -1,9 +1,12 @@
 """Tests of the loopback site."""
 
+import asyncio
 import contextlib
+import os
 import socket
 from unittest import mock
 
+from standins import cluster
 from standins import site
 from testkit import function_tests
 
@@ -30,3 +33,28 @@
         case.assertEqual(len(set(drawn)), len(drawn))
         with socket.create_server(("127.0.0.1", drawn[0])) as server:
             case.assertEqual(server.getsockname()[1], drawn[0])
+
+
+def test_entries_have_a_session_of_their_own(case):
+    """A suspended entry must not be ended when the shell of the tests exits.
+
+    The kernel sends SIGHUP to the process group of a suspended process that
+    becomes orphaned. With CI in the background of a shell that exited, that
+    ended an owner in `test_suspended_owner` (return code -1).
+    """
+
+    async def scenario():
+        async with site.LoopbackSite(entries=1, targets=1) as loopback:
+            (entry,) = loopback.entries.values()
+            return os.getsid(entry.process.pid), entry.process.pid
+
+    session, pid = asyncio.run(scenario())
+    case.assertEqual(session, pid)
+
+
+def test_daemons_have_a_session_of_their_own(case):
+    """The same for the daemons of the product's own interface."""
+    with cluster.Site(targets_per_zone=1) as started:
+        (entry,) = started.entries
+        pid = entry.process.popen.pid
+        case.assertEqual(os.getsid(pid), pid)
