Appoint the better leader instead of an election

Why it works: the leader names the better member in a message to it alone. That member starts with the next term and announces itself; the old leader follows, and names the targets of its jobs. Nobody is without a leader in between, and if the message is lost nothing changes. An appointment with a term that is not new, or to a member that stops or leads, has no effect.

--- a/anvilford/node/_coordination.py
+++ b/anvilford/node/_coordination.py
@@ -60,14 +60,11 @@
 # higher one. It lets the jobs of the leader of a cut-off zone end before the
 # targets are claimed again.
 FENCE_RAISE_DELAY_S = 1.0
-# A leader with a much better member resigns when it has led for this long:
+# A leader with a much better member appoints it when it has led for this long:
 # members without a heartbeat no longer count as live then.
-RESIGN_AFTER_S = 1.0
-# Time for which it lets the others elect the better one. It goes on placing
-# jobs meanwhile, as in a planned stop.
-RESIGNATION_S = 1.0
-# Shortest time between two resignations, if nobody takes over.
-RESIGN_AGAIN_AFTER_S = 10.0
+APPOINT_AFTER_S = 1.0
+# Shortest time between two appointments, if the member does not take over.
+APPOINT_AGAIN_AFTER_S = 10.0
 
 _logger = logging.getLogger(__name__)
 
@@ -140,19 +137,13 @@
         self._last_answer = ("", 0.0)
         self._raise_fence_at = 0.0
         self._row_write_due_at = 0.0
-        self._resigning_until = 0.0
-        self._may_resign_at = 0.0
+        self._may_appoint_at = 0.0
         self._speeds_write_due_at = 0.0
         self._row_write_task: asyncio.Task | None = None
         # Reference to the pending read or write of the speed row, which keeps
         # the task from being garbage-collected.
         self._speed_row_task: asyncio.Task | None = None
 
-    @property
-    def is_leaving(self) -> bool:
-        """Whether this member is stopping, or resigns as the leader."""
-        return self.is_stopping or clock.now() < self._resigning_until
-
     @property
     def term(self) -> int:
         """Highest election term that this member has seen."""
@@ -237,7 +228,7 @@
         return HeartbeatReply(
             self.term,
             self._is_leading,
-            self.is_leaving,
+            self.is_stopping,
             self.membership.members if sends_members else (),
             self.waiting_jobs if self._is_leading else {},
             self.site.routing_table.version if self.site.routing_table else 0,
@@ -279,7 +270,7 @@
                 querying_member
             )
         leader = self.leader
-        reaches_leader = self._is_leading and not self.is_leaving
+        reaches_leader = self._is_leading and not self.is_stopping
         if leader is not None and self.driver is None:
             reaches_leader = await self._send_heartbeat(
                 leader, LEADER_QUERY_TIMEOUT_S / 2
@@ -298,9 +289,17 @@
         """Follows a new leader that announces itself.
 
         If this member leads with a higher fencing token, it keeps leading and
-        announces itself to the sender.
+        announces itself to the sender. If it is named itself, the leader has
+        appointed it.
         """
         if leader.member == self.local_member:
+            if (
+                leader.term > self.term
+                and not self._is_leading
+                and self._can_lead()
+            ):
+                self._start_leading(leader)
+                self._wake.set()
             return
         if self._is_leading and leader.fence < self.leader.fence:
             if not self.leader.is_partial:
@@ -372,8 +371,6 @@
         self._heartbeat_pending_since = None
         if leader is not None:
             self.fence = max(self.fence, leader.fence)
-            if leader.member != self.local_member:
-                self._resigning_until = 0.0
         contact_age = clock.now() - self._leader_contact_at
         _logger.info(
             "leader changed",
@@ -505,7 +502,7 @@
     # Methods used while this member searches for a leader.
 
     def _can_lead(self) -> bool:
-        return not self.is_leaving and self.site.is_loaded()
+        return not self.is_stopping and self.site.is_loaded()
 
     async def _search_step(self) -> None:
         if not self.search.can_start:
@@ -560,7 +557,7 @@
         self._leader_contact_at = now
         self._row_write_due_at = now
         self._speeds_write_due_at = now + SPEEDS_WRITE_INTERVAL_S
-        self._may_resign_at = max(now + RESIGN_AFTER_S, self._may_resign_at)
+        self._may_appoint_at = max(now + APPOINT_AFTER_S, self._may_appoint_at)
         self.site.is_placing = True
         self.driver = self.create_driver(leader.fence, leader.is_partial)
         self.driver.start(
@@ -609,17 +606,21 @@
             await self._hand_back_zone()
         elif self._raise_fence_at and now >= self._raise_fence_at:
             self._claim_or_step_down()
-        elif now >= self._row_write_due_at and not self.is_leaving:
+        elif now >= self._row_write_due_at and not self.is_stopping:
             self._start_row_write()
-        self._resign_for_better_member(now)
+        self._appoint_better_member(now)
+
+    def _appoint_better_member(self, now: float) -> None:
+        """Asks a member that bears more load to lead, if there is one.
 
-    def _resign_for_better_member(self, now: float) -> None:
-        """Lets the members elect one that bears more load, if there is one."""
+        This member leads until the other one announces itself. An election
+        would leave a large site without a leader for a moment.
+        """
         if (
             self.driver is None
             or self.leader.is_partial
-            or self.is_leaving
-            or now < self._may_resign_at
+            or self.is_stopping
+            or now < self._may_appoint_at
         ):
             return
         better = find_better_leader(
@@ -627,10 +628,9 @@
         )
         if better is None:
             return
-        self._resigning_until = now + RESIGNATION_S
-        self._may_resign_at = now + RESIGN_AGAIN_AFTER_S
+        self._may_appoint_at = now + APPOINT_AGAIN_AFTER_S
         _logger.info(
-            "resigning as leader for a member with more cores",
+            "appointing a member with more cores as leader",
             extra={
                 "term": self.term,
                 "cores": self.local_member.cores,
@@ -638,6 +638,8 @@
                 "better_cores": better.cores,
             },
         )
+        appointment = LeaderAnnounced(Leader(self.term + 1, better))
+        self.links.send(better.address, appointment)
 
     def _start_row_write(self) -> None:
         """Starts to write the row, concurrently with the main loop.
@@ -685,7 +687,7 @@
     @property
     def _may_claim_site(self) -> bool:
         """Whether this leader may take targets back from another one."""
-        return not self.is_leaving and not self.leader.is_partial
+        return not self.is_stopping and not self.leader.is_partial
 
     def _claim_or_step_down(self) -> None:
         """Claims all targets with a higher token, or steps down."""
--- a/anvilford/node/tests/test_coordination.py
+++ b/anvilford/node/tests/test_coordination.py
@@ -16,6 +16,7 @@
 from anvilford.node._search import MembershipView
 from anvilford.protocol import Heartbeat
 from anvilford.protocol import HeartbeatReply
+from anvilford.protocol import LeaderAnnounced
 from anvilford.protocol import LeaderQuery
 from anvilford.telemetry import Counters
 from testkit import fixture
@@ -374,49 +375,62 @@
     case.assertLessEqual(len(heartbeats), 2)
 
 
-def test_small_leader_resigns_for_a_larger_member(case, coordinator):
+def test_small_leader_appoints_a_larger_member(case, coordinator):
     """The first member that starts must not lead a large site for good.
 
     On a site of 97 entries, one with 0.39 of a core led until the first peak,
     lost its leases and was replaced 10 times within 2.5 s.
     """
     large = attrs.evolve(OTHER_MEMBER, cores=2.0)
+    coordinator.links.send = mock.Mock()
 
     async def scenario():
         coordinator._start_leading(Leader(2, LOCAL_MEMBER))
-        coordinator._may_resign_at = 0.0
+        coordinator._may_appoint_at = 0.0
         coordinator.receive_heartbeat(Heartbeat(OTHER_MEMBER, 0))
-        coordinator._resign_for_better_member(clock.now())
-        case.assertFalse(coordinator.is_leaving)
+        coordinator.links.send.reset_mock()
+        coordinator._appoint_better_member(clock.now())
+        coordinator.links.send.assert_not_called()
         coordinator.receive_heartbeat(Heartbeat(large, 0))
-        coordinator._resign_for_better_member(clock.now())
-        reply = coordinator.receive_heartbeat(Heartbeat(large, 0))
-        opinion = await coordinator.receive_query(large)
+        coordinator._appoint_better_member(clock.now())
+        coordinator.links.send.assert_called_once_with(
+            large.address, LeaderAnnounced(Leader(3, large))
+        )
+        # Without an answer, this member leads on and does not ask again soon.
+        coordinator._appoint_better_member(clock.now())
+        coordinator.links.send.assert_called_once()
+        case.assertEqual(coordinator.leader, Leader(2, LOCAL_MEMBER))
         coordinator.receive_announcement(Leader(3, large))
-        return reply, opinion
 
-    reply, opinion = asyncio.run(scenario())
-    case.assertTrue(reply.leaving)
-    case.assertFalse(opinion.can_lead)
-    case.assertFalse(opinion.reaches_leader)
+    asyncio.run(scenario())
     case.assertEqual(coordinator.leader, Leader(3, large))
-    case.assertFalse(coordinator.is_leaving)
+    case.assertIsNone(coordinator.driver)
 
 
-def test_leader_that_nobody_replaces_leads_on(case, coordinator):
-    """A resignation without a successor must end, and not repeat at once."""
-    large = attrs.evolve(OTHER_MEMBER, cores=2.0)
+def test_appointed_member_leads_once(case, coordinator):
+    """An appointment that arrives late or twice must not start a new term."""
 
     async def scenario():
-        coordinator._start_leading(Leader(2, LOCAL_MEMBER))
-        coordinator._may_resign_at = 0.0
-        coordinator.receive_heartbeat(Heartbeat(large, 0))
-        now = clock.now()
-        coordinator._resign_for_better_member(now)
-        case.assertTrue(coordinator.is_leaving)
-        with mock.patch.object(clock, "now", return_value=now + 1.1):
-            coordinator._resign_for_better_member(clock.now())
-            case.assertFalse(coordinator.is_leaving)
+        coordinator._follow(Leader(4, OTHER_MEMBER))
+        coordinator.receive_announcement(Leader(4, LOCAL_MEMBER))
+        case.assertIsNone(coordinator.driver)
+        coordinator.receive_announcement(Leader(5, LOCAL_MEMBER))
+        driver = coordinator.driver
+        case.assertIsNotNone(driver)
+        coordinator.receive_announcement(Leader(6, LOCAL_MEMBER))
+        case.assertIs(coordinator.driver, driver)
 
     asyncio.run(scenario())
-    case.assertEqual(coordinator.leader, Leader(2, LOCAL_MEMBER))
+    case.assertEqual(coordinator.leader, Leader(5, LOCAL_MEMBER))
+
+
+def test_stopping_member_accepts_no_appointment(case, coordinator):
+    """A member that stops must not lead, or the site loses its leader."""
+    coordinator.is_stopping = True
+
+    async def scenario():
+        coordinator._follow(Leader(4, OTHER_MEMBER))
+        coordinator.receive_announcement(Leader(5, LOCAL_MEMBER))
+
+    asyncio.run(scenario())
+    case.assertIsNone(coordinator.driver)
