Count all cores of a VM when the leader is chosen

Cause: the settings passed the share of one core (0.645 of 2, 0.717 of 3) as the cores of the VM, so 1.29 and 2.15 cores differed by a tenth.

Why it works: cores and share are told apart, and multiplied.

--- a/anvilford/node/_main.py
+++ b/anvilford/node/_main.py
@@ -134,7 +134,7 @@
             settings.name,
             settings.zone,
             settings.peers,
-            float(settings.cores),
+            float(settings.cores * settings.cpu_share),
             token,
         )
         incarnation = Incarnation(
--- a/anvilford/node/_settings.py
+++ b/anvilford/node/_settings.py
@@ -35,13 +35,14 @@
         metrics: Address that listens for requests of metrics and status,
             "IP:port".
         store: Address of the platform's metadata store, "IP:port".
-        cores: Processor share of the VM, in cores.
+        cores: Number of cores of the VM.
         stop_grace_s: Seconds from SIGTERM to SIGKILL.
         max_lease_ms: Longest lease that targets grant, in milliseconds.
         stop_time_ms: Longest time for which a task can still run after the
             target confirmed its stop, in milliseconds.
         remote_penalty: Factor by which a task runs longer outside the rack
             that holds its data.
+        cpu_share: Part of each core that the VM may use.
         log_level: Lowest level that is logged: "debug", "info", "warning" or
             "error".
     """
@@ -58,6 +59,13 @@
     max_lease_ms: int = _positive_field(int)
     stop_time_ms: int = _positive_field(int)
     remote_penalty: float = _positive_field((int, float))
+    cpu_share: float = attrs.field(
+        default=1.0,
+        validator=[
+            validators.instance_of((int, float)),
+            validators.gt(0),
+        ],
+    )
     log_level: str = attrs.field(
         default="info",
         validator=validators.in_(("debug", "info", "warning", "error")),
--- a/anvilford/node/tests/test_coordination.py
+++ b/anvilford/node/tests/test_coordination.py
@@ -378,7 +378,7 @@
 def test_small_leader_appoints_a_larger_member(case, coordinator):
     """The first member that starts must not lead a large site for good.
 
-    On a site of 97 entries, one with 0.39 of a core led until the first peak,
+    On a site of 97 entries, one with 1.3 of 2.2 cores led until the first peak,
     lost its leases and was replaced 10 times within 2.5 s.
     """
     large = attrs.evolve(OTHER_MEMBER, cores=2.0)
