Log how much of an answer an unfinished store call had received

Both lines now carry the bytes received and the time since the call began, also for further failures in a row; a cancelled watch has a line of its own; 'configuration in force' tells the size of the row and for how long the entry was known to be outdated. Counter store_bytes_received, by use (used or discarded). No decision changes.

--- a/anvilford/http1/__init__.py
+++ b/anvilford/http1/__init__.py
@@ -10,6 +10,7 @@
 from anvilford.http1._client import CallFailed
 from anvilford.http1._client import ClientResponse
 from anvilford.http1._client import HttpClient
+from anvilford.http1._client import ResponseProgress
 from anvilford.http1._server import HttpListener
 from anvilford.http1._server import ListenerLimits
 from anvilford.http1._server import Request
@@ -23,4 +24,5 @@
     "ListenerLimits",
     "Request",
     "Response",
+    "ResponseProgress",
 ]
--- a/anvilford/http1/_client.py
+++ b/anvilford/http1/_client.py
@@ -45,6 +45,17 @@
     connection_refused: bool = False
 
 
+@attrs.define
+class ResponseProgress:
+    """How much of a response has arrived; updated during the call.
+
+    Attributes:
+        received_bytes: Bytes received, with headers and transfer encoding.
+    """
+
+    received_bytes: int = 0
+
+
 class _Connection(asyncio.Protocol):
     """A connection that carries one request and its response at a time.
 
@@ -54,6 +65,7 @@
             `ClientResponse` or a `CallFailed`.
         body_parts: Parts of the response body received so far.
         body_size: Their total length in bytes.
+        progress: Progress of the current or last call.
         keep_alive: False once the connection must not be used for another
             request.
         idle_since: Loop time in seconds at which the last call ended.
@@ -65,6 +77,7 @@
         self.response_future: asyncio.Future | None = None
         self.body_parts: list[bytes] = []
         self.body_size = 0
+        self.progress = ResponseProgress()
         self.keep_alive = True
         self.idle_since = 0.0
         self.parser = httptools.HttpResponseParser(self)
@@ -73,6 +86,7 @@
         self.transport = transport
 
     def data_received(self, data: bytes) -> None:
+        self.progress.received_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError:
@@ -106,14 +120,21 @@
                 ClientResponse(status, b"".join(self.body_parts))
             )
 
-    def send_request(self, request: bytes) -> asyncio.Future:
+    def send_request(
+        self, request: bytes, progress: ResponseProgress
+    ) -> asyncio.Future:
         """Writes a request.
 
+        Args:
+            request: The request.
+            progress: Updated while the response arrives.
+
         Returns:
             A future that receives a `ClientResponse` or a `CallFailed`.
         """
         self.body_parts = []
         self.body_size = 0
+        self.progress = progress
         self.response_future = asyncio.get_running_loop().create_future()
         self.transport.write(request)
         return self.response_future
@@ -159,6 +180,7 @@
         body: bytes,
         timeout: float,
         headers: str = "",
+        progress: ResponseProgress | None = None,
     ) -> ClientResponse | CallFailed:
         """Sends one request and waits for the response; never retries.
 
@@ -172,6 +194,7 @@
             timeout: Longest time for connecting, request and response
                 together, in seconds.
             headers: Additional header lines, each ending with CR LF.
+            progress: Updated while the response arrives.
 
         Returns:
             The response, of any status, or the reason why there is none.
@@ -191,7 +214,9 @@
             "Content-Type: application/json\r\n"
             f"Content-Length: {len(body)}\r\n\r\n"
         ).encode()
-        response_future = connection.send_request(request + body)
+        response_future = connection.send_request(
+            request + body, progress or ResponseProgress()
+        )
         timer = loop.call_at(deadline, _fail_with_timeout, response_future)
         try:
             result = await response_future
--- a/anvilford/node/_sync.py
+++ b/anvilford/node/_sync.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from anvilford.http1 import ResponseProgress
 from anvilford.node import _clock as clock
 from anvilford.placement import TargetRecord
 from anvilford.platform import CONFIGURATION_KEY
@@ -91,6 +92,9 @@
         self._store_reachable = True
         self._needs_full_read = True
         self._watch_task: asyncio.Task | None = None
+        # Progress and start of the current or last call to the store.
+        self._progress = ResponseProgress()
+        self._call_started_at = 0.0
         self._wake = asyncio.Event()
 
     async def run(self) -> None:
@@ -124,6 +128,10 @@
         """Reads the whole table again, instead of waiting for the watch."""
         self._needs_full_read = True
         if self._watch_task is not None:
+            if not self._watch_task.done():
+                self._report_unfinished_call(
+                    "watch cancelled; reading the whole table", "refresh"
+                )
             self._watch_task.cancel()
 
     def wake(self) -> None:
@@ -152,8 +160,10 @@
 
     async def _read_table(self) -> bool:
         """Reads the whole table; returns whether the answer was usable."""
-        self._count_store_call("read")
-        answer = await self.store.read(self.table, READ_TIMEOUT_S)
+        self._record_call("read")
+        answer = await self.store.read(
+            self.table, READ_TIMEOUT_S, self._progress
+        )
         if isinstance(answer, StoreFailed):
             self._record_failure(answer.reason)
             return False
@@ -173,13 +183,14 @@
 
         A watch that `refresh` cancelled counts as answered.
         """
-        self._count_store_call("watch")
+        self._record_call("watch")
         self._watch_task = asyncio.ensure_future(
             self.store.watch(
                 self.table,
                 self.version,
                 WATCH_WAIT_MS,
                 WATCH_WAIT_MS / 1000 + WATCH_TIMEOUT_MARGIN_S,
+                self._progress,
             )
         )
         await asyncio.wait((self._watch_task,))
@@ -221,6 +232,7 @@
 
     def _record_contact(self) -> None:
         self.contact_at = clock.now()
+        self._count_received_bytes("used")
         if not self._store_reachable:
             self._store_reachable = True
             _logger.info("store answers again", extra={"table": self.table})
@@ -231,16 +243,47 @@
         # received would only end with its timeout.
         self._needs_full_read = True
         self.counters.increment("store_calls_failed", table=self.table)
-        if self._store_reachable:
-            self._store_reachable = False
-            _logger.warning(
-                "store call failed; keeping the last known rows",
-                extra={"table": self.table, "reason": reason},
+        # A call that ended in the middle of its answer is reported each time:
+        # the store answers, but the answer never becomes complete.
+        if self._store_reachable or self._progress.received_bytes:
+            self._report_unfinished_call(
+                "store call failed; keeping the last known rows", reason
             )
+        self._store_reachable = False
+
+    def _report_unfinished_call(self, event: str, reason: str) -> None:
+        """Logs a call that ended early, and counts the bytes it had received.
 
-    def _count_store_call(self, call: str) -> None:
+        Args:
+            event: Text of the log line.
+            reason: Why the call ended.
+        """
+        self._count_received_bytes("discarded")
+        _logger.warning(
+            event,
+            extra={
+                "table": self.table,
+                "reason": reason,
+                "received_bytes": self._progress.received_bytes,
+                "elapsed_ms": int((clock.now() - self._call_started_at) * 1000),
+            },
+        )
+
+    def _record_call(self, call: str) -> None:
+        """Counts a call to the store that is about to be made."""
+        self._progress = ResponseProgress()
+        self._call_started_at = clock.now()
         self.counters.increment("store_calls", call=call, table=self.table)
 
+    def _count_received_bytes(self, use: str) -> None:
+        """Counts the bytes of the last answer as used or as discarded."""
+        self.counters.increment(
+            "store_bytes_received",
+            self._progress.received_bytes,
+            table=self.table,
+            use=use,
+        )
+
 
 class SiteView:
     """Configuration and targets of the site, as last read from the store.
@@ -260,6 +303,9 @@
         self._removed_targets: dict[str, tuple[TargetRecord, float]] = {}
         self.target_listeners: list[Callable[[], None]] = []
         self.changed_version = 0
+        # Time at which another entry was first known to use a newer version of
+        # the configuration; None if none is known.
+        self._outdated_since: float | None = None
         self._is_placing = False
         # Rows of the target list, and the records decoded from them. Entries
         # that do not lead need the records rarely, so they are decoded when
@@ -339,6 +385,8 @@
             self.routing_table is not None
             and version > self.routing_table.version
         ):
+            if self._outdated_since is None:
+                self._outdated_since = clock.now()
             self.configuration.refresh()
 
     def is_loaded(self) -> bool:
@@ -360,12 +408,20 @@
                 if table.version <= old:
                     return
                 self.routing_table = table
+                outdated_s = (
+                    clock.now() - self._outdated_since
+                    if self._outdated_since is not None
+                    else 0.0
+                )
+                self._outdated_since = None
                 _logger.info(
                     "configuration in force",
                     extra={
                         "version": table.version,
                         "previous": old,
                         "row_version": row.version,
+                        "bytes": len(row.value),
+                        "outdated_ms": int(outdated_s * 1000),
                     },
                 )
 
--- a/anvilford/platform/_store.py
+++ b/anvilford/platform/_store.py
@@ -11,6 +11,7 @@
 from anvilford.http1 import CallFailed
 from anvilford.http1 import ClientResponse
 from anvilford.http1 import HttpClient
+from anvilford.http1 import ResponseProgress
 from anvilford.platform._decoding import DECODE_ERRORS
 from anvilford.platform._decoding import require_int
 from anvilford.platform._decoding import require_str
@@ -106,7 +107,12 @@
         self.http = http
         self.address = address
 
-    async def read(self, table: str, timeout: float) -> Snapshot | StoreFailed:
+    async def read(
+        self,
+        table: str,
+        timeout: float,
+        progress: ResponseProgress | None = None,
+    ) -> Snapshot | StoreFailed:
         """Reads all rows in the empty partition of a table.
 
         The table is read page by page, and rows may change between pages. The
@@ -116,6 +122,7 @@
         Args:
             table: Name of the table.
             timeout: Time limit for each page, in seconds.
+            progress: Updated while the pages arrive.
         """
         rows: list[StoreRow] = []
         version: int | None = None
@@ -128,7 +135,7 @@
                     **({"from": first} if first else {}),
                 }
             )
-            page = await self._get(f"/v1/rows-get?{query}", timeout)
+            page = await self._get(f"/v1/rows-get?{query}", timeout, progress)
             match page:
                 case HistoryLost():
                     return StoreFailed("status 410")
@@ -146,7 +153,12 @@
             first = rows[-1].key + "\0"
 
     async def watch(
-        self, table: str, after: int, wait_ms: int, timeout: float
+        self,
+        table: str,
+        after: int,
+        wait_ms: int,
+        timeout: float,
+        progress: ResponseProgress | None = None,
     ) -> Snapshot | HistoryLost | StoreFailed:
         """Waits for changes to a table after a version (long polling).
 
@@ -155,6 +167,7 @@
             after: Version after which changes are reported.
             wait_ms: How long the store may wait for a change, in milliseconds.
             timeout: Time limit for the call, in seconds.
+            progress: Updated while the answer arrives.
 
         Returns:
             The changed rows, none if nothing changed; `HistoryLost` if the
@@ -163,7 +176,7 @@
         query = urllib.parse.urlencode(
             {"table": table, "after": after, "wait_ms": wait_ms}
         )
-        page = await self._get(f"/v1/rows-feed?{query}", timeout)
+        page = await self._get(f"/v1/rows-feed?{query}", timeout, progress)
         if isinstance(page, HistoryLost | StoreFailed):
             return page
         return Snapshot(page.rows, page.version)
@@ -217,14 +230,16 @@
                 return StoreFailed(f"status {status}")
 
     async def _get(
-        self, path: str, timeout: float
+        self, path: str, timeout: float, progress: ResponseProgress | None
     ) -> "_Page | HistoryLost | StoreFailed":
         """Sends a GET request and decodes the page of rows in the response.
 
         Returns:
             The page; `HistoryLost` if the store answered 410.
         """
-        answer = await self.http.call(self.address, "GET " + path, b"", timeout)
+        answer = await self.http.call(
+            self.address, "GET " + path, b"", timeout, progress=progress
+        )
         match answer:
             case CallFailed(_, reason):
                 return StoreFailed(reason)
