--- a/anvilford/node/tests/test_sync.py
+++ b/anvilford/node/tests/test_sync.py
@@ -1,7 +1,9 @@
 """Tests of the local copies of the store's tables."""
 
 import asyncio
+import contextlib
 import json
+import time
 from unittest import mock
 
 import attrs
@@ -10,10 +12,14 @@
 from anvilford.node import _sync
 from anvilford.node._sync import SiteView
 from anvilford.node._sync import TableFollower
+from anvilford.platform import CONFIGURATION_KEY
+from anvilford.platform import OPERATOR_TABLE
 from anvilford.platform import StoreClient
 from anvilford.platform import StoreRow
 from anvilford.platform import TARGET_TABLE
 from anvilford.telemetry import Counters
+from standins.proxy import LinkState
+from standins.proxy import Proxy
 from standins.rows import RowStore
 from testkit import function_tests
 
@@ -173,3 +179,145 @@
     site.target_list.on_change({})
     removed = site.recently_removed_targets()
     case.assertEqual([record.version for record in removed], [3])
+
+
+# The users' small links carry 9.5 Mbit/s; callers' requests use a part of it.
+SMALL_LINK_BYTES_PER_S = 950_000
+# Number of routes whose row, of 1.1 MB, such a link carries in 1.2 s.
+MANY_ROUTES = 4200
+# Time after which a configuration must be in force on the users' sites with
+# such links, and on those without.
+APPLY_TIME_S = 3.0
+SHORT_APPLY_TIME_S = 2.0
+HEARTBEAT_INTERVAL_S = 0.15
+
+
+def put_configuration(store, version, routes):
+    """Writes a configuration with a number of routes, as the operator does."""
+    document = {
+        "version": version,
+        "routes": [
+            {
+                "name": f"r-{n:07x}",
+                "host": "bose59.example",
+                "path_prefix": f"/{n:08x}/",
+                "kind": "non_idempotent",
+                "timeout_ms": 1552,
+                "target_latency_ms": 62,
+                "priority": 1,
+                "service": "mesa-ventas",
+                "max_attempts": 2,
+                "stretch": 1.6,
+            }
+            for n in range(routes)
+        ],
+    }
+    store.put(OPERATOR_TABLE, CONFIGURATION_KEY, document)
+
+
+@contextlib.asynccontextmanager
+async def following_configuration(store, link):
+    """Follows the configuration over a link; yields the view of the site."""
+    with HttpClient() as http:
+        site = SiteView(StoreClient(http, link.address), Counters())
+        task = asyncio.ensure_future(site.configuration.run())
+        yield site
+        task.cancel()
+
+
+async def apply_time(site, version, is_reported):
+    """Returns the seconds until a version is in force; infinity after 6 s.
+
+    Args:
+        site: View of the site.
+        version: Version that is to come into force.
+        is_reported: Whether the leader's replies to heartbeats report it.
+    """
+    started = time.monotonic()
+    while time.monotonic() < started + 6.0:
+        await asyncio.sleep(HEARTBEAT_INTERVAL_S)
+        if site.routing_table and site.routing_table.version >= version:
+            return time.monotonic() - started
+        if is_reported:
+            site.refresh_if_older(version)
+    return float("inf")
+
+
+def test_configuration_that_takes_longer_than_a_second_is_read(case):
+    """Guards against a read that ends and begins again for good.
+
+    A started entry with a small link would never serve.
+    """
+
+    async def scenario():
+        async with RowStore() as store, Proxy(store.address) as link:
+            link.answer_bytes_per_s = SMALL_LINK_BYTES_PER_S
+            put_configuration(store, 4, MANY_ROUTES)
+            async with following_configuration(store, link) as site:
+                seconds = await apply_time(site, 4, is_reported=False)
+                case.assertLessEqual(seconds, APPLY_TIME_S)
+
+    asyncio.run(scenario())
+
+
+def test_config_larger_than_a_small_link_carries_in_a_second(case):
+    """An entry with a small link went on with a configuration of before.
+
+    The reads ended with their time limit and began again, while the leader's
+    replies to heartbeats reported the new version (incident CONFIG).
+    """
+
+    async def scenario():
+        async with RowStore() as store, Proxy(store.address) as link:
+            put_configuration(store, 15, 100)
+            async with following_configuration(store, link) as site:
+                await wait_until(lambda: site.routing_table)
+                link.answer_bytes_per_s = SMALL_LINK_BYTES_PER_S
+                put_configuration(store, 18, MANY_ROUTES)
+                seconds = await apply_time(site, 18, is_reported=True)
+                case.assertLessEqual(seconds, APPLY_TIME_S)
+
+    asyncio.run(scenario())
+
+
+def test_report_of_a_version_does_not_end_its_transfer(case):
+    """A watch that receives a change must not be replaced by a read of it.
+
+    The report of the leader arrives in the middle of the transfer. Reading
+    the table instead sends all bytes a second time, over the same link.
+    """
+
+    async def scenario():
+        async with RowStore() as store, Proxy(store.address) as link:
+            put_configuration(store, 15, 100)
+            async with following_configuration(store, link) as site:
+                await wait_until(lambda: site.routing_table)
+                link.answer_bytes_per_s = SMALL_LINK_BYTES_PER_S
+                calls = len(store.calls)
+                put_configuration(store, 18, MANY_ROUTES)
+                await apply_time(site, 18, is_reported=True)
+                case.assertEqual(site.routing_table.version, 18)
+                case.assertNotIn("/v1/rows-get", store.calls[calls:])
+
+    asyncio.run(scenario())
+
+
+def test_report_of_a_version_replaces_a_silent_watch(case):
+    """An entry must not wait for a watch whose answer was lost.
+
+    The watch would end only with its timeout, after 4.8 s.
+    """
+
+    async def scenario():
+        async with RowStore() as store, Proxy(store.address) as link:
+            put_configuration(store, 15, 1)
+            async with following_configuration(store, link) as site:
+                await wait_until(lambda: site.routing_table)
+                link.state = LinkState.SILENT
+                put_configuration(store, 18, 2)
+                await asyncio.sleep(0.2)
+                link.state = LinkState.OPEN
+                seconds = await apply_time(site, 18, is_reported=True)
+                case.assertLessEqual(seconds, SHORT_APPLY_TIME_S)
+
+    asyncio.run(scenario())
--- a/testkit/soak/_proxy.py
+++ b/standins/proxy.py
@@ -1,7 +1,13 @@
-"""TCP proxy on loopback that delays, resets and blackholes connections."""
+"""TCP proxy on loopback that delays, resets and blackholes connections.
+
+It can also limit the bandwidth of the link.
+"""
 
 import asyncio
 import enum
+import math
+
+CHUNK_BYTES = 16384
 
 
 class LinkState(enum.Enum):
@@ -21,12 +27,17 @@
         address: "IP:port" on which the proxy listens, once entered.
         state: State of the link; may be changed at any time.
         delay: Delay before each chunk is forwarded, in seconds.
+        answer_bytes_per_s: Bandwidth that the bytes from upstream on all
+            connections share.
     """
 
     def __init__(self, upstream: str):
         self.upstream = upstream
         self.state = LinkState.OPEN
         self.delay = 0.0
+        self.answer_bytes_per_s = math.inf
+        # Time of the event loop at which the link has sent all bytes so far.
+        self._link_free_at = 0.0
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task] = set()
 
@@ -71,11 +82,22 @@
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
+    async def _wait_for_bandwidth(self, size: int) -> None:
+        """Waits until the link has sent `size` further bytes."""
+        now = asyncio.get_running_loop().time()
+        self._link_free_at = max(self._link_free_at, now) + (
+            size / self.answer_bytes_per_s
+        )
+        if self._link_free_at > now:
+            await asyncio.sleep(self._link_free_at - now)
+
     async def _pump(self, source, sink, is_answer: bool) -> None:
         try:
-            while data := await source.read(65536):
+            while data := await source.read(CHUNK_BYTES):
                 if self.delay:
                     await asyncio.sleep(self.delay)
+                if is_answer:
+                    await self._wait_for_bandwidth(len(data))
                 is_dropped = self.state is LinkState.SILENT or (
                     is_answer and self.state is LinkState.ONE_WAY
                 )
--- a/testkit/soak/_run.py
+++ b/testkit/soak/_run.py
@@ -23,10 +23,10 @@
 import attrs
 
 from anvilford.http1 import ClientResponse
+from standins.proxy import LinkState
+from standins.proxy import Proxy
 from standins.site import EntryProcess
 from standins.site import LoopbackSite
-from testkit.soak._proxy import LinkState
-from testkit.soak._proxy import Proxy
 
 # Callers resubmit a job this long after a broken connection, a 502 or a 504.
 RESEND_DELAY_S = 1.3
