Limit pauses within an answer of the store, not the whole answer

Cause: a read had one second for the whole answer, and the row of about 4,200 routes, 1.1 MB, takes 0.93 s of such a link when nothing else uses it. Each read ended shortly before its last byte, threw away what it had and began again; two entries never got version 18. Class: a fixed time limit on a transfer whose size grows with the data, so that no retry can succeed.

The limit now holds until the answer begins and for each pause within it, for all reads and watches of the store (the target list has the same growth). A silent connection is still noticed within a second. Calls to targets keep their limits on the whole, since their answers are bounded and late ones are of no use.

--- a/anvilford/http1/_client.py
+++ b/anvilford/http1/_client.py
@@ -66,6 +66,11 @@
         body_parts: Parts of the response body received so far.
         body_size: Their total length in bytes.
         progress: Progress of the current or last call.
+        idle_timeout: Longest pause in the response of the current call, in
+            seconds; None if there is no such limit.
+        last_data_at: Loop time in seconds at which data of the current
+            response last arrived; 0 before it begins.
+        timer: Ends the current call after its timeout.
         keep_alive: False once the connection must not be used for another
             request.
         idle_since: Loop time in seconds at which the last call ended.
@@ -78,6 +83,9 @@
         self.body_parts: list[bytes] = []
         self.body_size = 0
         self.progress = ResponseProgress()
+        self.idle_timeout: float | None = None
+        self.last_data_at = 0.0
+        self.timer: asyncio.TimerHandle | None = None
         self.keep_alive = True
         self.idle_since = 0.0
         self.parser = httptools.HttpResponseParser(self)
@@ -87,6 +95,8 @@
 
     def data_received(self, data: bytes) -> None:
         self.progress.received_bytes += len(data)
+        if self.idle_timeout is not None and self.timer is not None:
+            self._record_data_time()
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError:
@@ -104,6 +114,28 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def _record_data_time(self) -> None:
+        """Records that data arrived; the first data replaces the deadline."""
+        loop = asyncio.get_running_loop()
+        has_begun = self.last_data_at > 0
+        self.last_data_at = loop.time()
+        if not has_begun:
+            self.timer.cancel()
+            self.timer = loop.call_later(self.idle_timeout, self._end_idle_call)
+
+    def _end_idle_call(self) -> None:
+        """Ends the current call if no data arrived within `idle_timeout`."""
+        loop = asyncio.get_running_loop()
+        due_at = self.last_data_at + self.idle_timeout
+        if loop.time() < due_at:
+            self.timer = loop.call_at(due_at, self._end_idle_call)
+        else:
+            self._end_call()
+
+    def _end_call(self) -> None:
+        if not self.response_future.done():
+            self.response_future.set_result(CallFailed(True, "timeout"))
+
     # The parser calls the `on_*` methods from `data_received`.
 
     def on_body(self, body: bytes) -> None:
@@ -120,24 +152,36 @@
                 ClientResponse(status, b"".join(self.body_parts))
             )
 
-    def send_request(
-        self, request: bytes, progress: ResponseProgress
-    ) -> asyncio.Future:
-        """Writes a request.
+    async def exchange(
+        self,
+        request: bytes,
+        deadline: float,
+        idle_timeout: float | None,
+        progress: ResponseProgress,
+    ) -> ClientResponse | CallFailed:
+        """Writes a request and waits for the response.
 
         Args:
             request: The request.
+            deadline: Loop time in seconds at which the call ends. With
+                `idle_timeout`, only if the response has not begun.
+            idle_timeout: Longest pause in the response, in seconds, or None.
             progress: Updated while the response arrives.
-
-        Returns:
-            A future that receives a `ClientResponse` or a `CallFailed`.
         """
+        loop = asyncio.get_running_loop()
         self.body_parts = []
         self.body_size = 0
         self.progress = progress
-        self.response_future = asyncio.get_running_loop().create_future()
+        self.idle_timeout = idle_timeout
+        self.last_data_at = 0.0
+        self.response_future = loop.create_future()
+        self.timer = loop.call_at(deadline, self._end_call)
         self.transport.write(request)
-        return self.response_future
+        try:
+            return await self.response_future
+        finally:
+            self.timer.cancel()
+            self.timer = None
 
     def is_reusable(self) -> bool:
         """Returns whether another request can be sent."""
@@ -180,6 +224,7 @@
         body: bytes,
         timeout: float,
         headers: str = "",
+        idle_timeout: float | None = None,
         progress: ResponseProgress | None = None,
     ) -> ClientResponse | CallFailed:
         """Sends one request and waits for the response; never retries.
@@ -192,8 +237,12 @@
             method_and_path: Method and path, such as "GET /v1/ready".
             body: Body of the request: JSON or empty.
             timeout: Longest time for connecting, request and response
-                together, in seconds.
+                together, in seconds. With `idle_timeout`, until the response
+                begins.
             headers: Additional header lines, each ending with CR LF.
+            idle_timeout: Longest pause within the response, in seconds. For
+                responses without an upper bound on their size: a limit on the
+                whole would end each attempt at the same point on a slow link.
             progress: Updated while the response arrives.
 
         Returns:
@@ -214,17 +263,16 @@
             "Content-Type: application/json\r\n"
             f"Content-Length: {len(body)}\r\n\r\n"
         ).encode()
-        response_future = connection.send_request(
-            request + body, progress or ResponseProgress()
-        )
-        timer = loop.call_at(deadline, _fail_with_timeout, response_future)
         try:
-            result = await response_future
+            result = await connection.exchange(
+                request + body,
+                deadline,
+                idle_timeout,
+                progress or ResponseProgress(),
+            )
         except asyncio.CancelledError:
             connection.transport.abort()
             raise
-        finally:
-            timer.cancel()
         if isinstance(result, CallFailed):
             connection.transport.abort()
             if result.reason == "timeout":
@@ -279,8 +327,3 @@
         sock = connection.transport.get_extra_info("socket")
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         return connection
-
-
-def _fail_with_timeout(waiter: asyncio.Future) -> None:
-    if not waiter.done():
-        waiter.set_result(CallFailed(True, "timeout"))
--- a/anvilford/http1/tests/test_exchange.py
+++ b/anvilford/http1/tests/test_exchange.py
@@ -14,6 +14,7 @@
 from anvilford.http1 import ListenerLimits
 from anvilford.http1 import Request
 from anvilford.http1 import Response
+from anvilford.http1 import ResponseProgress
 from testkit import function_tests
 
 load_tests = function_tests(__name__)
@@ -77,6 +78,70 @@
     asyncio.run(scenario())
 
 
+async def parts_server(parts, pause):
+    """Starts a server that answers in parts of 10 bytes, with pauses.
+
+    It announces ten parts and sends the given number.
+    """
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n")
+        for _ in range(parts):
+            await asyncio.sleep(pause)
+            writer.write(b"0123456789")
+        await reader.read()
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()[:2]
+    return server, f"{host}:{port}"
+
+
+def test_long_response_is_read_while_its_data_arrive(case):
+    """A limit on the whole response ends a long one before its last byte.
+
+    Each further attempt would end at the same point.
+    """
+
+    async def scenario():
+        server, address = await parts_server(10, 0.05)
+        with HttpClient() as client:
+            answer = await client.call(
+                address, "GET /", b"", 0.2, idle_timeout=0.2
+            )
+            case.assertEqual(answer, ClientResponse(200, b"0123456789" * 10))
+            answer = await client.call(address, "GET /", b"", 0.2)
+            case.assertEqual(answer, CallFailed(True, "timeout"))
+        server.close()
+
+    asyncio.run(scenario())
+
+
+def test_response_that_stops_arriving_ends_the_call(case):
+    """A connection that goes silent within a response must not be kept.
+
+    The call would wait for good, or for as long as it may wait for the
+    response to begin.
+    """
+
+    async def scenario():
+        server, address = await parts_server(3, 0.01)
+        progress = ResponseProgress()
+        loop = asyncio.get_running_loop()
+        with HttpClient() as client:
+            started = loop.time()
+            answer = await client.call(
+                address, "GET /", b"", 5.0, idle_timeout=0.2, progress=progress
+            )
+            case.assertEqual(answer, CallFailed(True, "timeout"))
+            case.assertLess(loop.time() - started, 2.0)
+            case.assertGreater(progress.received_bytes, 30)
+        server.close()
+
+    asyncio.run(scenario())
+
+
 def test_refused_connection_was_not_sent(case):
     """A refused connection is reported as not sent.
 
--- a/anvilford/node/_sync.py
+++ b/anvilford/node/_sync.py
@@ -28,9 +28,12 @@
 # started again. The interval is long because each call to the store has a
 # price; heartbeat replies report newer configuration versions earlier.
 WATCH_WAIT_MS = 4000
-# Additional time for the answer to a watch. It takes a few milliseconds unless
-# the store is slow.
+# Additional time until the answer to a watch begins. It takes a few milliseconds
+# unless the store is slow.
 WATCH_TIMEOUT_MARGIN_S = 0.8
+# Time until an answer begins, and longest pause within it. The whole answer takes
+# as long as the link needs: the configuration row has no upper bound, and an
+# entry with a small link would begin the same transfer again and again.
 READ_TIMEOUT_S = 1.0
 # Delay before a failed store call is repeated: the amount added for each
 # consecutive failure, and the maximum.
@@ -190,6 +193,7 @@
                 self.version,
                 WATCH_WAIT_MS,
                 WATCH_WAIT_MS / 1000 + WATCH_TIMEOUT_MARGIN_S,
+                READ_TIMEOUT_S,
                 self._progress,
             )
         )
--- a/anvilford/platform/_store.py
+++ b/anvilford/platform/_store.py
@@ -121,7 +121,8 @@
 
         Args:
             table: Name of the table.
-            timeout: Time limit for each page, in seconds.
+            timeout: Time limit for each page to begin, and for each pause
+                within it, in seconds. A page takes as long as the link needs.
             progress: Updated while the pages arrive.
         """
         rows: list[StoreRow] = []
@@ -135,7 +136,9 @@
                     **({"from": first} if first else {}),
                 }
             )
-            page = await self._get(f"/v1/rows-get?{query}", timeout, progress)
+            page = await self._get(
+                f"/v1/rows-get?{query}", timeout, timeout, progress
+            )
             match page:
                 case HistoryLost():
                     return StoreFailed("status 410")
@@ -158,6 +161,7 @@
         after: int,
         wait_ms: int,
         timeout: float,
+        idle_timeout: float,
         progress: ResponseProgress | None = None,
     ) -> Snapshot | HistoryLost | StoreFailed:
         """Waits for changes to a table after a version (long polling).
@@ -166,7 +170,8 @@
             table: Name of the table.
             after: Version after which changes are reported.
             wait_ms: How long the store may wait for a change, in milliseconds.
-            timeout: Time limit for the call, in seconds.
+            timeout: Time limit for the answer to begin, in seconds.
+            idle_timeout: Time limit for each pause within it, in seconds.
             progress: Updated while the answer arrives.
 
         Returns:
@@ -176,7 +181,9 @@
         query = urllib.parse.urlencode(
             {"table": table, "after": after, "wait_ms": wait_ms}
         )
-        page = await self._get(f"/v1/rows-feed?{query}", timeout, progress)
+        page = await self._get(
+            f"/v1/rows-feed?{query}", timeout, idle_timeout, progress
+        )
         if isinstance(page, HistoryLost | StoreFailed):
             return page
         return Snapshot(page.rows, page.version)
@@ -230,7 +237,11 @@
                 return StoreFailed(f"status {status}")
 
     async def _get(
-        self, path: str, timeout: float, progress: ResponseProgress | None
+        self,
+        path: str,
+        timeout: float,
+        idle_timeout: float,
+        progress: ResponseProgress | None,
     ) -> "_Page | HistoryLost | StoreFailed":
         """Sends a GET request and decodes the page of rows in the response.
 
@@ -238,7 +249,12 @@
             The page; `HistoryLost` if the store answered 410.
         """
         answer = await self.http.call(
-            self.address, "GET " + path, b"", timeout, progress=progress
+            self.address,
+            "GET " + path,
+            b"",
+            timeout,
+            idle_timeout=idle_timeout,
+            progress=progress,
         )
         match answer:
             case CallFailed(_, reason):
--- a/anvilford/platform/tests/test_malformed.py
+++ b/anvilford/platform/tests/test_malformed.py
@@ -171,7 +171,7 @@
     """
     for method in (
         lambda h: StoreClient(h, "10.0.0.1:1").read("t", 1.0),
-        lambda h: StoreClient(h, "10.0.0.1:1").watch("t", 0, 0, 1.0),
+        lambda h: StoreClient(h, "10.0.0.1:1").watch("t", 0, 0, 1.0, 1.0),
         lambda h: StoreClient(h, "10.0.0.1:1").write("t", "k", b"", 0, 1.0),
     ):
         answer = call(status, body, method)
--- a/anvilford/platform/tests/test_store.py
+++ b/anvilford/platform/tests/test_store.py
@@ -73,7 +73,7 @@
         store.put("t", "a", {"n": 1})
         before = await client.read("t", 1.0)
         waiting = asyncio.ensure_future(
-            client.watch("t", before.version, 2000, 3.0)
+            client.watch("t", before.version, 2000, 3.0, 1.0)
         )
         await asyncio.sleep(0.05)
         store.delete("t", "a")
@@ -81,7 +81,7 @@
         case.assertIsInstance(changes, Snapshot)
         case.assertTrue(changes.rows[0].deleted)
         store.faults.has_no_history = True
-        lost = await client.watch("t", before.version, 0, 1.0)
+        lost = await client.watch("t", before.version, 0, 1.0, 1.0)
         case.assertIsInstance(lost, HistoryLost)
 
     with_store(scenario)
