Let a watch go on that receives the change which the leader reports

What callers saw: CONFIG as in the commit before, and answers that were late while the link of their entry was full. Cause: the leader's reply to a heartbeat, which comes each 150 ms and reports the newer version, cancelled the watch in the middle of that very change and read the whole table instead. Class: news of a change that ends the transfer of this change.

A report now only gives the pending watch half a second for its answer to begin. A watch that is silent after that, since its answer or connection was lost, is replaced by a read as before.

--- a/anvilford/node/_coordination.py
+++ b/anvilford/node/_coordination.py
@@ -421,7 +421,7 @@
             reply = None
         match reply:
             case HeartbeatReply(leading=True) as reply:
-                self.site.refresh_if_older(reply.configuration_version)
+                self.site.expect_version(reply.configuration_version)
                 self.site.refresh_targets_if_older(reply.targets_version)
                 self.membership.apply_member_list(
                     reply.members, reply.members_digest
--- a/anvilford/node/_sync.py
+++ b/anvilford/node/_sync.py
@@ -35,6 +35,11 @@
 # as long as the link needs: the configuration row has no upper bound, and an
 # entry with a small link would begin the same transfer again and again.
 READ_TIMEOUT_S = 1.0
+# Time for the answer to a pending watch to begin, once another entry has reported
+# the change. The store answers all watches at the same time; packets may wait
+# this long at a busy link. A watch without an answer after it has lost its
+# answer or its connection.
+REPORTED_CHANGE_GRACE_S = 0.5
 # Delay before a failed store call is repeated: the amount added for each
 # consecutive failure, and the maximum.
 RETRY_DELAYS_S = (0.2, 1.0)
@@ -95,6 +100,8 @@
         self._store_reachable = True
         self._needs_full_read = True
         self._watch_task: asyncio.Task | None = None
+        # Ends the pending watch if its answer does not begin.
+        self._change_timer: asyncio.TimerHandle | None = None
         # Progress and start of the current or last call to the store.
         self._progress = ResponseProgress()
         self._call_started_at = 0.0
@@ -127,15 +134,31 @@
                 min(RETRY_DELAYS_S[0] * failures, RETRY_DELAYS_S[1])
             )
 
-    def refresh(self) -> None:
-        """Reads the whole table again, instead of waiting for the watch."""
+    def expect_change(self) -> None:
+        """Reads the table soon unless the pending watch gets an answer.
+
+        To be called when another entry has a newer version. A watch whose
+        answer has begun goes on: a read would transfer the same rows again.
+        """
+        watch = self._watch_task
+        if watch is None or watch.done() or self._change_timer is not None:
+            return  # The next call to the store includes the change.
+        self._change_timer = asyncio.get_running_loop().call_later(
+            REPORTED_CHANGE_GRACE_S, self._replace_silent_watch, watch
+        )
+
+    def _replace_silent_watch(self, watch: asyncio.Task) -> None:
+        """Cancels a watch without an answer; the whole table is read then."""
+        self._change_timer = None
+        if watch.done() or self._progress.received_bytes:
+            return
+        self._report_unfinished_call(
+            "watch without an answer to a reported change; reading the whole"
+            " table",
+            "silent",
+        )
         self._needs_full_read = True
-        if self._watch_task is not None:
-            if not self._watch_task.done():
-                self._report_unfinished_call(
-                    "watch cancelled; reading the whole table", "refresh"
-                )
-            self._watch_task.cancel()
+        watch.cancel()
 
     def wake(self) -> None:
         """Watches the table again soon, because it has changes."""
@@ -184,7 +207,7 @@
     async def _watch_table(self) -> bool:
         """Waits for changes; returns whether the store answered.
 
-        A watch that `refresh` cancelled counts as answered.
+        A watch that `_replace_silent_watch` cancelled counts as answered.
         """
         self._record_call("watch")
         self._watch_task = asyncio.ensure_future(
@@ -379,8 +402,8 @@
             if removed_at >= earliest
         ]
 
-    def refresh_if_older(self, version: int) -> None:
-        """Reads the configuration if another entry has a newer version.
+    def expect_version(self, version: int) -> None:
+        """Makes sure that the configuration of another entry is read soon.
 
         Args:
             version: Version that the other entry uses.
@@ -391,7 +414,7 @@
         ):
             if self._outdated_since is None:
                 self._outdated_since = clock.now()
-            self.configuration.refresh()
+            self.configuration.expect_change()
 
     def is_loaded(self) -> bool:
         """Returns whether both the configuration and the targets are known."""
--- a/anvilford/node/tests/test_sync.py
+++ b/anvilford/node/tests/test_sync.py
@@ -239,7 +239,7 @@
         if site.routing_table and site.routing_table.version >= version:
             return time.monotonic() - started
         if is_reported:
-            site.refresh_if_older(version)
+            site.expect_version(version)
     return float("inf")
 
 
