--- a/anvilford/order_model/_site.py
+++ b/anvilford/order_model/_site.py
@@ -13,6 +13,7 @@
 from anvilford.order_model._load import Result
 from anvilford.order_model._target import FakeTarget
 from anvilford.order_model._target import overlapping_tasks
+from anvilford.placement import Accepted
 from anvilford.placement import Decision
 from anvilford.placement import FenceLost
 from anvilford.placement import NoAnswer
@@ -35,6 +36,10 @@
 ORDER_TIMEOUT_S = 0.15
 # The caller of a job stops waiting this long after the job's arrival.
 JOB_DEADLINE_S = 2.3
+# Time from the crash of a target to its restart, and from the restart to its row
+# in the list.
+CRASH_TIME_S = 3.0
+REGISTRATION_TIME_S = 0.5
 
 
 @attrs.define
@@ -48,12 +53,14 @@
         partitioned_pairs: Pairs of placer name and target id that cannot reach
             each other.
         silent_placers: Names of placers that the entry does not reach.
+        deadly_jobs: Ids of jobs whose tasks crash each target that starts them.
     """
 
     delayed_order_share: float = 0.0
     lost_answer_share: float = 0.0
     partitioned_pairs: set[tuple[str, str]] = attrs.field(factory=set)
     silent_placers: set[str] = attrs.field(factory=set)
+    deadly_jobs: set[str] = attrs.field(factory=set)
 
 
 class PlacementSimulation:
@@ -65,6 +72,7 @@
         rng: Random number generator of the simulation.
         now: Virtual time, in seconds.
         one_way_delay_s: Network delay of a request or a response, in seconds.
+        job_deadline_s: Time for which the callers of further jobs wait.
         placers: Running placers by name.
         outcomes: Outcomes so far, as (time, placer name, job id, outcome).
         decisions: Decisions that the placers reported for the log.
@@ -85,6 +93,7 @@
         self.rng = random.Random(seed)
         self.now = 0.0
         self.one_way_delay_s = one_way_delay_s
+        self.job_deadline_s = JOB_DEADLINE_S
         self.placers: dict[str, Placer] = {}
         self.outcomes: list[tuple[float, str, str, Outcome]] = []
         self.decisions: list[Decision] = []
@@ -161,7 +170,7 @@
             arrival.kind.policy,
             arrival.spec,
             max(self.now - arrival.arrival_time, 0.0),
-            max(arrival.arrival_time + JOB_DEADLINE_S - self.now, 0.0),
+            max(arrival.arrival_time + self.job_deadline_s - self.now, 0.0),
             again,
             **fields,
         )
@@ -234,7 +243,7 @@
         timeout = ORDER_TIMEOUT_S
         if isinstance(order, Poll):
             timeout += order.wait_ms / 1000
-        if target is None:
+        if target is None or target.is_down:
             self.schedule(
                 self.now + self.one_way_delay_s,
                 self._deliver_answer,
@@ -278,10 +287,17 @@
         target = self.targets.get(order.target_id)
         if target is None:
             return
+        if target.is_down:
+            self._break_connections(target, [[name, order]])
+            return
         match order:
             case StartRun(task=task):
                 need, seconds = self.task_demands[task]
                 answer = target.start(order, need, seconds, self.now)
+                is_deadly = task.partition(".")[0] in self.faults.deadly_jobs
+                if is_deadly and isinstance(answer, Accepted):
+                    self._crash(target, [[name, order]])
+                    return
                 self._schedule_next_completion(target)
             case StopRun():
                 answer = target.stop(order, self.now)
@@ -301,6 +317,41 @@
                 answer,
             )
 
+    def _crash(self, target: FakeTarget, calls: list) -> None:
+        """Crashes a target, which later restarts and then is listed again.
+
+        Args:
+            target: The target.
+            calls: Placer names and orders that it has not answered, beside the
+                held polls.
+        """
+        target.crash(self.now)
+        held = self._held_polls.pop(target.record.target_id, [])
+        self._break_connections(target, [*calls, *held])
+        self.schedule(self.now + CRASH_TIME_S, self._restart, target)
+
+    def _restart(self, target: FakeTarget) -> None:
+        target.restart(target.record.incarnation + 1000, self.now)
+        for name in self.placers:
+            listed_at = self.now + REGISTRATION_TIME_S
+            self.schedule(listed_at, self._list_targets_again, name)
+
+    def _list_targets_again(self, name: str) -> None:
+        if name in self.placers:
+            self.list_targets(name)
+
+    def _break_connections(self, target: FakeTarget, calls: list) -> None:
+        """Ends the calls to a target without an answer."""
+        for name, order in calls:
+            if name is not None:
+                self.schedule(
+                    self.now + self.one_way_delay_s,
+                    self._deliver_answer,
+                    name,
+                    order,
+                    NoAnswer(),
+                )
+
     def _hold_poll(self, target: FakeTarget, name: str, order: Poll) -> None:
         """Delays the answer to a poll until a run ends or its wait is over."""
         entry = [name, order]
--- a/anvilford/order_model/_target.py
+++ b/anvilford/order_model/_target.py
@@ -63,6 +63,7 @@
         ignores_stops: If True, stops get no answer and have no effect.
         accepts_any_incarnation: If True, an order is accepted whatever process
             start time it names. The platform's protocol names only the id.
+        is_down: If True, the process does not exist; set by `crash`.
         running: Runs in progress by task name.
         unacknowledged_ends: Ended runs that no poll has acknowledged yet.
         highest_runs: Highest run number that ended or was stopped, by task
@@ -81,6 +82,7 @@
         self.is_stalled = False
         self.ignores_stops = False
         self.accepts_any_incarnation = False
+        self.is_down = False
         self.running: dict[str, _RunningWork] = {}
         self.unacknowledged_ends: list[EndedTask] = []
         self.highest_runs: dict[str, int] = {}
@@ -108,6 +110,13 @@
             elif lease_end <= now:
                 self._end_run(task, RunEnd.LAPSED, lease_end)
 
+    def crash(self, now: float) -> None:
+        """Simulates a crash of the process; running tasks end as broken."""
+        self.advance(now)
+        for task in list(self.running):
+            self._end_run(task, RunEnd.BROKEN, now)
+        self.is_down = True
+
     def restart(self, incarnation: int, now: float) -> None:
         """Simulates a restart of the target's process.
 
@@ -117,9 +126,8 @@
             incarnation: Start time of the new process, Unix milliseconds.
             now: Time of the restart.
         """
-        self.advance(now)
-        for task in list(self.running):
-            self._end_run(task, RunEnd.BROKEN, now)
+        self.crash(now)
+        self.is_down = False
         self.record = attrs.evolve(self.record, incarnation=incarnation)
         self.unacknowledged_ends.clear()
         self.highest_runs.clear()
