Poll targets again that became unreachable and have no runs

What callers would see: refusals with targets free, after a cut between the leader and some targets. Cause: only targets with runs, unclaimed ones and those with ends to acknowledge are polled. A target that was silent until its lease ended has no runs any more; it got no further poll and counted as unreachable for as long as the leader led.

test_target_that_was_cut_off_is_used_again failed before (the job is refused 1 s after the cut).

--- a/anvilford/placement/_fleet.py
+++ b/anvilford/placement/_fleet.py
@@ -713,12 +713,16 @@
                     self._stop_run(target, run, now)
 
     def _send_due_polls(self, now: float) -> None:
-        """Polls targets to claim them, to extend leases or to acknowledge."""
+        """Polls targets that are to be claimed or found again, or have runs.
+
+        Also acknowledges ended runs.
+        """
         for target in self.targets.values():
             if target.poll_pending or target.retry_at > now:
                 continue
             if (
                 target.ownership is Ownership.CLAIMING
+                or not target.reachable
                 or target.has_claimed_runs
                 or (
                     target.processed_end > target.confirmed_end
--- a/anvilford/placement/tests/test_placer.py
+++ b/anvilford/placement/tests/test_placer.py
@@ -414,3 +414,24 @@
     case.assertEqual(site.placers["p"].jobs, {})
     *_, outcome = site.outcomes[-1]
     case.assertIs(outcome.kind, OutcomeKind.COMPLETED)
+
+
+def test_target_that_was_cut_off_is_used_again(case, site):
+    """A target that was silent for longer than its lease must not be lost.
+
+    Without runs it got no further poll, so that it counted as unreachable for
+    as long as the placer led.
+    """
+    site.targets.pop("t2")
+    site.list_targets("p")
+    first = job(seconds=1.0)
+    site.offer("p", first)
+    site.run(0.3)
+    site.faults.partitioned_pairs.add(("p", "t1"))
+    site.run(4.0)
+    site.faults.partitioned_pairs.clear()
+    site.run(5.0)
+    second = job(at=5.0)
+    site.offer("p", second)
+    site.run(6.0)
+    case.assertIs(outcome_kinds(site)[second.job_id], OutcomeKind.COMPLETED)
