Give up a task under which two targets have crashed

Cause: a run that is lost with its target was started again without a limit, since max_attempts counts only runs that a target reports as failed; the callers' 1.5 s allowed two starts, a longer deadline or a job sent again as many as there is time for. Class: a retry without a budget of its own, bounded only by a timer elsewhere.

placement/_crashes.py remembers for a minute which tasks ran on a target when it was lost, and whether another incarnation has replaced it (crashed) or the same one has answered again (not crashed). After two crashes the job ends as failed. After two losses that are not clear yet, none of its tasks starts until they are: a cut is no crash, so the job is neither given up nor started on a third target. Tasks that were on a lost target start again together on one target, alone if one is empty, so that a job of many deadly tasks crashes one more target and not one for each, and other jobs are not taken along. The history outlives the job: a caller that sends it again does not start from zero, and is never told that it has not run.

--- a/anvilford/placement/__init__.py
+++ b/anvilford/placement/__init__.py
@@ -5,6 +5,9 @@
 and log lines.
 """
 
+from anvilford.placement._crashes import CrashHistory
+from anvilford.placement._crashes import LossState
+from anvilford.placement._crashes import TargetLoss
 from anvilford.placement._model import JobSpec
 from anvilford.placement._model import Offer
 from anvilford.placement._model import Outcome
@@ -37,12 +40,14 @@
 
 __all__ = [
     "Accepted",
+    "CrashHistory",
     "Decision",
     "Effect",
     "EndedTask",
     "FenceLost",
     "JobSpec",
     "LifeReplaced",
+    "LossState",
     "NoAnswer",
     "NotSent",
     "Offer",
@@ -64,5 +69,6 @@
     "StartRun",
     "StepSpec",
     "StopRun",
+    "TargetLoss",
     "TargetRecord",
 ]
--- a/anvilford/placement/_choice.py
+++ b/anvilford/placement/_choice.py
@@ -12,6 +12,7 @@
 from anvilford.placement._state import Ownership
 from anvilford.placement._state import Target
 from anvilford.placement._state import Task
+from anvilford.placement._state import TaskPhase
 
 # Share of a service's cores that must be free for the fastest target to be
 # chosen first. Below it, fast targets are kept for jobs with little time left.
@@ -65,6 +66,10 @@
         return False
     if task.name in target.runs:
         return False
+    if target.isolated_job and not (
+        task.has_lost_target and target.isolated_job == task.job.job_id
+    ):
+        return False
     if step.label and step.label not in target.record.labels:
         return False
     if step.spread_limit:
@@ -103,6 +108,23 @@
     )
 
 
+def _targets_at_risk(task: Task, targets: list[Target]) -> list[Target]:
+    """Returns the targets on which a task may start that may crash them.
+
+    Such tasks of a job share one target, so that they crash no more targets
+    than it takes to find out. It is an empty one if there is any, since a
+    target that crashes takes its other runs along.
+    """
+    in_use = {
+        other.target_id
+        for other in task.job.tasks
+        if other.has_lost_target and other.phase is TaskPhase.PLACED
+    }
+    if in_use:
+        return [t for t in targets if t.record.target_id in in_use]
+    return [t for t in targets if not t.runs] or targets
+
+
 def choose_target(
     task: Task,
     targets: list[Target],
@@ -126,6 +148,8 @@
         None if no target can run the task, or if the task would be late on
         every free target while a faster one may become free in time.
     """
+    if task.has_lost_target:
+        targets = _targets_at_risk(task, targets)
     if task.spec.rack:
         targets = sorted(
             targets, key=lambda t: expected_run_seconds(task, t, options)
--- /dev/null
+++ b/anvilford/placement/_crashes.py
@@ -0,0 +1,136 @@
+"""Targets that were lost while they ran tasks, and the tasks that they ran.
+
+A task may crash each target that starts it. A crash cannot be told from a cut
+connection at first: the target is only silent, and its lease ends. It is known
+to have crashed once another incarnation answers or registers, and not to have
+crashed once the same one answers.
+"""
+
+import enum
+from collections.abc import Iterable
+
+import attrs
+
+# Crashed targets after which a task is given up. The platform allows two.
+CRASHES_TO_GIVE_UP = 2
+# Time for which a loss is remembered. Targets return after some seconds, and
+# callers send a job again some seconds after its last answer.
+LOSS_RETENTION_S = 60.0
+
+
+class LossState(enum.IntEnum):
+    """What is known of a lost target."""
+
+    SILENT = 1  # It may have crashed or be cut off.
+    CRASHED = 2  # Another incarnation has replaced it.
+    RETURNED = 3  # It has answered again, so that it had not crashed.
+
+
+@attrs.frozen
+class TargetLoss:
+    """A target that was lost while it may have run tasks.
+
+    Attributes:
+        target_id: Id of the target.
+        incarnation: Incarnation that was lost.
+        tasks: Names of the tasks that it may have run.
+        state: What is known of the target.
+    """
+
+    target_id: str
+    incarnation: int
+    tasks: tuple[str, ...]
+    state: LossState
+
+
+class CrashHistory:
+    """Losses of targets, by the tasks that were running.
+
+    One history lasts as long as its process: the leader adds the losses that it
+    sees and reports them to the other members, any of which may lead next.
+    """
+
+    def __init__(self):
+        self._losses: dict[tuple[str, int], tuple[float, TargetLoss]] = {}
+        self._keys_by_task: dict[str, set[tuple[str, int]]] = {}
+        self._changes: list[TargetLoss] = []
+
+    def record_loss(
+        self,
+        target_id: str,
+        incarnation: int,
+        tasks: Iterable[str],
+        state: LossState,
+        now: float,
+    ) -> None:
+        """Records that a target was lost, or what became of a lost one.
+
+        Args:
+            target_id: Id of the target.
+            incarnation: Incarnation that was lost.
+            tasks: Names of the tasks that it may have run when it was lost.
+            state: What is known of the target.
+            now: Current time in seconds.
+        """
+        known = self._losses.get((target_id, incarnation))
+        if known is not None:
+            tasks = {*known[1].tasks, *tasks}
+        loss = TargetLoss(target_id, incarnation, tuple(sorted(tasks)), state)
+        if (known is not None and known[1] == loss) or not loss.tasks:
+            return
+        self.apply(loss, now)
+        self._changes.append(loss)
+
+    def record_return(self, target_id: str, incarnation: int) -> None:
+        """Records that an incarnation answers, so that it had not crashed."""
+        known = self._losses.get((target_id, incarnation))
+        if known is not None and known[1].state is LossState.SILENT:
+            loss = attrs.evolve(known[1], state=LossState.RETURNED)
+            self.apply(loss, known[0])
+            self._changes.append(loss)
+
+    def apply(self, loss: TargetLoss, now: float) -> None:
+        """Applies a loss, which another member may have reported."""
+        key = (loss.target_id, loss.incarnation)
+        known = self._losses.get(key)
+        if loss.state is LossState.RETURNED:
+            if known is not None:
+                self._forget(key)
+            return
+        if known is not None and known[1].state is LossState.CRASHED:
+            # A crash is final; a report of an earlier state may come late.
+            loss = attrs.evolve(loss, state=LossState.CRASHED)
+        self._losses[key] = (now, loss)
+        for task in loss.tasks:
+            self._keys_by_task.setdefault(task, set()).add(key)
+
+    def pop_changes(self) -> tuple[TargetLoss, ...]:
+        """Returns and clears the recorded changes since the last call."""
+        changes = tuple(self._changes)
+        self._changes.clear()
+        return changes
+
+    def count_losses(self, task: str) -> int:
+        """Returns how many targets were lost that may have run a task."""
+        return len(self._keys_by_task.get(task, ()))
+
+    def count_crashes(self, task: str) -> int:
+        """Returns how many of the lost targets are known to have crashed."""
+        return sum(
+            self._losses[key][1].state is LossState.CRASHED
+            for key in self._keys_by_task.get(task, ())
+        )
+
+    def drop_old_losses(self, now: float) -> None:
+        """Forgets the losses of more than `LOSS_RETENTION_S` ago."""
+        for key, (at, _) in list(self._losses.items()):
+            if now - at > LOSS_RETENTION_S:
+                self._forget(key)
+
+    def _forget(self, key: tuple[str, int]) -> None:
+        _, loss = self._losses.pop(key)
+        for task in loss.tasks:
+            keys = self._keys_by_task[task]
+            keys.discard(key)
+            if not keys:
+                del self._keys_by_task[task]
--- a/anvilford/placement/_fleet.py
+++ b/anvilford/placement/_fleet.py
@@ -11,6 +11,8 @@
 import attrs
 
 from anvilford.placement import _health as health
+from anvilford.placement._crashes import CrashHistory
+from anvilford.placement._crashes import LossState
 from anvilford.placement._model import PlacementOptions
 from anvilford.placement._model import Resources
 from anvilford.placement._model import TargetRecord
@@ -92,8 +94,9 @@
         options: PlacementOptions,
         effects: list[Effect],
         on_task_event: TaskListener,
+        crashes: CrashHistory,
     ):
-        super().__init__(now, options, effects)
+        super().__init__(now, options, effects, crashes)
         self.fence = fence
         self.on_task_event = on_task_event
         self.tasks_found_done: set[str] = set()
@@ -159,6 +162,8 @@
         run = Run(
             task, task.name, number, task.spec.need, RunPhase.ORDERED, now
         )
+        if task.has_lost_target and not target.runs:
+            target.isolated_job = task.job.job_id
         target.reserve(run)
         self.target_by_task[run.task_name] = target
         self.effects.append(
@@ -432,6 +437,9 @@
         self, target: Target, order: Poll, report: Report, now: float
     ) -> None:
         target.record_clock(report.clock_ms, now)
+        self.crashes.record_return(
+            target.record.target_id, target.record.incarnation
+        )
         target.confirmed_end = max(target.confirmed_end, order.acknowledged)
         target.is_full = False
         target.retry_at = 0.0
@@ -606,6 +614,7 @@
         self.log_target_event(
             "target replaced", target.record.target_id, target.record
         )
+        self.record_loss(target, LossState.CRASHED, now)
         self._drop_runs(target, "target_replaced", now)
         self.targets.pop(target.record.target_id, None)
         self.rebuild_index()
@@ -686,6 +695,7 @@
         """Drops all runs after the end of the lease, or checks each of them."""
         if now > target.lease_end:
             self._log_runs("lease ended", target, target.runs.values(), now)
+            self.record_loss(target, LossState.SILENT, now)
             self._drop_runs(target, "lease_ended", now)
             return
         for run in list(target.runs.values()):
--- a/anvilford/placement/_placer.py
+++ b/anvilford/placement/_placer.py
@@ -23,6 +23,8 @@
 from anvilford.placement._choice import AMPLE_FREE_SHARE
 from anvilford.placement._choice import choose_target
 from anvilford.placement._choice import waits_for_faster_target
+from anvilford.placement._crashes import CRASHES_TO_GIVE_UP
+from anvilford.placement._crashes import CrashHistory
 from anvilford.placement._fleet import Fleet
 from anvilford.placement._model import Offer
 from anvilford.placement._model import Outcome
@@ -80,6 +82,8 @@
         effects: Effects that have not been returned yet.
         event_delay: Time by which the owner handles events late, in seconds;
             set by `record_event_delay`.
+        crashes: Targets that were lost while they ran tasks. The process
+            keeps it when it stops leading.
         fleet: Targets and runs.
     """
 
@@ -89,6 +93,7 @@
         now: float,
         options: PlacementOptions,
         rng: random.Random,
+        crashes: CrashHistory | None = None,
     ):
         self.options = options
         self.rng = rng
@@ -96,8 +101,14 @@
         self.outcomes: dict[str, tuple[float, Outcome]] = {}
         self.effects: list[Effect] = []
         self.event_delay = 0.0
+        self.crashes = crashes or CrashHistory()
         self.fleet = Fleet(
-            fence, now, options, self.effects, self._handle_task_event
+            fence,
+            now,
+            options,
+            self.effects,
+            self._handle_task_event,
+            self.crashes,
         )
         self._waiting: dict[str, Job] = {}
         # Latest time at which each entry is known to have followed this placer.
@@ -143,9 +154,9 @@
             return
         job = self._create_job(offer, now)
         found = self.fleet.adopt_runs(job, now)
-        refusal = (
-            None if found or offer.again else self._check_admission(job, now)
-        )
+        self._update_held(job)
+        may_have_run = found or offer.again or job.has_lost_target
+        refusal = None if may_have_run else self._check_admission(job, now)
         if refusal is not None:
             self.effects.append(Settle(job.job_id, refusal))
             return
@@ -319,6 +330,7 @@
     def tick(self, now: float) -> None:
         """Handles timeouts; to be called every 20 ms while there are jobs."""
         self.fleet.tick(now)
+        self.crashes.drop_old_losses(now)
         for job in list(self._waiting.values()):
             self._end_if_too_late(job, now)
         self._drop_old_outcomes(now)
@@ -367,7 +379,7 @@
         waiting = [
             other
             for other in self._waiting.values()
-            if other.policy.service == service
+            if other.policy.service == service and not other.is_held
         ]
         forecast = admission.forecast_start(job, waiting, capacity, now)
         # One delay before the start, and one before the end is known.
@@ -406,6 +418,9 @@
         have no value. It ends as `REFUSED`, or as `LOST` if an earlier placer
         may have run its tasks.
         """
+        if job.has_lost_target:
+            self._end_if_hopeless(job, now)
+            return
         if job.started or job.open_tasks < len(job.tasks):
             if now > job.deadline:
                 self._end_job(job, Outcome(OutcomeKind.LOST, "deadline"), now)
@@ -441,6 +456,44 @@
         )
         self._end_job(job, outcome, now)
 
+    def _update_held(self, job: Job) -> None:
+        """Updates what the losses of targets mean for the waiting tasks.
+
+        A task under which so many targets were lost that it would be given up
+        if they had crashed does not start until that is known. The job cannot
+        be completed without it, so its other tasks do not start either.
+        """
+        job.has_lost_target = job.is_held = False
+        for task in job.waiting:
+            losses = self.crashes.count_losses(task.name)
+            task.has_lost_target = losses > 0
+            job.has_lost_target = job.has_lost_target or losses > 0
+            job.is_held = job.is_held or losses >= CRASHES_TO_GIVE_UP
+
+    def _end_if_hopeless(self, job: Job, now: float) -> None:
+        """Ends a job with lost targets if a task crashed them, or at its end.
+
+        It is never refused, since its tasks may have run.
+        """
+        self._update_held(job)
+        for task in job.waiting:
+            crashes = self.crashes.count_crashes(task.name)
+            if crashes >= CRASHES_TO_GIVE_UP:
+                self._log_decision(
+                    "task given up",
+                    job.job_id,
+                    {
+                        "task": task.key,
+                        "crashed_targets": crashes,
+                        "run": task.run,
+                    },
+                )
+                reason = "targets_crashed"
+                self._end_job(job, Outcome(OutcomeKind.FAILED, reason), now)
+                return
+        if now > job.deadline:
+            self._end_job(job, Outcome(OutcomeKind.LOST, "deadline"), now)
+
     def _earliest_start(self, job: Job, now: float) -> float:
         """Returns a lower bound on the start time of a waiting job.
 
@@ -460,6 +513,8 @@
             return
         jobs_by_service: dict[str, list[Job]] = {}
         for job in self._waiting.values():
+            if job.is_held:
+                continue
             may_run_elsewhere = job.unseen_runs_until or job.lease_ended_at
             if not may_run_elsewhere or not self._must_wait(job, now):
                 jobs_by_service.setdefault(job.policy.service, []).append(job)
@@ -636,6 +691,7 @@
         task.phase = TaskPhase.WAITING
         job.set_waiting([*job.waiting, task])
         self._waiting[job.job_id] = job
+        self._update_held(job)
         # A run that another placer started may have been found meanwhile.
         self._adopt_runs(job, now)
 
--- a/anvilford/placement/_state.py
+++ b/anvilford/placement/_state.py
@@ -38,6 +38,8 @@
         failures: Number of failed runs.
         run: Run number of the latest start.
         target_id: Id of the target of the latest start.
+        has_lost_target: True if a target was lost that may have run the task;
+            the task may be the cause.
     """
 
     job: "Job"
@@ -47,6 +49,7 @@
     failures: int = 0
     run: int = 0
     target_id: str = ""
+    has_lost_target: bool = False
 
     @functools.cached_property
     def name(self) -> str:
@@ -127,6 +130,9 @@
         waiting: Tasks without a run, as last set by `set_waiting`.
         open_tasks: Number of tasks that are not done.
         started: True once a run was started or adopted.
+        has_lost_target: True if a waiting task has one, as last updated.
+        is_held: True while no task starts because so many targets were lost
+            under one of them that it may have crashed them.
         objective: Latency for an answer of full value, in seconds.
         demand: Demand of the tasks in `waiting`.
         smallest_cpu: Fewest cores that a task in `waiting` requires, in
@@ -146,6 +152,8 @@
     waiting: list[Task] = attrs.field(factory=list)
     open_tasks: int = 0
     started: bool = False
+    has_lost_target: bool = False
+    is_held: bool = False
     objective: float = 0.0
     demand: Demand = Demand()
     smallest_cpu: int = 0
@@ -303,6 +311,8 @@
         reachable: False from the second of two consecutive failed polls until
             the next report.
         missed_polls: Number of failed polls since the last report.
+        isolated_job: Id of the job whose tasks may crash the target and have
+            it to themselves; empty if there is none.
     """
 
     record: TargetRecord
@@ -328,6 +338,7 @@
     last_end_at: float = 0.0
     reachable: bool = True
     missed_polls: int = 0
+    isolated_job: str = ""
 
     @property
     def has_claimed_runs(self) -> bool:
@@ -363,6 +374,8 @@
         if self.runs.get(run.task_name) is run:
             del self.runs[run.task_name]
             self.available = self.available.plus(run.need)
+            if not self.runs:
+                self.isolated_job = ""
 
     def record_clock(self, clock_ms: int, now: float) -> None:
         """Records the target's clock from an answer received at `now`."""
--- a/anvilford/placement/_target_list.py
+++ b/anvilford/placement/_target_list.py
@@ -3,6 +3,8 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 
+from anvilford.placement._crashes import CrashHistory
+from anvilford.placement._crashes import LossState
 from anvilford.placement._model import PlacementOptions
 from anvilford.placement._model import TargetRecord
 from anvilford.placement._orders import Decision
@@ -44,10 +46,15 @@
         targets: Targets by id.
         target_by_task: Target that may run a task, by task name.
         list_version: Highest row version seen in the platform's list.
+        crashes: Targets that were lost while they ran tasks.
     """
 
     def __init__(
-        self, now: float, options: PlacementOptions, effects: list[Effect]
+        self,
+        now: float,
+        options: PlacementOptions,
+        effects: list[Effect],
+        crashes: CrashHistory,
     ):
         self.started_at = now
         self.options = options
@@ -55,6 +62,7 @@
         self.targets: dict[str, Target] = {}
         self.target_by_task: dict[str, Target] = {}
         self.list_version = 0
+        self.crashes = crashes
         self._by_service: dict[str, list[Target]] = {}
 
     def targets_of_service(self, service: str) -> list[Target]:
@@ -188,6 +196,7 @@
             The target that replaces the old one.
         """
         self.log_target_event("target restarted", record.target_id, record)
+        self.record_loss(target, LossState.CRASHED, now)
         replacement = Target(
             record, record.capacity, lease_end=target.lease_end
         )
@@ -201,6 +210,16 @@
         self.rebuild_index()
         return replacement
 
+    def record_loss(self, target: Target, state: LossState, now: float) -> None:
+        """Records that a target was lost with all runs known to be there."""
+        self.crashes.record_loss(
+            target.record.target_id,
+            target.record.incarnation,
+            target.runs,
+            state,
+            now,
+        )
+
     def log_target_event(
         self,
         event: str,
--- a/anvilford/placement/tests/test_crashes.py
+++ b/anvilford/placement/tests/test_crashes.py
@@ -4,6 +4,7 @@
 
 from anvilford.order_model import PlacementSimulation
 from anvilford.placement import OutcomeKind
+from anvilford.placement import RunEnd
 from anvilford.placement.tests._shared import job
 from anvilford.placement.tests._shared import make_target
 from testkit import fixture
@@ -75,3 +76,78 @@
     site.run(20.0)
     case.assertLessEqual(count_starts(site, work), MAX_STARTS)
     case.assertIs(outcomes_of(site, work)[-1], OutcomeKind.FAILED)
+
+
+def crashes(site):
+    """Returns the names of the runs that each crash ended, in time order."""
+    broken = {}
+    for target in site.targets.values():
+        for at, task, _, how in target.ends:
+            if how is RunEnd.BROKEN:
+                broken.setdefault((at, target.record.target_id), []).append(
+                    task
+                )
+    return [broken[key] for key in sorted(broken)]
+
+
+def test_second_crash_takes_no_other_job_along(case, site):
+    """A task that may crash its target must not run beside other jobs."""
+    work = job(tasks=2)
+    others = [job(seconds=0.7, tasks=2) for _ in range(4)]
+    site.faults.deadly_jobs.add(work.job_id)
+    for other in others:
+        site.offer("p", other)
+    site.offer("p", work)
+    site.run(30.0)
+    case.assertEqual(outcomes_of(site, work), [OutcomeKind.FAILED])
+    for other in others:
+        case.assertEqual(outcomes_of(site, other), [OutcomeKind.COMPLETED])
+    case.assertEqual(len(crashes(site)), CRASHES_TO_GIVE_UP)
+    for names in crashes(site)[1:]:
+        case.assertTrue(all(name.startswith(work.job_id) for name in names))
+
+
+def test_wide_job_crashes_one_more_target(case, site):
+    """All tasks of a job may be deadly; each would crash a second target."""
+    work = job(tasks=8)
+    site.faults.deadly_jobs.add(work.job_id)
+    site.offer("p", work)
+    site.run(0.5)
+    at_first = len(crashes(site))
+    case.assertGreater(at_first, 1)
+    site.run(30.0)
+    case.assertEqual(len(crashes(site)), at_first + 1)
+    case.assertEqual(outcomes_of(site, work), [OutcomeKind.FAILED])
+
+
+def test_task_on_two_targets_that_were_cut_off_is_not_given_up(case, site):
+    """A target that was only silent must not count as crashed."""
+    work = job(seconds=2.0)
+    site.offer("p", work)
+    for until in (0.3, 2.0):
+        site.run(until)
+        used = [t for t in site.targets.values() if t.running]
+        site.faults.partitioned_pairs |= {
+            ("p", t.record.target_id) for t in used
+        }
+    site.run(4.0)
+    case.assertEqual(count_starts(site, work), 2)
+    site.faults.partitioned_pairs.clear()
+    site.run(10.0)
+    case.assertEqual(outcomes_of(site, work), [OutcomeKind.COMPLETED])
+    case.assertEqual(site.find_overlapping_tasks(), [])
+
+
+def test_job_after_lost_targets_is_never_refused(case, site):
+    """A caller must not be told that a job has not run whose targets crashed.
+
+    Its tasks have run there. A refusal would say that they never will.
+    """
+    work = job(seconds=0.05)
+    site.faults.deadly_jobs.add(work.job_id)
+    site.job_deadline_s = 1.5
+    for at in (0.1, 1.7, 3.3):
+        site.run(at)
+        site.offer("p", attrs.evolve(work, arrival_time=at))
+    site.run(10.0)
+    case.assertNotIn(OutcomeKind.REFUSED, outcomes_of(site, work))
