Report lost targets to all members, so that the next leader knows them

Cause: the history of crashes was the leader's alone and ended with it. Each process now keeps one history. The leader sends its changes, one message for each 50 ms in which targets were lost or came back, to the members that it serves, and hands the history to its placer when it leads. A target counts as silent when two polls in a row have failed, 20 to 100 ms after a crash, instead of a second later at the end of its lease, so that a leader that is killed in between has reported it. Messages grow with losses of targets, not with targets.

--- a/anvilford/node/_coordination.py
+++ b/anvilford/node/_coordination.py
@@ -32,11 +32,13 @@
 from anvilford.node._speed_row import SpeedRow
 from anvilford.node._sync import SiteView
 from anvilford.peers import PeerLinks
+from anvilford.placement import CrashHistory
 from anvilford.placement import TargetRecord
 from anvilford.protocol import Heartbeat
 from anvilford.protocol import HeartbeatReply
 from anvilford.protocol import LeaderAnnounced
 from anvilford.protocol import Message
+from anvilford.protocol import TargetLossReport
 from anvilford.telemetry import Counters
 
 HEARTBEAT_INTERVAL_S = 0.15
@@ -82,6 +84,8 @@
         counters: Receives counts.
         create_driver: Creates the driver of a new placer. Arguments are its
             fencing token and whether it serves only the local zone.
+        crashes: Targets that were lost while they ran tasks; its changes are
+            reported to the other members while this member leads.
         leader: Member that places jobs; None while it is not known.
         driver: Driver of this member's placer; None unless this member leads.
         is_stopping: True once a planned stop has begun; set by `EntryNode`.
@@ -105,6 +109,7 @@
         counters: Counters,
         create_driver: Callable[[int, bool], PlacerDriver],
         probe_other_zones: Callable[[], Awaitable[bool]],
+        crashes: CrashHistory,
     ):
         self.local_member = local_member
         self.links = links
@@ -113,6 +118,7 @@
         self.site = site
         self.counters = counters
         self.create_driver = create_driver
+        self.crashes = crashes
         self.leader: Leader | None = None
         self.driver: PlacerDriver | None = None
         self.is_stopping = False
@@ -564,7 +570,7 @@
             self._targets_in_scope(self.site.targets),
             self._targets_in_scope(self.site.recently_removed_targets()),
         )
-        self._announce(leader)
+        self._send_to_members(LeaderAnnounced(leader))
         self._speed_row_task = asyncio.ensure_future(
             self._load_speeds(self.driver)
         )
@@ -587,11 +593,12 @@
             self.speed_row.write(self.driver.measured_speeds())
         )
 
-    def _announce(self, leader: Leader) -> None:
-        """Announces the leader to the members that it serves."""
+    def _send_to_members(self, message: Message) -> None:
+        """Sends a message to the members that this leader serves."""
+        is_partial = self.leader.is_partial
         for member in self.membership.other_members:
-            if not leader.is_partial or member.zone == self.local_member.zone:
-                self.links.send(member.address, LeaderAnnounced(leader))
+            if not is_partial or member.zone == self.local_member.zone:
+                self.links.send(member.address, message)
 
     async def _lead_step(self) -> None:
         leader = self.leader
@@ -599,6 +606,8 @@
         if self.driver is None or self.leader != leader:
             return
         now = clock.now()
+        if losses := self.crashes.pop_changes():
+            self._send_to_members(TargetLossReport(losses))
         self._expire_members(now)
         if self.driver is None:
             return  # The member has stepped down after a suspension.
@@ -705,7 +714,7 @@
         self.driver.raise_fence(leader.fence)
         if not self._is_leading:
             return  # The member has stepped down after a suspension.
-        self._announce(leader)
+        self._send_to_members(LeaderAnnounced(leader))
         self._row_write_due_at = clock.now()
 
     def _expire_members(self, now: float) -> None:
--- a/anvilford/node/_driver.py
+++ b/anvilford/node/_driver.py
@@ -8,6 +8,7 @@
 
 from anvilford.node import _clock as clock
 from anvilford.placement import Accepted
+from anvilford.placement import CrashHistory
 from anvilford.placement import Decision
 from anvilford.placement import Effect
 from anvilford.placement import FenceLost
@@ -67,12 +68,15 @@
         counters: Counters,
         on_fence_lost: Callable[["PlacerDriver"], None],
         on_suspended: Callable[["PlacerDriver"], None],
+        crashes: CrashHistory,
     ):
         self.target_client = target_client
         self.counters = counters
         self.on_fence_lost = on_fence_lost
         self.on_suspended = on_suspended
-        self.placer = Placer(fence, clock.now(), options, random.Random())
+        self.placer = Placer(
+            fence, clock.now(), options, random.Random(), crashes
+        )
         self._waiters: dict[str, dict[str, asyncio.Future]] = {}
         self._order_tasks: set[asyncio.Task] = set()
         self._tick_timer: asyncio.TimerHandle | None = None
--- a/anvilford/node/_main.py
+++ b/anvilford/node/_main.py
@@ -36,6 +36,7 @@
 from anvilford.peers import PeerLimits
 from anvilford.peers import PeerLinks
 from anvilford.peers import PeerServer
+from anvilford.placement import CrashHistory
 from anvilford.placement import Offer
 from anvilford.placement import Outcome
 from anvilford.placement import OutcomeKind
@@ -47,6 +48,7 @@
 from anvilford.protocol import LeaderQuery
 from anvilford.protocol import Message
 from anvilford.protocol import require_acceleration
+from anvilford.protocol import TargetLossReport
 from anvilford.protocol import WithdrawJob
 from anvilford.telemetry import configure_logging
 from anvilford.telemetry import Counters
@@ -88,6 +90,8 @@
         settings: Settings; replaced when they are reloaded.
         settings_path: Path from which the settings are reloaded.
         counters: Counters and latencies of all components.
+        crashes: Targets that were lost while they ran tasks, as this entry or
+            the leaders that it followed have seen.
         is_stopping: True once a planned stop has begun.
         list_complete_at: Time of `clock.now` from which all targets removed
             from the list in the last `REMOVED_TARGET_RETENTION_S` are known.
@@ -97,6 +101,7 @@
         self.settings = settings
         self.settings_path = settings_path
         self.counters = Counters()
+        self.crashes = CrashHistory()
         self.is_stopping = False
         # Targets removed from the list before the start of this process are
         # unknown, so their retention time has to pass first.
@@ -158,6 +163,7 @@
             self.counters,
             self._create_driver,
             self._probe_other_zones,
+            self.crashes,
         )
         self.site.target_listeners.append(self.coordinator.update_targets)
         self.caller_handler = CallerRequestHandler(
@@ -229,6 +235,7 @@
             self.counters,
             self.coordinator.on_fence_lost,
             self.coordinator.on_suspended,
+            self.crashes,
         )
 
     async def _probe_other_zones(self) -> bool:
@@ -279,6 +286,9 @@
                 return await coordination.receive_query(member)
             case LeaderAnnounced(leader):
                 coordination.receive_announcement(leader)
+            case TargetLossReport(losses):
+                for loss in losses:
+                    self.crashes.apply(loss, clock.now())
             case WithdrawJob(job_id, entry):
                 if coordination.driver is not None:
                     coordination.driver.withdraw(job_id, entry, "caller_left")
--- a/anvilford/node/tests/test_coordination.py
+++ b/anvilford/node/tests/test_coordination.py
@@ -14,10 +14,14 @@
 from anvilford.node import _clock as clock
 from anvilford.node._coordination import LeadershipCoordinator
 from anvilford.node._search import MembershipView
+from anvilford.placement import CrashHistory
+from anvilford.placement import LossState
+from anvilford.placement import TargetLoss
 from anvilford.protocol import Heartbeat
 from anvilford.protocol import HeartbeatReply
 from anvilford.protocol import LeaderAnnounced
 from anvilford.protocol import LeaderQuery
+from anvilford.protocol import TargetLossReport
 from anvilford.telemetry import Counters
 from testkit import fixture
 from testkit import function_tests
@@ -37,10 +41,12 @@
 
     Attributes:
         disconnected: Addresses to which connections were closed.
+        sent: Addresses and contents of one-way messages.
     """
 
     def __init__(self):
         self.disconnected = []
+        self.sent = []
 
     async def call(self, address, message, timeout):
         """Answers a leader query to the live member; other calls fail."""
@@ -50,7 +56,8 @@
         return Error("unreachable")
 
     def send(self, address, message):
-        """Ignores a one-way message."""
+        """Records a one-way message."""
+        self.sent.append((address, message))
 
     def disconnect(self, address):
         """Records the address, as there are no connections."""
@@ -103,6 +110,7 @@
         Counters(),
         mock.Mock(name="make_driver", return_value=driver),
         _probe_other_zones,
+        CrashHistory(),
     )
 
 
@@ -434,3 +442,23 @@
 
     asyncio.run(scenario())
     case.assertIsNone(coordinator.driver)
+
+
+def test_members_learn_which_targets_the_leader_lost(case, coordinator):
+    """The successor of a leader must know the tasks that may crash targets.
+
+    It would start them again, as often as its predecessor did.
+    """
+
+    async def scenario():
+        coordinator.membership.members = (OTHER_MEMBER,)
+        coordinator._start_leading(Leader(2, LOCAL_MEMBER))
+        tasks = ("a.0.0.0",)
+        coordinator.crashes.record_loss("r1", 3, tasks, LossState.SILENT, 0.0)
+        await run_for(coordinator, 0.2)
+        report = TargetLossReport(
+            (TargetLoss("r1", 3, tasks, LossState.SILENT),)
+        )
+        case.assertIn((OTHER_MEMBER.address, report), coordinator.links.sent)
+
+    asyncio.run(scenario())
--- a/anvilford/node/tests/test_driver.py
+++ b/anvilford/node/tests/test_driver.py
@@ -9,6 +9,7 @@
 from anvilford.node._driver import PlacerDriver
 from anvilford.node._driver import SUSPENSION_THRESHOLD_S
 from anvilford.node._driver import TICK_INTERVAL_S
+from anvilford.placement import CrashHistory
 from anvilford.placement import JobSpec
 from anvilford.placement import Offer
 from anvilford.placement import OutcomeKind
@@ -38,6 +39,7 @@
         Counters(),
         on_fence_lost=mock.Mock(),
         on_suspended=lambda driver: driver.close(),
+        crashes=CrashHistory(),
     )
 
 
--- a/anvilford/order_model/_site.py
+++ b/anvilford/order_model/_site.py
@@ -14,6 +14,7 @@
 from anvilford.order_model._target import FakeTarget
 from anvilford.order_model._target import overlapping_tasks
 from anvilford.placement import Accepted
+from anvilford.placement import CrashHistory
 from anvilford.placement import Decision
 from anvilford.placement import FenceLost
 from anvilford.placement import NoAnswer
@@ -108,6 +109,7 @@
         name: str,
         fence: int,
         options: PlacementOptions | None = None,
+        crashes: CrashHistory | None = None,
     ) -> Placer:
         """Starts a placer and passes it the list of all targets.
 
@@ -115,12 +117,14 @@
             name: Name of the placer.
             fence: Fencing token that it sends to targets.
             options: Options of the placer; the defaults if None.
+            crashes: What it knows of lost targets; nothing if None.
         """
         placer = Placer(
             fence,
             self.now,
             options or PlacementOptions(),
             random.Random(self.rng.random()),
+            crashes,
         )
         self.placers[name] = placer
         self.list_targets(name)
--- a/anvilford/placement/_fleet.py
+++ b/anvilford/placement/_fleet.py
@@ -429,6 +429,9 @@
         target.retry_at = now + wait
         if target.reachable:
             target.reachable = False
+            # Recorded before the lease ends, so that the other members know it
+            # even if this leader ends as well.
+            self.record_loss(target, LossState.SILENT, now)
             self.log_target_event(
                 "target unreachable", target.record.target_id, target.record
             )
--- a/anvilford/placement/tests/test_crashes.py
+++ b/anvilford/placement/tests/test_crashes.py
@@ -3,6 +3,7 @@
 import attrs
 
 from anvilford.order_model import PlacementSimulation
+from anvilford.placement import CrashHistory
 from anvilford.placement import OutcomeKind
 from anvilford.placement import RunEnd
 from anvilford.placement.tests._shared import job
@@ -151,3 +152,31 @@
         site.offer("p", attrs.evolve(work, arrival_time=at))
     site.run(10.0)
     case.assertNotIn(OutcomeKind.REFUSED, outcomes_of(site, work))
+
+
+def test_leaders_killed_in_series_start_a_deadly_task_no_more_often(case):
+    """Each new leader must go on with the history of the one before.
+
+    Each is killed 0.2 s after a target crashed, before the lease there ends.
+    """
+    site = PlacementSimulation([make_target(f"t{n:02}") for n in range(12)])
+    site.job_deadline_s = LONG_DEADLINE_S
+    work = job()
+    site.faults.deadly_jobs.add(work.job_id)
+    reported = []
+    for term in range(1, 8):
+        name = f"p{term}"
+        history = CrashHistory()
+        for loss in reported:
+            history.apply(loss, site.now)
+        site.add_placer(name, term, crashes=history)
+        site.run(site.now + 0.1)
+        crashes_before = len(crashes(site))
+        site.offer(name, work, again=term > 1, placed_is_known=term == 1)
+        end = site.now + 4.0
+        while len(crashes(site)) == crashes_before and site.now < end:
+            site.run(site.now + 0.05)
+        site.run(site.now + 0.2)
+        reported += history.pop_changes()
+        site.remove_placer(name)
+    case.assertLessEqual(count_starts(site, work), CRASHES_TO_GIVE_UP)
--- a/anvilford/protocol/__init__.py
+++ b/anvilford/protocol/__init__.py
@@ -28,6 +28,7 @@
 from anvilford.protocol._messages import Message
 from anvilford.protocol._messages import RequestKind
 from anvilford.protocol._messages import Successor
+from anvilford.protocol._messages import TargetLossReport
 from anvilford.protocol._messages import VmInfo
 from anvilford.protocol._messages import VmRole
 from anvilford.protocol._messages import VmState
@@ -59,6 +60,7 @@
     "Message",
     "RequestKind",
     "Successor",
+    "TargetLossReport",
     "VmInfo",
     "VmRole",
     "VmState",
--- a/anvilford/protocol/_messages.py
+++ b/anvilford/protocol/_messages.py
@@ -11,6 +11,7 @@
 from anvilford.model import Incarnation
 from anvilford.placement import Offer
 from anvilford.placement import Outcome
+from anvilford.placement import TargetLoss
 
 
 class VmRole(enum.IntEnum):
@@ -383,6 +384,19 @@
     leader: Leader
 
 
+@attrs.frozen
+class TargetLossReport:
+    """Tells the members which targets the leader has lost or found again.
+
+    Any of them may lead next, and has to know the tasks that may crash targets.
+
+    Attributes:
+        losses: Losses that are new or have changed.
+    """
+
+    losses: tuple[TargetLoss, ...]
+
+
 # Every message that an `Envelope` can hold.
 Message = (
     Hello
@@ -403,4 +417,5 @@
     | LeaderQuery
     | Opinion
     | LeaderAnnounced
+    | TargetLossReport
 )
--- a/anvilford/protocol/_specs.py
+++ b/anvilford/protocol/_specs.py
@@ -27,6 +27,7 @@
 from anvilford.placement import QueuePolicy
 from anvilford.placement import Resources
 from anvilford.placement import StepSpec
+from anvilford.placement import TargetLoss
 from anvilford.protocol import _messages
 from anvilford.protocol.wire import ttypes
 
@@ -48,6 +49,7 @@
         QueuePolicy,
         Resources,
         StepSpec,
+        TargetLoss,
     )
 }
 
--- a/anvilford/protocol/anvilford.thrift
+++ b/anvilford/protocol/anvilford.thrift
@@ -194,6 +194,23 @@
   5: required list<string> placed
 }
 
+enum LossState {
+  SILENT = 1
+  CRASHED = 2
+  RETURNED = 3
+}
+
+struct TargetLoss {
+  1: required string target_id
+  2: required i64 incarnation
+  3: required list<string> tasks
+  4: required LossState state
+}
+
+struct TargetLossReport {
+  1: required list<TargetLoss> losses
+}
+
 struct WithdrawJob {
   1: required string job_id
   2: required string entry
@@ -272,4 +289,5 @@
   25: optional LeaderQuery leader_query
   26: optional Opinion opinion
   27: optional LeaderAnnounced leader_announced
+  28: optional TargetLossReport target_loss_report
 }
--- a/anvilford/protocol/tests/test_codec.py
+++ b/anvilford/protocol/tests/test_codec.py
@@ -11,6 +11,8 @@
 
 from anvilford import protocol
 from anvilford.model import Incarnation
+from anvilford.placement import LossState
+from anvilford.placement import OutcomeKind
 from anvilford.protocol.wire import ttypes
 from testkit import function_tests
 
@@ -88,7 +90,13 @@
     Both define the enums; a value added to only one would be rejected or
     misread by the receiver.
     """
-    for cls in (protocol.VmRole, protocol.VmState, protocol.RequestKind):
+    for cls in (
+        protocol.VmRole,
+        protocol.VmState,
+        protocol.RequestKind,
+        LossState,
+        OutcomeKind,
+    ):
         wire = getattr(ttypes, cls.__name__)
         case.assertEqual(wire._NAMES_TO_VALUES, {m.name: m.value for m in cls})
 
--- a/anvilford/protocol/wire/ttypes.py
+++ b/anvilford/protocol/wire/ttypes.py
@@ -92,6 +92,24 @@
     }
 
 
+class LossState(TBase):
+    SILENT = 1
+    CRASHED = 2
+    RETURNED = 3
+
+    _VALUES_TO_NAMES = {
+        1: "SILENT",
+        2: "CRASHED",
+        3: "RETURNED",
+    }
+
+    _NAMES_TO_VALUES = {
+        "SILENT": 1,
+        "CRASHED": 2,
+        "RETURNED": 3,
+    }
+
+
 class Incarnation(TBase):
     """
     Attributes:
@@ -757,6 +775,58 @@
         return not (self == other)
 
 
+class TargetLoss(TBase):
+    """
+    Attributes:
+     - target_id
+     - incarnation
+     - tasks
+     - state
+
+    """
+
+
+    def __init__(self, target_id=None, incarnation=None, tasks=None, state=None,):
+        self.target_id = target_id
+        self.incarnation = incarnation
+        self.tasks = tasks
+        self.state = state
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class TargetLossReport(TBase):
+    """
+    Attributes:
+     - losses
+
+    """
+
+
+    def __init__(self, losses=None,):
+        self.losses = losses
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class WithdrawJob(TBase):
     """
     Attributes:
@@ -1010,11 +1080,12 @@
      - leader_query
      - opinion
      - leader_announced
+     - target_loss_report
 
     """
 
 
-    def __init__(self, request_id=None, is_reply=None, hello=None, forward_submission=None, forward_reply=None, gossip=None, load_report=None, configuration_request=None, configuration_reply=None, handover_chunk=None, handover_seal=None, handover_ack=None, offer=None, outcome=None, withdraw_job=None, heartbeat=None, heartbeat_reply=None, leader_query=None, opinion=None, leader_announced=None,):
+    def __init__(self, request_id=None, is_reply=None, hello=None, forward_submission=None, forward_reply=None, gossip=None, load_report=None, configuration_request=None, configuration_reply=None, handover_chunk=None, handover_seal=None, handover_ack=None, offer=None, outcome=None, withdraw_job=None, heartbeat=None, heartbeat_reply=None, leader_query=None, opinion=None, leader_announced=None, target_loss_report=None,):
         self.request_id = request_id
         self.is_reply = is_reply
         self.hello = hello
@@ -1035,6 +1106,7 @@
         self.leader_query = leader_query
         self.opinion = opinion
         self.leader_announced = leader_announced
+        self.target_loss_report = target_loss_report
 
     def __repr__(self):
         L = ['%s=%r' % (key, value)
@@ -1231,6 +1303,19 @@
     (4, TType.LIST, 'done', (TType.STRING, 'UTF8', False), None, ),  # 4
     (5, TType.LIST, 'placed', (TType.STRING, 'UTF8', False), None, ),  # 5
 )
+all_structs.append(TargetLoss)
+TargetLoss.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'target_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'incarnation', None, None, ),  # 2
+    (3, TType.LIST, 'tasks', (TType.STRING, 'UTF8', False), None, ),  # 3
+    (4, TType.I32, 'state', None, None, ),  # 4
+)
+all_structs.append(TargetLossReport)
+TargetLossReport.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'losses', (TType.STRUCT, [TargetLoss, None], False), None, ),  # 1
+)
 all_structs.append(WithdrawJob)
 WithdrawJob.thrift_spec = (
     None,  # 0
@@ -1324,6 +1409,7 @@
     (25, TType.STRUCT, 'leader_query', [LeaderQuery, None], None, ),  # 25
     (26, TType.STRUCT, 'opinion', [Opinion, None], None, ),  # 26
     (27, TType.STRUCT, 'leader_announced', [LeaderAnnounced, None], None, ),  # 27
+    (28, TType.STRUCT, 'target_loss_report', [TargetLossReport, None], None, ),  # 28
 )
 fix_spec(all_structs)
 del all_structs
