Do not poll a replaced target again for its old row in the list

Cause: a target at whose address another process answers was dropped, and added again with the next copy of the list, four times a second, until the store removed its row (9 s for i-6a876a1f27). The incarnations that were replaced are remembered for as long as the list or the recently removed rows show them.

test_replaced_target_is_not_polled_again_for_its_old_row failed before: 16 times in 4 s, once now.

--- a/anvilford/placement/_fleet.py
+++ b/anvilford/placement/_fleet.py
@@ -619,8 +619,7 @@
         )
         self.record_loss(target, LossState.CRASHED, now)
         self._drop_runs(target, "target_replaced", now)
-        self.targets.pop(target.record.target_id, None)
-        self.rebuild_index()
+        self.drop_replaced(target)
 
     def _drop_runs(self, target: Target, cause: str, now: float) -> None:
         for run in list(target.runs.values()):
--- a/anvilford/placement/_target_list.py
+++ b/anvilford/placement/_target_list.py
@@ -64,6 +64,9 @@
         self.list_version = 0
         self.crashes = crashes
         self._by_service: dict[str, list[Target]] = {}
+        # Incarnation by id of targets at whose address another process answers.
+        # The platform's list may show them for some seconds more.
+        self._replaced: dict[str, int] = {}
 
     def targets_of_service(self, service: str) -> list[Target]:
         """Returns the targets that run tasks of a service."""
@@ -143,6 +146,7 @@
                 seconds.
             now: Current time in seconds.
         """
+        records, dropped = self._without_replaced(records, dropped)
         for record in dropped:
             if record.target_id not in self.targets:
                 self.targets[record.target_id] = Target(
@@ -170,6 +174,36 @@
                 )
         self.rebuild_index()
 
+    def drop_replaced(self, target: Target) -> None:
+        """Removes a target at whose address another process answers."""
+        target_id = target.record.target_id
+        self._replaced[target_id] = target.record.incarnation
+        self.targets.pop(target_id, None)
+        self.rebuild_index()
+
+    def _without_replaced(
+        self, *lists: Iterable[TargetRecord]
+    ) -> list[list[TargetRecord]]:
+        """Returns the lists without records of processes that are gone.
+
+        Forgets replaced targets that are in none of the lists.
+        """
+        lists = [list(records) for records in lists]
+        ids = {record.target_id for records in lists for record in records}
+        self._replaced = {
+            target_id: incarnation
+            for target_id, incarnation in self._replaced.items()
+            if target_id in ids
+        }
+        return [
+            [
+                record
+                for record in records
+                if record.incarnation > self._replaced.get(record.target_id, -1)
+            ]
+            for records in lists
+        ]
+
     def _update_record(self, target: Target, record: TargetRecord) -> None:
         old = target.record
         target.listed = True
--- a/anvilford/placement/tests/test_placer.py
+++ b/anvilford/placement/tests/test_placer.py
@@ -435,3 +435,28 @@
     site.offer("p", second)
     site.run(6.0)
     case.assertIs(outcome_kinds(site)[second.job_id], OutcomeKind.COMPLETED)
+
+
+def test_replaced_target_is_not_polled_again_for_its_old_row(case, site):
+    """The list may show a target for seconds after its process was replaced.
+
+    With each copy of the list it was added, polled and dropped again.
+    """
+    site.targets["t1"].restart(5000, site.now)
+    old = make_target("t1").record
+    rest = [site.targets["t2"].record]
+    placer = site.placers["p"]
+    site.offer("p", job(seconds=0.5, tasks=4))
+    site.run(1.0)
+    before = len(site.decisions)
+    for _ in range(8):
+        placer.apply_target_list([old, *rest], [], site.now)
+        site.run(site.now + 0.25)
+        placer.apply_target_list(rest, [old], site.now)
+        site.run(site.now + 0.25)
+    events = [d.event for d in site.decisions[before:]]
+    case.assertLessEqual(events.count("target replaced"), 1)
+    case.assertNotIn("t1", placer.fleet.targets)
+    placer.apply_target_list([site.targets["t1"].record, *rest], [], site.now)
+    site.run(site.now + 0.1)
+    case.assertIn("t1", placer.fleet.targets)
