Count the failed runs of one job once against a target

What callers saw: refusals with targets free while jobs came that can never be done.

The failed runs of one job count once for a target until it completes a run, and those of a task that failed elsewhere before not at all. Stalled runs and refused starts count as before. test_jobs_that_fail_everywhere_suspend_no_target failed before.

--- a/anvilford/order_model/_site.py
+++ b/anvilford/order_model/_site.py
@@ -55,6 +55,7 @@
             each other.
         silent_placers: Names of placers that the entry does not reach.
         deadly_jobs: Ids of jobs whose tasks crash each target that starts them.
+        hopeless_jobs: Ids of jobs whose tasks fail on each target.
     """
 
     delayed_order_share: float = 0.0
@@ -62,6 +63,7 @@
     partitioned_pairs: set[tuple[str, str]] = attrs.field(factory=set)
     silent_placers: set[str] = attrs.field(factory=set)
     deadly_jobs: set[str] = attrs.field(factory=set)
+    hopeless_jobs: set[str] = attrs.field(factory=set)
 
 
 class PlacementSimulation:
@@ -297,8 +299,10 @@
         match order:
             case StartRun(task=task):
                 need, seconds = self.task_demands[task]
-                answer = target.start(order, need, seconds, self.now)
-                is_deadly = task.partition(".")[0] in self.faults.deadly_jobs
+                job_id = task.partition(".")[0]
+                fails = job_id in self.faults.hopeless_jobs
+                answer = target.start(order, need, seconds, self.now, fails)
+                is_deadly = job_id in self.faults.deadly_jobs
                 if is_deadly and isinstance(answer, Accepted):
                     self._crash(target, [[name, order]])
                     return
--- a/anvilford/order_model/_target.py
+++ b/anvilford/order_model/_target.py
@@ -40,6 +40,7 @@
         need: Resources that the run uses.
         started_at: Time of the start, in seconds.
         run_time_s: Time that the run takes at the target's speed, in seconds.
+        fails: True if the run fails at its end.
         stopped_at: Time at which a requested stop takes effect.
     """
 
@@ -47,6 +48,7 @@
     need: Resources
     started_at: float
     run_time_s: float
+    fails: bool = False
     stopped_at: float = math.inf
 
 
@@ -106,7 +108,8 @@
             elif work.stopped_at <= min(now, done, lease_end):
                 self._end_run(task, RunEnd.STOPPED, work.stopped_at)
             elif done <= min(now, lease_end):
-                self._end_run(task, RunEnd.DONE, done)
+                how = RunEnd.FAILED if work.fails else RunEnd.DONE
+                self._end_run(task, how, done)
             elif lease_end <= now:
                 self._end_run(task, RunEnd.LAPSED, lease_end)
 
@@ -151,7 +154,12 @@
         return work.started_at + work.run_time_s
 
     def start(
-        self, order: StartRun, need: Resources, seconds: float, now: float
+        self,
+        order: StartRun,
+        need: Resources,
+        seconds: float,
+        now: float,
+        fails: bool = False,
     ) -> OrderAnswer:
         """Handles a request to start a run.
 
@@ -160,6 +168,7 @@
             need: Resources that the task uses.
             seconds: Run time of the task at speed 1.
             now: Time of the request.
+            fails: True if the run fails at its end.
         """
         self.advance(now)
         refusal = self._check_order(order.fence, order.incarnation)
@@ -183,7 +192,7 @@
         if not need.fits_in(self.record.capacity.minus(used)):
             return Refused(Refusal.NO_ROOM, clock)
         self.running[order.task] = _RunningWork(
-            order.run, need, now, seconds / self.speed
+            order.run, need, now, seconds / self.speed, fails
         )
         self.starts.append((now, order.task, order.run))
         return Accepted(clock)
--- a/anvilford/placement/_fleet.py
+++ b/anvilford/placement/_fleet.py
@@ -346,7 +346,7 @@
             target.is_full = True
             self._send_poll(target, now, is_probe=True)
         if reason in (Refusal.UNHEALTHY, Refusal.INVALID, Refusal.TICKET):
-            self._record_failure(target, "start_" + reason, now)
+            self._record_failure(target, run.task_name, "start_" + reason, now)
         self._finish_run(target, run, "refused_" + reason, now)
         task = run.task
         if (
@@ -516,7 +516,7 @@
         elif run.phase is RunPhase.RUNNING and health.is_stalled(run, now):
             # Checked only on reports: without them, a run that progresses
             # cannot be distinguished from a stalled one.
-            self._record_failure(target, "run_stalled", now)
+            self._record_failure(target, run.task_name, "run_stalled", now)
             self._stop_run(target, run, now)
 
     def _apply_end(
@@ -534,8 +534,14 @@
         stopping = run.phase in (RunPhase.STOPPING, RunPhase.STOPPED)
         if ended_run.end is RunEnd.DONE:
             health.record_success(target, run, now)
-        elif ended_run.end is RunEnd.FAILED and not stopping:
-            self._record_failure(target, "run_failed", now)
+        elif (
+            ended_run.end is RunEnd.FAILED
+            and not stopping
+            and run.task is not None
+            and not run.task.failures
+        ):
+            job_id = run.task.job.job_id
+            self._record_failure(target, job_id, "run_failed", now)
         self._finish_run(target, run, ended_run.end.value, now)
 
     def _apply_absence(
@@ -625,14 +631,23 @@
         for run in list(target.runs.values()):
             self._finish_run(target, run, cause, now)
 
-    def _record_failure(self, target: Target, cause: str, now: float) -> None:
-        """Counts a failure of a target and logs a resulting suspension."""
+    def _record_failure(
+        self, target: Target, failed: str, cause: str, now: float
+    ) -> None:
+        """Counts a failure of a target and logs a resulting suspension.
+
+        Args:
+            target: The target.
+            failed: Job or task that failed, as for `health.record_failure`.
+            cause: How it failed, for the log.
+            now: Current time in seconds.
+        """
         peers = self.targets_of_service(target.record.service)
-        if health.record_failure(target, peers, now):
+        if health.record_failure(target, failed, peers, now):
             fields = {
                 "target": target.record.target_id,
                 "cause": cause,
-                "strikes": target.consecutive_failures,
+                "strikes": len(target.recent_failures),
                 "for_ms": int((target.suspended_until - now) * 1000),
             }
             self.effects.append(Decision("target suspended", "", fields))
--- a/anvilford/placement/_health.py
+++ b/anvilford/placement/_health.py
@@ -21,7 +21,8 @@
 # Bounds of the estimated speed; 1 matches the estimates of the jobs.
 SPEED_RANGE = (0.05, 8.0)
 # Number of consecutive failures that suspends a target. One in 500 tasks fails
-# for reasons of its own, so two in a row are rarely a coincidence.
+# for reasons of its own, so two in a row are rarely a coincidence. The runs of
+# one job count as one failure, and a task that failed before as none.
 FAILURES_TO_SUSPEND = 2
 # Length of the first suspension; doubles with each further failure.
 SUSPENSION_S = 1.0
@@ -41,7 +42,7 @@
     The speed is a geometric moving average of the ratio of estimated to
     measured run time.
     """
-    target.consecutive_failures = 0
+    target.recent_failures.clear()
     if run.task is None or not run.confirmed_at:
         return
     seconds = max(now - run.confirmed_at, 0.002)
@@ -62,27 +63,30 @@
 
 
 def record_failure(
-    target: Target, peers: Collection[Target], now: float
+    target: Target, failed: str, peers: Collection[Target], now: float
 ) -> bool:
     """Counts a failure and suspends the target after consecutive ones.
 
     Args:
         target: Target on which the failure occurred.
+        failed: Id of the job if a run reported its failure, as its tasks may
+            be the cause and then fail together; otherwise name of the task.
         peers: All targets of the service, including `target`.
         now: Current time in seconds.
 
     Returns:
         True if this failure suspended the target.
     """
-    target.consecutive_failures += 1
-    if target.consecutive_failures < FAILURES_TO_SUSPEND:
+    if failed in target.recent_failures:
+        return False
+    target.recent_failures.add(failed)
+    failures = len(target.recent_failures)
+    if failures < FAILURES_TO_SUSPEND:
         return False
     suspended = sum(1 for peer in peers if peer.suspended_until > now)
     if suspended + 1 > MAX_SUSPENDED_SHARE * len(peers):
         return False
-    length = SUSPENSION_S * 2.0 ** (
-        target.consecutive_failures - FAILURES_TO_SUSPEND
-    )
+    length = SUSPENSION_S * 2.0 ** (failures - FAILURES_TO_SUSPEND)
     target.suspended_until = now + min(length, MAX_SUSPENSION_S)
     return True
 
--- a/anvilford/placement/_state.py
+++ b/anvilford/placement/_state.py
@@ -301,7 +301,8 @@
         speed: Estimated speed; a task takes its estimated run time divided by
             this.
         speed_samples: Number of completed runs in `speed`.
-        consecutive_failures: Number of failures since the last completed run.
+        recent_failures: Ids of the jobs of which runs failed since the last
+            completed run, and names of the tasks that failed otherwise.
         suspended_until: Time before which no task may start, after failures.
         is_full: True from a start refused for lack of resources until the next
             report.
@@ -330,7 +331,7 @@
     last_contact_at: float = 0.0
     speed: float = 1.0
     speed_samples: int = 0
-    consecutive_failures: int = 0
+    recent_failures: set[str] = attrs.field(factory=set)
     suspended_until: float = 0.0
     is_full: bool = False
     listed: bool = True
--- a/anvilford/placement/tests/test_placer.py
+++ b/anvilford/placement/tests/test_placer.py
@@ -460,3 +460,24 @@
     placer.apply_target_list([site.targets["t1"].record, *rest], [], site.now)
     site.run(site.now + 0.1)
     case.assertIn("t1", placer.fleet.targets)
+
+
+def test_jobs_that_fail_everywhere_suspend_no_target(case):
+    """A sound target must not be suspended for the failures of one job.
+
+    The tasks of a job that can never be done fail together on a target, and
+    again on the next one. Suspended targets serve nobody for a second or more.
+    """
+    site = PlacementSimulation([make_target(f"t{n}") for n in range(6)])
+    site.add_placer("p", 1)
+    for n in range(4):
+        at = 0.2 + n
+        hopeless = job(seconds=0.05, tasks=8, at=at)
+        site.faults.hopeless_jobs.add(hopeless.job_id)
+        site.schedule(at, site.offer, "p", hopeless)
+        for k in range(12):
+            sound = job(seconds=0.05, at=at + 0.5 + k / 50)
+            site.schedule(sound.arrival_time, site.offer, "p", sound)
+    site.run(6.0)
+    events = [d.event for d in site.decisions]
+    case.assertNotIn("target suspended", events)
