Soak: large configurations on slow links, and jobs that crash targets

It now writes configurations of 4,200 routes while the link to the store carries 0.95 MB/s for each entry, and checks at the end that every entry uses such a configuration within 3 s (the users' bound). It submits jobs that crash each target that starts them, resubmits them after a 504, and checks that no task of them starts more than five times and that a job is answered as failed only after two crashes under one of its tasks.

--- a/standins/runner.py
+++ b/standins/runner.py
@@ -29,13 +29,18 @@
 }
 # Interval at which an open poll checks whether a run has ended.
 POLL_CHECK_INTERVAL_S = 0.005
+CRASH_TIME_S = 1.5
+# An answer is withheld for this long, which is beyond the timeouts of entries.
+WITHHELD_S = 30.0
 
 
 class FakeTargetServer:
     """Serves a `FakeTarget` over HTTP; an async context manager.
 
     The spec of a task names its run time in seconds and its CPU demand in
-    thousandths of a core: {"seconds": 0.05, "cpu": 6800}.
+    thousandths of a core: {"seconds": 0.05, "cpu": 6800}. With "deadly": true it
+    crashes the target, which is silent for `CRASH_TIME_S` and then registers
+    as a new incarnation.
 
     Attributes:
         name: VM id of the target.
@@ -46,8 +51,7 @@
         target: Simulated target that runs the tasks and records them; set on
             entry.
         address: "IP:port"; set on entry.
-        drop_every: If n > 0, every n-th answer is withheld for 30 s, which is
-            beyond the timeouts of entries.
+        drop_every: If n > 0, every n-th answer is withheld.
     """
 
     def __init__(self, name: str, zone: str, service: str, cpu: int = 16000):
@@ -58,6 +62,8 @@
         self.name = name
         self.drop_every = 0
         self._orders = 0
+        self._store: RowStore | None = None
+        self._tasks: set[asyncio.Task] = set()
         self._listener = HttpListener(
             "127.0.0.1:0", self._handle, ListenerLimits()
         )
@@ -83,6 +89,8 @@
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
+        for task in self._tasks:
+            task.cancel()
         await self._listener.__aexit__(*exc_info)
 
     def restart(self) -> None:
@@ -93,6 +101,7 @@
 
     def register(self, store: RowStore, state: str = "ready") -> None:
         """Writes the target's row to the store."""
+        self._store = store
         store.put(
             "servers",
             self.name,
@@ -117,6 +126,8 @@
             return Response(421)
         body = json.loads(request.body or b"{}")
         now = time.monotonic()
+        if self.target.is_down:
+            await asyncio.sleep(WITHHELD_S)
         match request.target:
             case "/v1/run-start":
                 answer = self._start(body, now)
@@ -134,8 +145,9 @@
             case _:
                 return Response(404)
         self._orders += 1
-        if self.drop_every and self._orders % self.drop_every == 0:
-            await asyncio.sleep(30.0)
+        is_dropped = self.drop_every and self._orders % self.drop_every == 0
+        if is_dropped or self.target.is_down:
+            await asyncio.sleep(WITHHELD_S)
         return self._respond(answer)
 
     def _start(self, body: dict, now: float):
@@ -150,7 +162,19 @@
             body.get("fencing_token", 0),
         )
         need = Resources(spec["cpu"], 64)
-        return self.target.start(order, need, spec["seconds"], now)
+        answer = self.target.start(order, need, spec["seconds"], now)
+        if spec.get("deadly") and isinstance(answer, Accepted):
+            self.target.crash(now)
+            task = asyncio.ensure_future(self._come_back())
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        return answer
+
+    async def _come_back(self) -> None:
+        await asyncio.sleep(CRASH_TIME_S)
+        self.restart()
+        if self._store is not None:
+            self.register(self._store)
 
     async def _poll(self, body: dict):
         order = Poll(
@@ -167,6 +191,7 @@
         while (
             isinstance(answer, Report)
             and not answer.ended
+            and not self.target.is_down
             and time.monotonic() < end
         ):
             await asyncio.sleep(POLL_CHECK_INTERVAL_S)
--- a/standins/site.py
+++ b/standins/site.py
@@ -16,6 +16,7 @@
 import sys
 import tempfile
 import time
+from collections.abc import Iterable
 
 import attrs
 
@@ -162,8 +163,16 @@
     async def __aexit__(self, *exc_info: object) -> None:
         await self._stack.aclose()
 
-    def put_configuration(self, version: int, prefix: str = "/jobs/") -> None:
-        """Writes a configuration with one queue to the store."""
+    def put_configuration(
+        self, version: int, prefix: str = "/jobs/", more: Iterable[str] = ()
+    ) -> None:
+        """Writes a configuration to the store.
+
+        Args:
+            version: Version of the configuration.
+            prefix: Path prefix of the queue.
+            more: Path prefixes of further routes to the same queue.
+        """
         self.store.put(
             "op",
             "config",
@@ -173,7 +182,7 @@
                     {
                         "name": "jobs",
                         "host": HOST,
-                        "path_prefix": prefix,
+                        "path_prefix": path_prefix,
                         "service": SERVICE,
                         "priority": 0,
                         "max_attempts": 3,
@@ -181,6 +190,7 @@
                         "target_latency_ms": 500,
                         "timeout_ms": 5000,
                     }
+                    for path_prefix in (prefix, *more)
                 ],
                 "services": [],
                 "limits": {},
@@ -252,6 +262,17 @@
             f"Host: {HOST}\r\nX-Anvilford-Deadline-Ms: {int(timeout * 1000)}\r\n",
         )
 
+    async def has_route(self, entry: str, prefix: str) -> bool:
+        """Returns whether an entry has a queue for a path prefix."""
+        answer = await self.http.call(
+            self.entries[entry].caller_address,
+            f"GET {prefix}",
+            b"",
+            1.0,
+            f"Host: {HOST}\r\n",
+        )
+        return isinstance(answer, ClientResponse) and answer.status == 200
+
     def find_overlapping_tasks(self) -> list[str]:
         """Returns the tasks of which two runs overlapped in time."""
         targets = [server.target for server in self.targets]
--- a/testkit/soak/_run.py
+++ b/testkit/soak/_run.py
@@ -7,6 +7,9 @@
 - All tasks of a job that was answered as completed have run to their end.
 - No task of a job starts if all its submissions were refused (429 or 503).
 - Every entry serves requests again within `RECOVERY_LIMIT_S` of the faults.
+- After that, every entry uses a new configuration within `APPLY_LIMIT_S`.
+- A job is answered as failed only if a task of it has crashed two targets, and
+  no task that crashes targets is started more than `MAX_DEADLY_STARTS` times.
 
 `python -m testkit.soak --seed N` repeats a seed: it chooses the same faults and
 jobs, while the timing remains that of real processes.
@@ -15,10 +18,13 @@
 import asyncio
 import collections
 import contextlib
+import json
+import math
 import random
 import signal
 import time
 from collections.abc import Callable
+from collections.abc import Iterable
 
 import attrs
 
@@ -33,6 +39,17 @@
 # Every entry must serve requests again within this time after the faults.
 RECOVERY_LIMIT_S = 8.0
 JOB_TIMEOUT_S = 3.0
+# Every entry must use a new configuration within this time, as on the users' sites
+# with small links.
+APPLY_LIMIT_S = 3.0
+# Bandwidth of the link to the store, in bytes per second, while it is slow, and
+# number of routes that take longer than a second on it.
+SLOW_LINK_BYTES_PER_S = 950_000
+MANY_ROUTES = 4200
+# The platform allows that a task crashes three targets and starts twice more.
+MAX_DEADLY_STARTS = 5
+# The platform allows to give up a task under which this many targets crashed.
+CRASHES_TO_GIVE_UP = 2
 # HTTP statuses of jobs that were refused before any task started.
 REFUSAL_STATUSES = (429, 503)
 
@@ -85,6 +102,7 @@
         store_link: Proxy between the entries and the store.
         target_links: Proxy between the entries and each target.
         was_only_refused: By job id, whether all submissions were refused.
+        deadly_jobs: Ids of the jobs whose tasks crash targets.
         started: Monotonic time of the start of the load.
     """
 
@@ -96,6 +114,7 @@
         self.store_link: Proxy | None = None
         self.target_links: list[Proxy] = []
         self.was_only_refused: dict[str, bool] = {}
+        self.deadly_jobs: list[str] = []
         self.started = time.monotonic()
 
     # Callers.
@@ -123,7 +142,9 @@
             status = answer.status if isinstance(answer, ClientResponse) else 0
             self.report.status_counts[status] += 1
             only_refused = only_refused and status in REFUSAL_STATUSES
-            if status == 200:
+            if status == 200 and b"failed" in answer.body:
+                self.check_failed_job(job)
+            elif status == 200:
                 self.check_completed_job(job, tasks)
             if status not in (0, 502, 504):
                 break
@@ -146,6 +167,43 @@
                 f"its {tasks} tasks ran to their end"
             )
 
+    def check_failed_job(self, job: str) -> None:
+        """Checks that two targets crashed while they ran a task of a job."""
+        broken = collections.Counter(
+            task
+            for target in self.site.targets
+            for _, task, _, how in target.target.ends
+            if how.value == "broken" and task.startswith(job)
+        )
+        if max(broken.values(), default=0) < CRASHES_TO_GIVE_UP:
+            self.add_violation(f"job {job} was answered as failed")
+
+    async def submit_deadly_jobs(self, end: float) -> None:
+        """Submits jobs that crash targets until a monotonic time.
+
+        Like `shift_clocks`, it uses a random source of its own.
+        """
+        rng = random.Random(f"deadly {self.report.seed}")
+        calls = []
+        while time.monotonic() < end - JOB_TIMEOUT_S:
+            await asyncio.sleep(rng.uniform(2.0, 6.0))
+            name = rng.choice(list(self.site.entries))
+            calls.append(asyncio.ensure_future(self.submit_deadly_job(name)))
+        await asyncio.gather(*calls)
+
+    async def submit_deadly_job(self, entry: str) -> None:
+        """Submits a job that crashes targets; resubmits it after a 504."""
+        job = self.site.new_job_id()
+        self.deadly_jobs.append(job)
+        spec = json.dumps({"seconds": 0.1, "cpu": 6800, "deadly": True})
+        for _ in range(3):
+            answer = await self.site.submit(
+                entry, job, tasks=1, timeout=JOB_TIMEOUT_S, spec=spec
+            )
+            if isinstance(answer, ClientResponse) and answer.status != 504:
+                return
+            await asyncio.sleep(RESEND_DELAY_S)
+
     def add_violation(self, text: str) -> None:
         """Adds a violation with the present time to the report."""
         at = time.monotonic() - self.started
@@ -247,6 +305,30 @@
                 at = round(time.monotonic() - self.started, 2)
                 self.report.faults.append((at, signal.Signals(number).name))
 
+    async def grow_configurations(self, end: float) -> None:
+        """Writes large configurations while the link to the store is slow.
+
+        Like `shift_clocks`, it uses a random source of its own.
+        """
+        rng = random.Random(f"configurations {self.report.seed}")
+        while time.monotonic() < end:
+            await asyncio.sleep(rng.uniform(2.0, 6.0))
+            self.slow_store_link()
+            self.put_configuration(f"/{n:08x}/" for n in range(MANY_ROUTES))
+            await asyncio.sleep(rng.uniform(1.0, 4.0))
+            self.store_link.answer_bytes_per_s = math.inf
+
+    def slow_store_link(self) -> None:
+        """Gives the link to the store the bandwidth of slow links, per entry."""
+        self.store_link.answer_bytes_per_s = SLOW_LINK_BYTES_PER_S * len(
+            self.site.entries
+        )
+
+    def put_configuration(self, more: Iterable[str] = ()) -> None:
+        """Writes the next version of the configuration, with more routes."""
+        version = int(1000 * (time.monotonic() - self.started)) + 2
+        self.site.put_configuration(version, more=more)
+
     async def cut_runner(self) -> None:
         """Puts the link to a random target into a random state for a while."""
         link = self.rng.choice(self.target_links)
@@ -293,8 +375,7 @@
         self.site.store.faults.has_no_history = False
 
     async def configure(self) -> None:
-        version = int(1000 * (time.monotonic() - self.started)) + 2
-        self.site.put_configuration(version)
+        self.put_configuration()
 
     async def restart_runner(self) -> None:
         """Restarts a target: its runs are lost and it has a new incarnation."""
@@ -321,10 +402,41 @@
                     f"after the faults; last status {status}, 200 expected"
                 )
 
+    async def check_configuration(self) -> None:
+        """Checks that every entry uses a large configuration in time."""
+        marker = "/newest/"
+        self.slow_store_link()
+        self.put_configuration(
+            [marker, *(f"/{n:08x}/" for n in range(MANY_ROUTES))]
+        )
+        end = time.monotonic() + APPLY_LIMIT_S
+        outdated = set(self.site.entries)
+        while outdated and time.monotonic() < end:
+            await asyncio.sleep(0.1)
+            for name in list(outdated):
+                if await self.site.has_route(name, marker):
+                    outdated.discard(name)
+        for name in outdated:
+            self.add_violation(
+                f"{name} did not use a new configuration within"
+                f" {APPLY_LIMIT_S} s"
+            )
+
     def check_task_history(self) -> None:
         """Checks that no task overlapped itself and no refused job ran."""
         for task in self.site.find_overlapping_tasks():
             self.add_violation(f"task {task} ran twice at the same time")
+        starts = collections.Counter(
+            task
+            for target in self.site.targets
+            for _, task, _ in target.target.starts
+        )
+        for task, count in starts.items():
+            is_deadly = task.partition(".")[0] in self.deadly_jobs
+            if is_deadly and count > MAX_DEADLY_STARTS:
+                self.add_violation(
+                    f"task {task}, which crashes targets, started {count} times"
+                )
         started = {
             task.partition(".")[0]
             for target in self.site.targets
@@ -376,8 +488,11 @@
             soak.run_callers(end),
             soak.inject_faults(end),
             soak.shift_clocks(end),
+            soak.grow_configurations(end),
+            soak.submit_deadly_jobs(end),
         )
         await soak.check_recovery()
+        await soak.check_configuration()
         soak.check_task_history()
         if soak.report.violations and save_log is not None:
             for entry in site.entries.values():
