Log a store that refuses calls once, not at each retry

The lines about unfinished answers also counted the body of a refusal as part of an answer, so that a store that answers 503 wrote a warning for each retry and table. No decision changes.

--- a/anvilford/node/_sync.py
+++ b/anvilford/node/_sync.py
@@ -192,7 +192,7 @@
             self.table, READ_TIMEOUT_S, self._progress
         )
         if isinstance(answer, StoreFailed):
-            self._record_failure(answer.reason)
+            self._record_failure(answer)
             return False
         self._record_contact()
         if answer.version < self.version:
@@ -225,8 +225,8 @@
         if self._watch_task.cancelled():
             return True
         match self._watch_task.result():
-            case StoreFailed(reason):
-                self._record_failure(reason)
+            case StoreFailed() as failure:
+                self._record_failure(failure)
                 return False
             case HistoryLost():
                 self._record_contact()
@@ -265,17 +265,18 @@
             self._store_reachable = True
             _logger.info("store answers again", extra={"table": self.table})
 
-    def _record_failure(self, reason: str) -> None:
+    def _record_failure(self, failure: StoreFailed) -> None:
         # Reads the table before the next watch: a read shows within a second
         # whether the store answers again, while a watch that the store never
         # received would only end with its timeout.
         self._needs_full_read = True
         self.counters.increment("store_calls_failed", table=self.table)
-        # A call that ended in the middle of its answer is reported each time:
-        # the store answers, but the answer never becomes complete.
-        if self._store_reachable or self._progress.received_bytes:
+        # An incomplete answer is reported each time: the store answers, but the
+        # answer may never become complete.
+        if self._store_reachable or failure.is_incomplete:
             self._report_unfinished_call(
-                "store call failed; keeping the last known rows", reason
+                "store call failed; keeping the last known rows",
+                failure.reason,
             )
         self._store_reachable = False
 
--- a/anvilford/node/tests/test_sync.py
+++ b/anvilford/node/tests/test_sync.py
@@ -344,3 +344,20 @@
                 case.assertLessEqual(seconds, CONTACT_TIME_S)
 
     asyncio.run(scenario())
+
+
+def test_refusals_of_the_store_are_logged_once(case):
+    """A store that refuses calls must not fill the log with each retry."""
+
+    async def scenario():
+        async with RowStore() as store, Proxy(store.address) as link:
+            put_configuration(store, 15, 1)
+            async with following_configuration(store, link) as site:
+                await wait_until(lambda: site.routing_table)
+                store.faults.is_down = True
+                put_configuration(store, 18, 1)
+                await asyncio.sleep(1.5)
+
+    with case.assertLogs("anvilford.node._sync", "WARNING") as logs:
+        asyncio.run(scenario())
+    case.assertEqual(len(logs.records), 1)
--- a/anvilford/platform/_store.py
+++ b/anvilford/platform/_store.py
@@ -87,10 +87,13 @@
         reason: Short description for logs.
         may_have_taken_effect: True if the call was a write that may have been
             committed or may still be.
+        is_incomplete: True if the call was a read whose response began and did
+            not become complete.
     """
 
     reason: str
     may_have_taken_effect: bool = False
+    is_incomplete: bool = False
 
 
 class StoreClient:
@@ -258,7 +261,8 @@
         )
         match answer:
             case CallFailed(_, reason):
-                return StoreFailed(reason)
+                has_begun = progress is not None and progress.received_bytes > 0
+                return StoreFailed(reason, is_incomplete=has_begun)
             case ClientResponse(200, data):
                 return _decode_page(data) or StoreFailed("malformed answer")
             case ClientResponse(410):
