Never refuse a job that ran before and was lost

Cause: the leader remembers the outcomes of completed and failed jobs only, so that the job came as a new one and met admission.

The ids of jobs that were lost after tasks had started are kept for 20 s, as long as outcomes are. Such a job is placed if there is room, and otherwise answered at once as lost, which makes no claim. A later leader does not know it: that remains. test_job_that_ran_before_is_not_refused_when_sent_again failed before.

--- a/anvilford/placement/_placer.py
+++ b/anvilford/placement/_placer.py
@@ -111,6 +111,8 @@
             self.crashes,
         )
         self._waiting: dict[str, Job] = {}
+        # End of jobs that ended as lost after tasks had started, by id.
+        self._lost_jobs: dict[str, float] = {}
         # Latest time at which each entry is known to have followed this placer.
         self._entry_contacts: dict[str, float] = {}
         self._views: dict[str, ServiceView] = {}
@@ -158,6 +160,8 @@
         may_have_run = found or offer.again or job.has_lost_target
         refusal = None if may_have_run else self._check_admission(job, now)
         if refusal is not None:
+            if job.has_run_before:
+                refusal = Outcome(OutcomeKind.LOST, refusal.reason)
             self.effects.append(Settle(job.job_id, refusal))
             return
         job.set_waiting([t for t in job.tasks if t.phase is TaskPhase.WAITING])
@@ -366,6 +370,7 @@
             now + UNSEEN_RUNS_WINDOW_S if offer.again else 0.0,
             offer.placed if offer.placed_is_known else None,
             {offer.entry},
+            has_run_before=offer.job_id in self._lost_jobs,
         )
         job.initialize()
         self.fleet.tasks_found_done.update(job.task_names(offer.done))
@@ -438,7 +443,7 @@
         is_too_late = self._earliest_start(job, now) + run_time > limit
         if not is_too_late:
             return
-        if job.unseen_runs_until:
+        if job.unseen_runs_until or job.has_run_before:
             outcome = Outcome(OutcomeKind.LOST, "too_late")
         else:
             retry = admission.retry_after_ms(job.demand, capacity, self.rng)
@@ -706,6 +711,10 @@
         self.fleet.stop_job(job, now)
         if outcome.kind in (OutcomeKind.COMPLETED, OutcomeKind.FAILED):
             self.outcomes[job.job_id] = (now, outcome)
+        elif job.started or job.has_run_before:
+            # Inserted last, since the oldest ones are dropped first.
+            self._lost_jobs.pop(job.job_id, None)
+            self._lost_jobs[job.job_id] = now
         self._log_decision(
             "job ended",
             job.job_id,
@@ -722,8 +731,13 @@
         while self.outcomes:
             job_id = next(iter(self.outcomes))
             if now - self.outcomes[job_id][0] < OUTCOME_RETENTION_S:
-                return
+                break
             del self.outcomes[job_id]
+        while self._lost_jobs:
+            job_id = next(iter(self._lost_jobs))
+            if now - self._lost_jobs[job_id] < OUTCOME_RETENTION_S:
+                break
+            del self._lost_jobs[job_id]
 
     def _log_decision(self, event: str, job_id: str, fields: dict) -> None:
         """Appends a decision about a job to the effects."""
--- a/anvilford/placement/_state.py
+++ b/anvilford/placement/_state.py
@@ -124,6 +124,8 @@
         placed_elsewhere: Ids of the targets on which an earlier placer may
             have started tasks; None if they are not known.
         entries: Names of the entries that wait for the outcome.
+        has_run_before: True if the job was offered before, and lost after tasks
+            had started. It must not be refused, as a refusal denies that.
         lease_ended_at: Time at which a run was last counted as ended because
             its lease was over; 0 if none was.
         tasks: All tasks.
@@ -147,6 +149,7 @@
     unseen_runs_until: float = 0.0
     placed_elsewhere: tuple[str, ...] | None = None
     entries: set[str] = attrs.field(factory=set)
+    has_run_before: bool = False
     lease_ended_at: float = 0.0
     tasks: list[Task] = attrs.field(factory=list)
     waiting: list[Task] = attrs.field(factory=list)
--- a/anvilford/placement/tests/test_placer.py
+++ b/anvilford/placement/tests/test_placer.py
@@ -481,3 +481,24 @@
     site.run(6.0)
     events = [d.event for d in site.decisions]
     case.assertNotIn("target suspended", events)
+
+
+def test_job_that_ran_before_is_not_refused_when_sent_again(case, site):
+    """A refusal says that a job has not run; this one has.
+
+    Its caller's connection broke, so that the job was stopped. The caller
+    sends it again while no target has room.
+    """
+    first = job(seconds=0.5)
+    site.offer("p", first)
+    site.run(0.3)
+    site.placers["p"].withdraw(first.job_id, "entry", "caller_lost", site.now)
+    site.run(0.5)
+    for _ in range(4):
+        site.offer("p", job(seconds=3.0, at=site.now))
+    site.run(0.6)
+    site.offer("p", attrs.evolve(first, arrival_time=site.now))
+    site.run(4.0)
+    kinds = [o.kind for _, _, name, o in site.outcomes if name == first.job_id]
+    case.assertEqual(len(kinds), 2)
+    case.assertNotIn(OutcomeKind.REFUSED, kinds)
