--- a/anvilford/placement/tests/test_placer.py
+++ b/anvilford/placement/tests/test_placer.py
@@ -5,6 +5,7 @@
 from anvilford.order_model import draw_arrivals
 from anvilford.order_model import PlacementSimulation
 from anvilford.placement import OutcomeKind
+from anvilford.placement import Resources
 from anvilford.placement import RunEnd
 from anvilford.placement.tests._shared import job
 from anvilford.placement.tests._shared import KINDS
@@ -502,3 +503,30 @@
     kinds = [o.kind for _, _, name, o in site.outcomes if name == first.job_id]
     case.assertEqual(len(kinds), 2)
     case.assertNotIn(OutcomeKind.REFUSED, kinds)
+
+
+def test_target_that_shrinks_gets_no_task_beyond_its_room(case, site):
+    """A target may not guard its capacity, which may shrink while it runs.
+
+    The stand-in keeps its old capacity and would accept the task. The run that
+    is being stopped still counts.
+    """
+    target = site.targets["t1"]
+    site.targets.pop("t2")
+    site.list_targets("p")
+    works = [job(seconds=0.6), job(seconds=0.4)]
+    for work in works:
+        site.offer("p", work)
+    site.run(0.3)
+    case.assertEqual(len(target.running), 2)
+    smaller = attrs.evolve(target.record, capacity=Resources(8000, 65536))
+    site.placers["p"].apply_target_list([smaller], [], site.now)
+    site.placers["p"].withdraw(works[0].job_id, "entry", "left", site.now)
+    third = job(seconds=0.1, at=site.now)
+    site.offer("p", third, again=True)
+    site.run(2.0)
+    ends = {task.partition(".")[0]: at for at, task, _, _ in target.ends}
+    starts = {task.partition(".")[0]: at for at, task, _ in target.starts}
+    case.assertIn(third.job_id, starts)
+    for work in works:
+        case.assertGreaterEqual(starts[third.job_id], ends[work.job_id])
