--- a/anvilford/placement/tests/_shared.py
+++ b/anvilford/placement/tests/_shared.py
@@ -92,6 +92,11 @@
     )
 
 
+def outcome_kinds(site):
+    """Returns the kind of each job's latest outcome, by job id."""
+    return {job_id: o.kind for _, _, job_id, o in site.outcomes}
+
+
 @fixture
 def site():
     """A simulated site: placer "p" has claimed the targets "t1" and "t2"."""
