--- /dev/null
+++ b/testkit/soak/_checks.py
@@ -0,0 +1,148 @@
+"""Checks of the soak test, from what callers and targets observe."""
+
+import asyncio
+import collections
+import time
+
+import attrs
+
+from anvilford.http1 import ClientResponse
+from standins.site import LoopbackSite
+
+# Every entry must serve requests again within this time after the faults.
+RECOVERY_LIMIT_S = 8.0
+# Every entry must use a new configuration within this time, as on the users' sites
+# with small links.
+APPLY_LIMIT_S = 3.0
+# The platform allows that a task crashes three targets and starts twice more.
+MAX_DEADLY_STARTS = 5
+# The platform allows to give up a task under which this many targets crashed.
+CRASHES_TO_GIVE_UP = 2
+
+
+@attrs.define
+class SoakReport:
+    """Result of a run.
+
+    Attributes:
+        seed: Seed of the run.
+        violations: Violated guarantees, each with its time after the start.
+        status_counts: Number of submissions by HTTP status; 0 counts those
+            without an answer.
+        faults: Injected faults as (seconds after the start, name).
+    """
+
+    seed: int
+    violations: list[str] = attrs.field(factory=list)
+    status_counts: collections.Counter = attrs.field(
+        factory=collections.Counter
+    )
+    faults: list[tuple[float, str]] = attrs.field(factory=list)
+
+
+@attrs.define
+class SoakChecks:
+    """Checks the guarantees of a run and records violations in its report.
+
+    Attributes:
+        site: Site under test.
+        report: Result, filled during the run.
+        was_only_refused: By job id, whether all submissions were refused.
+        deadly_jobs: Ids of the jobs whose tasks crash targets.
+        started: Monotonic time of the start of the load.
+    """
+
+    site: LoopbackSite
+    report: SoakReport
+    was_only_refused: dict[str, bool] = attrs.field(factory=dict)
+    deadly_jobs: list[str] = attrs.field(factory=list)
+    started: float = attrs.field(factory=time.monotonic)
+
+    def check_completed_job(self, job: str, tasks: int) -> None:
+        """Checks that all tasks of a completed job ended with success."""
+        done = set()
+        for target in self.site.targets:
+            target.target.advance(time.monotonic())
+            done |= {
+                task
+                for _, task, _, how in target.target.ends
+                if how.value == "done" and task.startswith(job)
+            }
+        if len(done) != tasks:
+            self.add_violation(
+                f"job {job} was answered as completed, but {len(done)} of "
+                f"its {tasks} tasks ran to their end"
+            )
+
+    def check_failed_job(self, job: str) -> None:
+        """Checks that two targets crashed while they ran a task of a job."""
+        broken = collections.Counter(
+            task
+            for target in self.site.targets
+            for _, task, _, how in target.target.ends
+            if how.value == "broken" and task.startswith(job)
+        )
+        if max(broken.values(), default=0) < CRASHES_TO_GIVE_UP:
+            self.add_violation(f"job {job} was answered as failed")
+
+    def add_violation(self, text: str) -> None:
+        """Adds a violation with the present time to the report."""
+        at = time.monotonic() - self.started
+        self.report.violations.append(f"{at:.2f} s: {text}")
+
+    async def check_recovery(self) -> None:
+        """Checks that every entry serves a job within the recovery limit."""
+        end = time.monotonic() + RECOVERY_LIMIT_S
+        for name in self.site.entries:
+            status = None
+            while status != 200 and time.monotonic() < end:
+                answer = await self.site.submit(name, self.site.new_job_id())
+                status = (
+                    answer.status if isinstance(answer, ClientResponse) else 0
+                )
+            if status != 200:
+                self.add_violation(
+                    f"{name} did not serve a job within {RECOVERY_LIMIT_S} s "
+                    f"after the faults; last status {status}, 200 expected"
+                )
+
+    async def check_route(self, prefix: str) -> None:
+        """Checks that every entry has a new route in time."""
+        end = time.monotonic() + APPLY_LIMIT_S
+        outdated = set(self.site.entries)
+        while outdated and time.monotonic() < end:
+            await asyncio.sleep(0.1)
+            for name in list(outdated):
+                if await self.site.has_route(name, prefix):
+                    outdated.discard(name)
+        for name in outdated:
+            self.add_violation(
+                f"{name} did not use a new configuration within"
+                f" {APPLY_LIMIT_S} s"
+            )
+
+    def check_task_history(self) -> None:
+        """Checks that no task overlapped itself and no refused job ran."""
+        for task in self.site.find_overlapping_tasks():
+            self.add_violation(f"task {task} ran twice at the same time")
+        starts = collections.Counter(
+            task
+            for target in self.site.targets
+            for _, task, _ in target.target.starts
+        )
+        for task, count in starts.items():
+            is_deadly = task.partition(".")[0] in self.deadly_jobs
+            if is_deadly and count > MAX_DEADLY_STARTS:
+                self.add_violation(
+                    f"task {task}, which crashes targets, started {count} times"
+                )
+        started = {
+            task.partition(".")[0]
+            for target in self.site.targets
+            for _, task, _ in target.target.starts
+        }
+        for job, only_refused in self.was_only_refused.items():
+            if only_refused and job in started:
+                self.add_violation(
+                    f"job {job} ran although all its submissions were refused"
+                )
--- a/testkit/soak/_run.py
+++ b/testkit/soak/_run.py
@@ -16,7 +16,6 @@
 """
 
 import asyncio
-import collections
 import contextlib
 import json
 import math
@@ -33,23 +32,16 @@
 from standins.proxy import Proxy
 from standins.site import EntryProcess
 from standins.site import LoopbackSite
+from testkit.soak._checks import SoakChecks
+from testkit.soak._checks import SoakReport
 
 # Callers resubmit a job this long after a broken connection, a 502 or a 504.
 RESEND_DELAY_S = 1.3
-# Every entry must serve requests again within this time after the faults.
-RECOVERY_LIMIT_S = 8.0
 JOB_TIMEOUT_S = 3.0
-# Every entry must use a new configuration within this time, as on the users' sites
-# with small links.
-APPLY_LIMIT_S = 3.0
 # Bandwidth of the link to the store, in bytes per second, while it is slow, and
 # number of routes that take longer than a second on it.
 SLOW_LINK_BYTES_PER_S = 950_000
 MANY_ROUTES = 4200
-# The platform allows that a task crashes three targets and starts twice more.
-MAX_DEADLY_STARTS = 5
-# The platform allows to give up a task under which this many targets crashed.
-CRASHES_TO_GIVE_UP = 2
 # HTTP statuses of jobs that were refused before any task started.
 REFUSAL_STATUSES = (429, 503)
 
@@ -71,26 +63,6 @@
     jobs_per_second: float = 12.0
 
 
-@attrs.define
-class SoakReport:
-    """Result of a run.
-
-    Attributes:
-        seed: Seed of the run.
-        violations: Violated guarantees, each with its time after the start.
-        status_counts: Number of submissions by HTTP status; 0 counts those
-            without an answer.
-        faults: Injected faults as (seconds after the start, name).
-    """
-
-    seed: int
-    violations: list[str] = attrs.field(factory=list)
-    status_counts: collections.Counter = attrs.field(
-        factory=collections.Counter
-    )
-    faults: list[tuple[float, str]] = attrs.field(factory=list)
-
-
 class _SoakRun:
     """Callers, faults and checks of one run.
 
@@ -101,9 +73,7 @@
         report: Result, filled during the run.
         store_link: Proxy between the entries and the store.
         target_links: Proxy between the entries and each target.
-        was_only_refused: By job id, whether all submissions were refused.
-        deadly_jobs: Ids of the jobs whose tasks crash targets.
-        started: Monotonic time of the start of the load.
+        checks: Checks of the guarantees; records violations in the report.
     """
 
     def __init__(self, site: LoopbackSite, seed: int, options: SoakOptions):
@@ -113,9 +83,7 @@
         self.report = SoakReport(seed)
         self.store_link: Proxy | None = None
         self.target_links: list[Proxy] = []
-        self.was_only_refused: dict[str, bool] = {}
-        self.deadly_jobs: list[str] = []
-        self.started = time.monotonic()
+        self.checks = SoakChecks(site, self.report)
 
     # Callers.
 
@@ -143,40 +111,13 @@
             self.report.status_counts[status] += 1
             only_refused = only_refused and status in REFUSAL_STATUSES
             if status == 200 and b"failed" in answer.body:
-                self.check_failed_job(job)
+                self.checks.check_failed_job(job)
             elif status == 200:
-                self.check_completed_job(job, tasks)
+                self.checks.check_completed_job(job, tasks)
             if status not in (0, 502, 504):
                 break
             await asyncio.sleep(RESEND_DELAY_S)
-        self.was_only_refused[job] = only_refused
-
-    def check_completed_job(self, job: str, tasks: int) -> None:
-        """Checks that all tasks of a completed job ended with success."""
-        done = set()
-        for target in self.site.targets:
-            target.target.advance(time.monotonic())
-            done |= {
-                task
-                for _, task, _, how in target.target.ends
-                if how.value == "done" and task.startswith(job)
-            }
-        if len(done) != tasks:
-            self.add_violation(
-                f"job {job} was answered as completed, but {len(done)} of "
-                f"its {tasks} tasks ran to their end"
-            )
-
-    def check_failed_job(self, job: str) -> None:
-        """Checks that two targets crashed while they ran a task of a job."""
-        broken = collections.Counter(
-            task
-            for target in self.site.targets
-            for _, task, _, how in target.target.ends
-            if how.value == "broken" and task.startswith(job)
-        )
-        if max(broken.values(), default=0) < CRASHES_TO_GIVE_UP:
-            self.add_violation(f"job {job} was answered as failed")
+        self.checks.was_only_refused[job] = only_refused
 
     async def submit_deadly_jobs(self, end: float) -> None:
         """Submits jobs that crash targets until a monotonic time.
@@ -194,7 +135,7 @@
     async def submit_deadly_job(self, entry: str) -> None:
         """Submits a job that crashes targets; resubmits it after a 504."""
         job = self.site.new_job_id()
-        self.deadly_jobs.append(job)
+        self.checks.deadly_jobs.append(job)
         spec = json.dumps({"seconds": 0.1, "cpu": 6800, "deadly": True})
         for _ in range(3):
             answer = await self.site.submit(
@@ -204,11 +145,6 @@
                 return
             await asyncio.sleep(RESEND_DELAY_S)
 
-    def add_violation(self, text: str) -> None:
-        """Adds a violation with the present time to the report."""
-        at = time.monotonic() - self.started
-        self.report.violations.append(f"{at:.2f} s: {text}")
-
     # Faults. The report lists them by the names of their methods.
 
     async def inject_faults(self, end: float) -> None:
@@ -232,7 +168,7 @@
         pending = []
         while time.monotonic() < end:
             kind = self.rng.choice(kinds)
-            at = time.monotonic() - self.started
+            at = time.monotonic() - self.checks.started
             self.report.faults.append((round(at, 2), kind.__name__))
             pending.append(asyncio.ensure_future(kind()))
             await asyncio.sleep(self.rng.choice((0.05, 0.5, 1.5)))
@@ -302,7 +238,7 @@
             # yet; the signal would end it.
             if await self.site.is_ready(name):
                 self.site.entries[name].send_signal(number)
-                at = round(time.monotonic() - self.started, 2)
+                at = round(time.monotonic() - self.checks.started, 2)
                 self.report.faults.append((at, signal.Signals(number).name))
 
     async def grow_configurations(self, end: float) -> None:
@@ -326,7 +262,7 @@
 
     def put_configuration(self, more: Iterable[str] = ()) -> None:
         """Writes the next version of the configuration, with more routes."""
-        version = int(1000 * (time.monotonic() - self.started)) + 2
+        version = int(1000 * (time.monotonic() - self.checks.started)) + 2
         self.site.put_configuration(version, more=more)
 
     async def cut_runner(self) -> None:
@@ -384,24 +320,6 @@
         await asyncio.sleep(0.2)
         target.register(self.site.store)
 
-    # Checks after the faults.
-
-    async def check_recovery(self) -> None:
-        """Checks that every entry serves a job within the recovery limit."""
-        end = time.monotonic() + RECOVERY_LIMIT_S
-        for name in self.site.entries:
-            status = None
-            while status != 200 and time.monotonic() < end:
-                answer = await self.site.submit(name, self.site.new_job_id())
-                status = (
-                    answer.status if isinstance(answer, ClientResponse) else 0
-                )
-            if status != 200:
-                self.add_violation(
-                    f"{name} did not serve a job within {RECOVERY_LIMIT_S} s "
-                    f"after the faults; last status {status}, 200 expected"
-                )
-
     async def check_configuration(self) -> None:
         """Checks that every entry uses a large configuration in time."""
         marker = "/newest/"
@@ -409,44 +327,7 @@
         self.put_configuration(
             [marker, *(f"/{n:08x}/" for n in range(MANY_ROUTES))]
         )
-        end = time.monotonic() + APPLY_LIMIT_S
-        outdated = set(self.site.entries)
-        while outdated and time.monotonic() < end:
-            await asyncio.sleep(0.1)
-            for name in list(outdated):
-                if await self.site.has_route(name, marker):
-                    outdated.discard(name)
-        for name in outdated:
-            self.add_violation(
-                f"{name} did not use a new configuration within"
-                f" {APPLY_LIMIT_S} s"
-            )
-
-    def check_task_history(self) -> None:
-        """Checks that no task overlapped itself and no refused job ran."""
-        for task in self.site.find_overlapping_tasks():
-            self.add_violation(f"task {task} ran twice at the same time")
-        starts = collections.Counter(
-            task
-            for target in self.site.targets
-            for _, task, _ in target.target.starts
-        )
-        for task, count in starts.items():
-            is_deadly = task.partition(".")[0] in self.deadly_jobs
-            if is_deadly and count > MAX_DEADLY_STARTS:
-                self.add_violation(
-                    f"task {task}, which crashes targets, started {count} times"
-                )
-        started = {
-            task.partition(".")[0]
-            for target in self.site.targets
-            for _, task, _ in target.target.starts
-        }
-        for job, only_refused in self.was_only_refused.items():
-            if only_refused and job in started:
-                self.add_violation(
-                    f"job {job} ran although all its submissions were refused"
-                )
+        await self.checks.check_route(marker)
 
 
 async def run_seed(
@@ -482,8 +363,8 @@
         site.wrap_target_address = wrap_target_address
         site.entry_module = "testkit.soak._entry"
         await stack.enter_async_context(site)
-        soak.started = time.monotonic()
-        end = soak.started + options.length
+        soak.checks.started = time.monotonic()
+        end = soak.checks.started + options.length
         await asyncio.gather(
             soak.run_callers(end),
             soak.inject_faults(end),
@@ -491,9 +372,9 @@
             soak.grow_configurations(end),
             soak.submit_deadly_jobs(end),
         )
-        await soak.check_recovery()
+        await soak.checks.check_recovery()
         await soak.check_configuration()
-        soak.check_task_history()
+        soak.checks.check_task_history()
         if soak.report.violations and save_log is not None:
             for entry in site.entries.values():
                 save_log(
