Pair each run with its own end in the check for overlapping runs

The check keyed the ends by task and run number and took the later end for both. The number is used again when a job was lost and comes back to the same leader; a target that restarted has forgotten the earlier one.

Each start now goes with the first end after it, which asks no less: a target cannot run a task twice at once itself. The soak's report names the runs.

--- a/anvilford/order_model/_target.py
+++ b/anvilford/order_model/_target.py
@@ -282,9 +282,13 @@
     """
     spans = collections.defaultdict(list)
     for target in targets:
-        ends = {(task, run): at for at, task, run, _ in target.ends}
+        ends = collections.defaultdict(list)
+        for at, task, run, _ in target.ends:
+            ends[task, run].append(at)
         for at, task, run in target.starts:
-            spans[task].append((at, ends.get((task, run), float("inf"))))
+            # After a restart, a target accepts the number of an earlier run.
+            later_ends = (end for end in ends[task, run] if end >= at)
+            spans[task].append((at, min(later_ends, default=math.inf)))
     return [
         task
         for task, runs in spans.items()
--- a/testkit/soak/_checks.py
+++ b/testkit/soak/_checks.py
@@ -121,10 +121,33 @@
                 f" {APPLY_LIMIT_S} s"
             )
 
+    def describe_runs(self, task: str) -> list[str]:
+        """Describes the runs of a task: target, number, start and end."""
+        runs = []
+        for server in self.site.targets:
+            target = server.target
+            ends = [e for e in target.ends if e[1] == task]
+            for at, name, run in target.starts:
+                if name != task:
+                    continue
+                ended = [
+                    f"{how.value} {end - self.started:.3f}"
+                    for end, _, number, how in ends
+                    if number == run
+                ]
+                runs.append(
+                    f"{server.name}/{run} {at - self.started:.3f}"
+                    f" to {ended or 'now'}"
+                )
+        return runs
+
     def check_task_history(self) -> None:
         """Checks that no task overlapped itself and no refused job ran."""
         for task in self.site.find_overlapping_tasks():
-            self.add_violation(f"task {task} ran twice at the same time")
+            self.add_violation(
+                f"task {task} ran twice at the same time: "
+                + "; ".join(self.describe_runs(task))
+            )
         starts = collections.Counter(
             task
             for target in self.site.targets
