Forget old losses of targets at members that never lead

It is shortened with each report now. test_member_that_never_leads_forgets_old_losses failed before: 100 losses of 16 minutes, all kept. Found by reading the change again; no decision of a leader changes.

--- a/anvilford/placement/_crashes.py
+++ b/anvilford/placement/_crashes.py
@@ -91,6 +91,7 @@
 
     def apply(self, loss: TargetLoss, now: float) -> None:
         """Applies a loss, which another member may have reported."""
+        self.drop_old_losses(now)
         key = (loss.target_id, loss.incarnation)
         known = self._losses.get(key)
         if loss.state is LossState.RETURNED:
--- a/anvilford/placement/tests/test_crashes.py
+++ b/anvilford/placement/tests/test_crashes.py
@@ -4,8 +4,10 @@
 
 from anvilford.order_model import PlacementSimulation
 from anvilford.placement import CrashHistory
+from anvilford.placement import LossState
 from anvilford.placement import OutcomeKind
 from anvilford.placement import RunEnd
+from anvilford.placement import TargetLoss
 from anvilford.placement.tests._shared import job
 from anvilford.placement.tests._shared import make_target
 from testkit import fixture
@@ -180,3 +182,12 @@
         reported += history.pop_changes()
         site.remove_placer(name)
     case.assertLessEqual(count_starts(site, work), CRASHES_TO_GIVE_UP)
+
+
+def test_member_that_never_leads_forgets_old_losses(case):
+    """The reports of the leader must not fill the memory of the other members."""
+    history = CrashHistory()
+    for n in range(100):
+        loss = TargetLoss(f"t{n}", 1, ("a.0.0.0",), LossState.CRASHED)
+        history.apply(loss, 10.0 * n)
+    case.assertLess(history.count_losses("a.0.0.0"), 10)
