Read the whole target list after long pauses; go on after a full answer of the feed

Cause: members that do not lead watch the list every 1.5 to 10 s. A report of the leader woke them, but brought the next 500 changes only.

After a pause of 1.5 s or more the whole table is read, which is no more than its changes, and an answer of 500 changes is followed by the next watch at once. The stand-in's feed returns each change, at most 500. test_drained_target_is_known_ although_rows_change_often failed before: not known 2 s after the leader's report.

--- a/anvilford/node/_sync.py
+++ b/anvilford/node/_sync.py
@@ -55,6 +55,12 @@
 # which the store keeps changes.
 LEADER_LIST_PAUSE_S = 0.25
 FOLLOWER_LIST_PAUSE_S = (1.5, 10.0)
+# Number of changes at which an answer to a watch may not be complete. The store
+# returns at most as many.
+MAX_WATCH_ROWS = 500
+# After a pause of this length the whole table is read instead of its changes: each
+# target has written its row, so that the changes are no fewer than the rows.
+FULL_READ_AFTER_S = 1.5
 
 _logger = logging.getLogger(__name__)
 
@@ -178,6 +184,8 @@
             left = started + end - clock.now()
             if left <= 0:
                 self._wake.clear()
+                if clock.now() - started >= FULL_READ_AFTER_S:
+                    self._needs_full_read = True
                 return
             if self._wake.is_set():
                 await asyncio.sleep(left)
@@ -239,7 +247,8 @@
             case Snapshot(rows, version):
                 self._record_contact()
                 self._apply_changes(rows, version)
-                await self._pause()
+                if len(rows) < MAX_WATCH_ROWS:
+                    await self._pause()
         return True
 
     def _apply_changes(self, rows: tuple[StoreRow, ...], version: int) -> None:
--- a/anvilford/node/tests/test_sync.py
+++ b/anvilford/node/tests/test_sync.py
@@ -78,6 +78,11 @@
         asyncio.run(main())
 
 
+HEARTBEAT_INTERVAL_S = 0.15
+# Time after which no task may start on a drained target, on the users' sites.
+DRAIN_TIME_S = 2.0
+
+
 async def wait_until(condition, timeout=1.0):
     """Waits until a condition holds."""
     async with asyncio.timeout(timeout):
@@ -109,6 +114,34 @@
     with_site(scenario)
 
 
+def test_drained_target_is_known_although_rows_change_often(case):
+    """A feed returns at most 500 changes, fewer than come between two reads.
+
+    Each target writes its row every 1.5 s. A member fell behind the list by
+    more with each read, and started tasks on drained targets when it led.
+    """
+
+    async def scenario():
+        async with RowStore() as store:
+            store.put(TARGET_TABLE, "r1", TARGET)
+            with HttpClient() as http:
+                site = SiteView(StoreClient(http, store.address), Counters())
+                task = asyncio.ensure_future(site.target_list.run())
+                await wait_until(lambda: site.targets)
+                await start_pause(store, site)
+                for n in range(1600):
+                    store.put(TARGET_TABLE, "r1", {**TARGET, "seq": n})
+                store.put(TARGET_TABLE, "r1", {**TARGET, "state": "draining"})
+                started = time.monotonic()
+                while time.monotonic() < started + DRAIN_TIME_S:
+                    site.refresh_targets_if_older(store.version)
+                    await asyncio.sleep(HEARTBEAT_INTERVAL_S)
+                case.assertTrue(site.targets[0].draining)
+                task.cancel()
+
+    asyncio.run(scenario())
+
+
 def test_new_leader_reads_the_list_at_once(case):
     """A member that starts to lead must not go by a list of seconds ago."""
 
@@ -189,7 +222,6 @@
 # such links, and on those without.
 APPLY_TIME_S = 3.0
 SHORT_APPLY_TIME_S = 2.0
-HEARTBEAT_INTERVAL_S = 0.15
 # Time from a loss of connections after which the users' rules hold again.
 CONTACT_TIME_S = 3.0
 
--- a/standins/rows.py
+++ b/standins/rows.py
@@ -16,6 +16,9 @@
 from anvilford.http1 import Request
 from anvilford.http1 import Response
 
+# Largest number of changes in one answer of a feed.
+MAX_FEED_ROWS = 500
+
 
 @attrs.define
 class StoreFaults:
@@ -61,6 +64,7 @@
         self.calls: list[str] = []
         self.version = 0
         self._rows: dict[tuple[str, str], _Row] = {}
+        self._changes: list[tuple[tuple[str, str], _Row]] = []
         self._changed = asyncio.Event()
         self._listener = HttpListener(address, self._handle, ListenerLimits())
 
@@ -92,6 +96,7 @@
         for key, value in rows.items():
             text = base64.b64encode(value or b"").decode()
             self._rows[key] = _Row(text, self.version, value is None)
+            self._changes.append((key, self._rows[key]))
         self._changed.set()
         self._changed = asyncio.Event()
 
@@ -114,11 +119,13 @@
                 return await self._transact(json.loads(request.body))
         return Response(404)
 
-    def _answer(self, rows: list[dict], status: int = 200) -> Response:
+    def _answer(
+        self, rows: list[dict], status: int = 200, version: int | None = None
+    ) -> Response:
         body = {
             "rows": rows,
             "has_more": False,
-            "row_version": self.version,
+            "row_version": self.version if version is None else version,
             "now_ms": int(time.monotonic() * 1000),
         }
         return Response(status, json.dumps(body).encode())
@@ -144,12 +151,14 @@
             changed = self._changed
             rows = [
                 _row_document(key, row)
-                for key, row in self._rows.items()
+                for key, row in self._changes
                 if key[0] == fields["table"] and row.version > after
             ]
             left = end - time.monotonic()
+            if len(rows) > MAX_FEED_ROWS:
+                rows = rows[:MAX_FEED_ROWS]
+                return self._answer(rows, version=rows[-1]["row_version"])
             if rows or left <= 0:
-                rows.sort(key=lambda row: row["row_version"])
                 return self._answer(rows)
             try:
                 await asyncio.wait_for(changed.wait(), left)
