--- a/anvilford/node/_coordination.py
+++ b/anvilford/node/_coordination.py
@@ -194,6 +194,7 @@
             self.driver.update_targets(
                 self._targets_in_scope(self.site.targets),
                 self._targets_in_scope(self.site.recently_removed_targets()),
+                self.site.has_current_targets,
             )
 
     def _targets_in_scope(
@@ -569,6 +570,7 @@
         self.driver.start(
             self._targets_in_scope(self.site.targets),
             self._targets_in_scope(self.site.recently_removed_targets()),
+            self.site.has_current_targets,
         )
         self._send_to_members(LeaderAnnounced(leader))
         self._speed_row_task = asyncio.ensure_future(
@@ -711,6 +713,8 @@
         leader = Leader(self.term + 1, self.local_member)
         self.membership.term = leader.term
         self._set_leader(leader)
+        self.site.require_current_targets()
+        self.update_targets()
         self.driver.raise_fence(leader.fence)
         if not self._is_leading:
             return  # The member has stepped down after a suspension.
--- a/anvilford/node/_driver.py
+++ b/anvilford/node/_driver.py
@@ -86,15 +86,19 @@
         self._dispatch_scheduled = False
 
     def start(
-        self, records: Iterable[TargetRecord], removed: Iterable[TargetRecord]
+        self,
+        records: Iterable[TargetRecord],
+        removed: Iterable[TargetRecord],
+        is_current: bool,
     ) -> None:
         """Claims the targets and starts the periodic tick.
 
         Args:
             records: Listed targets.
             removed: Targets that were recently removed from the list.
+            is_current: As for `update_targets`.
         """
-        self.update_targets(records, removed)
+        self.update_targets(records, removed, is_current)
         self._tick()
 
     def close(self) -> None:
@@ -117,15 +121,22 @@
         return not self.placer.jobs
 
     def update_targets(
-        self, records: Iterable[TargetRecord], removed: Iterable[TargetRecord]
+        self,
+        records: Iterable[TargetRecord],
+        removed: Iterable[TargetRecord],
+        is_current: bool,
     ) -> None:
         """Passes a new target list to the placer.
 
         Args:
             records: Listed targets.
             removed: Targets that were recently removed from the list.
+            is_current: Whether the list was read since this member began to
+                lead or last raised its fencing token.
         """
-        self.placer.apply_target_list(records, removed, self._read_clock())
+        self.placer.apply_target_list(
+            records, removed, self._read_clock(), is_current
+        )
         self._run_effects()
 
     def raise_fence(self, fence: int) -> None:
--- a/anvilford/node/_sync.py
+++ b/anvilford/node/_sync.py
@@ -85,6 +85,10 @@
         is_loaded: True after the first complete read.
         contact_at: Time of `clock.now` at which the store last answered; 0
             before the first answer.
+        current_as_of: Time of `clock.now` up to which all changes of the table
+            are included in `rows`; 0 before the first complete read.
+        expected_version: Highest version that another entry is known to have
+            read. An answer of the store with a lower one lags behind.
     """
 
     def __init__(
@@ -104,6 +108,10 @@
         self.version = 0
         self.is_loaded = False
         self.contact_at = 0.0
+        self.current_as_of = 0.0
+        self.expected_version = 0
+        # Time up to which changes must be included in `rows`.
+        self._required_at = 0.0
         self._store_reachable = True
         self._needs_full_read = True
         self._watch_task: asyncio.Task | None = None
@@ -112,6 +120,8 @@
         # Progress and start of the current or last call to the store.
         self._progress = ResponseProgress()
         self._call_started_at = 0.0
+        # Whether a shorter pause is enough, as the table has changes.
+        self._has_changes = False
         self._wake = asyncio.Event()
 
     async def run(self) -> None:
@@ -121,7 +131,7 @@
             try:
                 succeeded = await (
                     self._read_table()
-                    if self._needs_full_read
+                    if self._needs_full_read or self.is_outdated
                     else self._watch_table()
                 )
             except Exception:
@@ -169,8 +179,25 @@
 
     def wake(self) -> None:
         """Watches the table again soon, because it has changes."""
+        self._has_changes = True
         self._wake.set()
 
+    @property
+    def is_outdated(self) -> bool:
+        """Whether changes before the last `require_current` may be missing."""
+        return self.current_as_of < self._required_at
+
+    def require_current(self) -> None:
+        """Reads the whole table at once, up to the changes made until now.
+
+        Ends the pause and a pending watch: the watch may have been sent over a
+        connection that has gone silent since.
+        """
+        self._required_at = clock.now()
+        self._wake.set()
+        if self._watch_task is not None:
+            self._watch_task.cancel()
+
     async def _pause(self) -> None:
         """Waits before the next watch.
 
@@ -178,24 +205,23 @@
         become the leader.
         """
         started = clock.now()
-        while True:
+        while not self.is_outdated:
+            self._wake.clear()
             shortest, longest = self.watch_pause()
-            end = shortest if self._wake.is_set() else longest
+            end = shortest if self._has_changes else longest
             left = started + end - clock.now()
             if left <= 0:
-                self._wake.clear()
-                if clock.now() - started >= FULL_READ_AFTER_S:
-                    self._needs_full_read = True
-                return
-            if self._wake.is_set():
-                await asyncio.sleep(left)
-                continue
+                break
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._wake.wait(), left)
+        self._has_changes = False
+        if clock.now() - started >= FULL_READ_AFTER_S:
+            self._needs_full_read = True
 
     async def _read_table(self) -> bool:
         """Reads the whole table; returns whether the answer was usable."""
         self._record_call("read")
+        started = self._call_started_at
         answer = await self.store.read(
             self.table, READ_TIMEOUT_S, self._progress
         )
@@ -209,14 +235,16 @@
         self._needs_full_read = False
         self.version = answer.version
         self.is_loaded = True
+        if answer.version >= self.expected_version:
+            self.current_as_of = started
         self.rows = {row.key: row for row in answer.rows}
         self.on_change(self.rows)
-        return True
+        return not self.is_outdated
 
     async def _watch_table(self) -> bool:
         """Waits for changes; returns whether the store answered.
 
-        A watch that `_replace_silent_watch` cancelled counts as answered.
+        A watch that this follower cancelled counts as answered.
         """
         self._record_call("watch")
         self._watch_task = asyncio.ensure_future(
@@ -375,7 +403,19 @@
     def is_placing(self, value: bool) -> None:
         self._is_placing = value
         if value:
-            self.target_list.wake()
+            self.require_current_targets()
+
+    def require_current_targets(self) -> None:
+        """Reads the target list at once, since another leader was active.
+
+        It may have used targets that are not in the local copy yet.
+        """
+        self.target_list.require_current()
+
+    @property
+    def has_current_targets(self) -> bool:
+        """Whether `targets` has all that an earlier leader may have used."""
+        return not self.target_list.is_outdated
 
     def _target_list_pause(self) -> tuple[float, float]:
         if self._is_placing:
@@ -395,6 +435,9 @@
         Args:
             version: `changed_version` of the leader.
         """
+        self.target_list.expected_version = max(
+            self.target_list.expected_version, version
+        )
         if version > self.target_list.version:
             self.target_list.wake()
 
--- a/anvilford/node/tests/test_driver.py
+++ b/anvilford/node/tests/test_driver.py
@@ -83,7 +83,7 @@
             ]
         )
         with case.assertLogs("anvilford.node._driver", "ERROR"):
-            driver.start([TARGET], [])
+            driver.start([TARGET], [], True)
             await asyncio.sleep(3 * TICK_INTERVAL_S)
         target = driver.placer.fleet.targets[TARGET.target_id]
         case.assertIs(target.ownership, Ownership.OWNED)
@@ -103,7 +103,7 @@
         asyncio.get_running_loop().set_exception_handler(mock.Mock())
         driver.placer.tick = mock.Mock(side_effect=[KeyError(), None, None])
         with contextlib.suppress(KeyError):
-            driver.start([], [])
+            driver.start([], [], True)
         await asyncio.sleep(3 * TICK_INTERVAL_S)
         case.assertGreater(driver.placer.tick.call_count, 1)
         driver.close()
@@ -116,7 +116,7 @@
 
     async def scenario():
         driver = make_driver()
-        driver.start([], [])
+        driver.start([], [], True)
         await asyncio.sleep(5 * TICK_INTERVAL_S)
         idle = driver.placer.event_delay
         for _ in range(5):
--- a/anvilford/node/tests/test_sync.py
+++ b/anvilford/node/tests/test_sync.py
@@ -60,8 +60,13 @@
 }
 
 
-def with_site(scenario):
-    """Runs an async test body with a store of one target and a view of it."""
+def with_site(scenario, pause=(0.05, 30.0)):
+    """Runs an async test body with a store of one target and a view of it.
+
+    Args:
+        scenario: Test body, which receives the store and the view.
+        pause: Pauses of a member between two reads of the list, in seconds.
+    """
 
     async def main():
         async with RowStore() as store:
@@ -74,7 +79,7 @@
                 await scenario(store, site)
                 task.cancel()
 
-    with mock.patch.object(_sync, "FOLLOWER_LIST_PAUSE_S", (0.05, 30.0)):
+    with mock.patch.object(_sync, "FOLLOWER_LIST_PAUSE_S", pause):
         asyncio.run(main())
 
 
@@ -154,6 +159,71 @@
     with_site(scenario)
 
 
+# Time in which a new leader has to read the list: its claims take as long.
+NEW_LEADER_READ_S = 0.25
+
+
+def test_new_leader_waits_for_the_rest_of_a_members_pause(case):
+    """A new leader must know the targets that the one before it just used.
+
+    A member that was woken slept for the rest of its pause of 1.5 s, also once
+    it led. Until then, it took the targets that it knew for all of the site.
+    """
+
+    async def scenario(store, site):
+        await start_pause(store, site)
+        site.refresh_targets_if_older(site.target_list.version + 1)
+        await asyncio.sleep(0.05)
+        store.put(TARGET_TABLE, "r2", {**TARGET, "address": "10.0.0.2:80"})
+        site.is_placing = True
+        case.assertFalse(site.has_current_targets)
+        await wait_until(
+            lambda: site.has_current_targets, timeout=NEW_LEADER_READ_S
+        )
+        case.assertEqual(len(site.targets), 2)
+
+    with_site(scenario, pause=_sync.FOLLOWER_LIST_PAUSE_S)
+
+
+def test_new_leader_trusts_a_watch_without_an_answer(case):
+    """A watch that went silent must not count as proof of no change."""
+
+    async def scenario():
+        async with RowStore() as store, Proxy(store.address) as proxy:
+            store.put(TARGET_TABLE, "r1", TARGET)
+            with HttpClient() as http:
+                site = SiteView(StoreClient(http, proxy.address), Counters())
+                task = asyncio.ensure_future(site.target_list.run())
+                await wait_until(lambda: site.targets)
+                await asyncio.sleep(0.05)
+                proxy.silence()
+                store.put(TARGET_TABLE, "r2", {**TARGET, "address": "b:80"})
+                site.is_placing = True
+                case.assertFalse(site.has_current_targets)
+                await wait_until(
+                    lambda: site.has_current_targets, timeout=NEW_LEADER_READ_S
+                )
+                case.assertEqual(len(site.targets), 2)
+                task.cancel()
+
+    asyncio.run(scenario())
+
+
+def test_new_leader_trusts_a_replica_that_lags_behind(case):
+    """A read older than what the last leader had read must be repeated."""
+
+    async def scenario(store, site):
+        site.refresh_targets_if_older(store.version + 1)
+        site.is_placing = True
+        await asyncio.sleep(NEW_LEADER_READ_S)
+        case.assertFalse(site.has_current_targets)
+        store.put(TARGET_TABLE, "r2", {**TARGET, "address": "10.0.0.2:80"})
+        await wait_until(lambda: site.has_current_targets)
+        case.assertEqual(len(site.targets), 2)
+
+    with_site(scenario)
+
+
 def test_only_changes_of_targets_are_reported(case):
     """Guards against members that read the list after each row is rewritten.
 
--- a/anvilford/order_model/_site.py
+++ b/anvilford/order_model/_site.py
@@ -133,10 +133,10 @@
         self.schedule(self.now + TICK_INTERVAL_S, self._tick, name)
         return placer
 
-    def list_targets(self, name: str) -> None:
+    def list_targets(self, name: str, is_current: bool = True) -> None:
         """Passes the current list of targets to a placer."""
         records = [t.record for t in self.targets.values()]
-        self.placers[name].apply_target_list(records, [], self.now)
+        self.placers[name].apply_target_list(records, [], self.now, is_current)
         self._execute_effects(name)
 
     def remove_placer(self, name: str) -> None:
--- a/anvilford/placement/_fleet.py
+++ b/anvilford/placement/_fleet.py
@@ -121,6 +121,7 @@
         records: Iterable[TargetRecord],
         dropped: Iterable[TargetRecord],
         now: float,
+        is_current: bool = True,
     ) -> None:
         """Updates the targets from the platform's list and polls new ones.
 
@@ -129,7 +130,10 @@
             dropped: Targets that were removed from the list in the last few
                 seconds.
             now: Current time in seconds.
+            is_current: Whether the list has all targets that other placers
+                may have used.
         """
+        self.list_is_current = is_current
         self.reconcile(records, dropped, now)
         self._send_due_polls(now)
 
--- a/anvilford/placement/_placer.py
+++ b/anvilford/placement/_placer.py
@@ -281,6 +281,7 @@
         records: Iterable[TargetRecord],
         dropped: Iterable[TargetRecord],
         now: float,
+        is_current: bool = True,
     ) -> None:
         """Updates the targets from a complete copy of the platform's list.
 
@@ -289,8 +290,10 @@
             dropped: Targets that were removed from the list in the last
                 seconds.
             now: Current time in seconds.
+            is_current: Whether the list has all targets that other placers
+                may have used.
         """
-        self.fleet.apply_target_list(records, dropped, now)
+        self.fleet.apply_target_list(records, dropped, now, is_current)
         self._views.clear()
 
     def raise_fence(self, fence: int, now: float) -> None:
--- a/anvilford/placement/_target_list.py
+++ b/anvilford/placement/_target_list.py
@@ -46,6 +46,8 @@
         targets: Targets by id.
         target_by_task: Target that may run a task, by task name.
         list_version: Highest row version seen in the platform's list.
+        list_is_current: Whether the list has all targets that other placers
+            may have used.
         crashes: Targets that were lost while they ran tasks.
     """
 
@@ -62,6 +64,7 @@
         self.targets: dict[str, Target] = {}
         self.target_by_task: dict[str, Target] = {}
         self.list_version = 0
+        self.list_is_current = True
         self.crashes = crashes
         self._by_service: dict[str, list[Target]] = {}
         # Incarnation by id of targets at whose address another process answers.
@@ -123,9 +126,13 @@
             return False
         if job.placed_elsewhere is not None:
             return any(not self._owns(name) for name in job.placed_elsewhere)
-        return now < self.options.list_complete_at or any(
-            target.ownership is not Ownership.OWNED
-            for target in self.targets.values()
+        return (
+            not self.list_is_current
+            or now < self.options.list_complete_at
+            or any(
+                target.ownership is not Ownership.OWNED
+                for target in self.targets.values()
+            )
         )
 
     def _owns(self, target_id: str) -> bool:
--- a/anvilford/placement/tests/test_handovers.py
+++ b/anvilford/placement/tests/test_handovers.py
@@ -1,6 +1,7 @@
 """Tests of jobs that return to a placer, or reach a new one, with runs."""
 
 from anvilford.order_model import PlacementSimulation
+from anvilford.placement import OutcomeKind
 from anvilford.placement import RunEnd
 from anvilford.placement.tests._shared import job
 from anvilford.placement.tests._shared import make_target
@@ -173,3 +174,36 @@
     site.run(6.0)
     ends = [e for t in site.targets.values() for e in t.ends]
     case.assertEqual(len(ends), 1, ends)
+
+
+def test_new_leader_lacks_a_target_that_was_just_added(case):
+    """Guards against a second run of a task on a target that just registered.
+
+    The leader started it there and was killed. The members read the list less
+    often, so that the next leader had claimed all targets that it knew.
+    """
+    site = PlacementSimulation(
+        [make_target("t1", speed=0.5), make_target("added", speed=1.6)]
+    )
+    site.add_placer("old", 1)
+    site.run(0.1)
+    site.placers["old"].fleet.targets["t1"].suspended_until = 0.3
+    work = job(seconds=1.0)
+    site.offer("old", work)
+    site.run(0.2)
+    site.remove_placer("old")
+    added = site.targets.pop("added")
+    case.assertTrue(added.running)
+    site.add_placer("new", 2)
+    site.list_targets("new", is_current=False)
+    site.run(0.25)
+    site.offer("new", work, again=True, placed_is_known=False)
+    site.run(0.35)
+    site.targets["added"] = added
+    site.list_targets("new")
+    site.run(3.0)
+    case.assertEqual(site.find_overlapping_tasks(), [])
+    case.assertEqual(len(added.starts), 1)
+    case.assertEqual(
+        [o.kind for *_, o in site.outcomes], [OutcomeKind.COMPLETED]
+    )
