--- a/anvilford/http1/_client.py
+++ b/anvilford/http1/_client.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import socket
+from collections.abc import Hashable
 
 import attrs
 import httptools
@@ -22,10 +23,14 @@
     Attributes:
         status: HTTP status code.
         body: The body, without transfer encoding.
+        connection: Connection on which it arrived.
     """
 
     status: int
     body: bytes
+    connection: "Connection | None" = attrs.field(
+        default=None, eq=False, repr=False
+    )
 
 
 @attrs.frozen
@@ -38,11 +43,14 @@
         reason: Short text for logs.
         connection_refused: True if the server's machine refused the
             connection.
+        no_connection: True if the call required a connection to a known
+            process, and none was idle.
     """
 
     sent: bool
     reason: str
     connection_refused: bool = False
+    no_connection: bool = False
 
 
 @attrs.define
@@ -56,7 +64,7 @@
     received_bytes: int = 0
 
 
-class _Connection(asyncio.Protocol):
+class Connection(asyncio.Protocol):
     """A connection that carries one request and its response at a time.
 
     Attributes:
@@ -75,6 +83,9 @@
             request.
         idle_since: Loop time in seconds at which the last call ended.
         parser: Parser of the responses.
+        process_id: What identifies the process at the other end, as set by the
+            user of the client from a response; None if it is not known. A
+            connection ends with the process that accepted it.
     """
 
     def __init__(self):
@@ -89,6 +100,7 @@
         self.keep_alive = True
         self.idle_since = 0.0
         self.parser = httptools.HttpResponseParser(self)
+        self.process_id: Hashable | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport
@@ -149,7 +161,7 @@
         self.keep_alive = self.keep_alive and self.parser.should_keep_alive()
         if self.response_future is not None and not self.response_future.done():
             self.response_future.set_result(
-                ClientResponse(status, b"".join(self.body_parts))
+                ClientResponse(status, b"".join(self.body_parts), self)
             )
 
     async def exchange(
@@ -199,7 +211,7 @@
 
     def __init__(self, connect_timeout: float = 0.5):
         self.connect_timeout = connect_timeout
-        self._idle: dict[str, collections.deque[_Connection]] = {}
+        self._idle: dict[str, collections.deque[Connection]] = {}
 
     def __enter__(self) -> "HttpClient":
         return self
@@ -226,6 +238,7 @@
         headers: str = "",
         idle_timeout: float | None = None,
         progress: ResponseProgress | None = None,
+        process_id: Hashable | None = None,
     ) -> ClientResponse | CallFailed:
         """Sends one request and waits for the response; never retries.
 
@@ -244,13 +257,19 @@
                 responses without an upper bound on their size: a limit on the
                 whole would end each attempt at the same point on a slow link.
             progress: Updated while the response arrives.
+            process_id: If not None, the request is sent only over a connection
+                with this `process_id`, and a new one is not opened.
 
         Returns:
             The response, of any status, or the reason why there is none.
         """
         loop = asyncio.get_running_loop()
         deadline = loop.time() + timeout
-        connection = self._pop_idle_connection(address, loop.time())
+        connection = self._pop_idle_connection(address, loop.time(), process_id)
+        if connection is None and process_id is not None:
+            return CallFailed(
+                False, "no connection to the process", no_connection=True
+            )
         if connection is None:
             opened = await self._connect(
                 address, min(timeout, self.connect_timeout)
@@ -284,21 +303,31 @@
         return result
 
     def _pop_idle_connection(
-        self, address: str, now: float
-    ) -> _Connection | None:
-        idle = self._idle.get(address)
-        while idle:
-            connection = idle.pop()
+        self, address: str, now: float, process_id: Hashable | None
+    ) -> Connection | None:
+        """Removes and returns the connection that was idle for the least time.
+
+        Args:
+            address: Address of the server.
+            now: Loop time in seconds.
+            process_id: If not None, connections to other or unknown processes
+                are left where they are.
+        """
+        idle = self._idle.get(address, ())
+        for connection in reversed(list(idle)):
             if (
-                connection.is_reusable()
-                and now - connection.idle_since < IDLE_TIMEOUT_S
+                not connection.is_reusable()
+                or now - connection.idle_since >= IDLE_TIMEOUT_S
             ):
+                idle.remove(connection)
+                connection.transport.abort()
+            elif process_id in (None, connection.process_id):
+                idle.remove(connection)
                 return connection
-            connection.transport.abort()
         return None
 
     def _add_idle_connection(
-        self, address: str, connection: _Connection, now: float
+        self, address: str, connection: Connection, now: float
     ) -> None:
         idle = self._idle.setdefault(address, collections.deque())
         connection.idle_since = now
@@ -308,13 +337,13 @@
 
     async def _connect(
         self, address: str, timeout: float
-    ) -> "_Connection | CallFailed":
+    ) -> "Connection | CallFailed":
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(timeout):
                 _, connection = await loop.create_connection(
-                    _Connection, host, int(port)
+                    Connection, host, int(port)
                 )
         except TimeoutError:
             return CallFailed(False, "connect timeout")
--- a/anvilford/placement/__init__.py
+++ b/anvilford/placement/__init__.py
@@ -31,6 +31,7 @@
 from anvilford.placement._orders import Refusal
 from anvilford.placement._orders import Refused
 from anvilford.placement._orders import Report
+from anvilford.placement._orders import Restarted
 from anvilford.placement._orders import RunEnd
 from anvilford.placement._orders import RunningTask
 from anvilford.placement._orders import Settle
@@ -63,6 +64,7 @@
     "Refused",
     "Report",
     "Resources",
+    "Restarted",
     "RunEnd",
     "RunningTask",
     "Settle",
--- a/anvilford/placement/_choice.py
+++ b/anvilford/placement/_choice.py
@@ -35,6 +35,7 @@
     return (
         target.ownership is Ownership.OWNED
         and target.reachable
+        and not target.has_old_record
         and not target.record.draining
         and not target.is_full
         and target.clock_ms is not None
--- a/anvilford/placement/_fleet.py
+++ b/anvilford/placement/_fleet.py
@@ -30,6 +30,7 @@
 from anvilford.placement._orders import Refusal
 from anvilford.placement._orders import Refused
 from anvilford.placement._orders import Report
+from anvilford.placement._orders import Restarted
 from anvilford.placement._orders import RunEnd
 from anvilford.placement._orders import RunningTask
 from anvilford.placement._orders import StartRun
@@ -321,6 +322,9 @@
                 self._handle_refused_start(target, run, order, reason, now)
             case LifeReplaced():
                 self._handle_replaced(target, now)
+            case Restarted(incarnation):
+                self._finish_run(target, run, "target_restarted", now)
+                self._handle_restarted(target, incarnation, now)
             case NotSent():
                 target.retry_at = now + CLAIM_RETRY_S
                 self._finish_run(target, run, "not_sent", now)
@@ -405,10 +409,9 @@
                     report.incarnation
                     and report.incarnation != target.record.incarnation
                 ):
-                    record = attrs.evolve(
-                        target.record, incarnation=report.incarnation
+                    target = self._handle_restarted(
+                        target, report.incarnation, now
                     )
-                    target = self.replace_incarnation(target, record, now)
                 self._apply_report(target, order, report, now)
             case Refused(Refusal.FENCE, _):
                 self._handle_fence_lost(target, order)
@@ -631,6 +634,22 @@
         self._drop_runs(target, "target_replaced", now)
         self.drop_replaced(target)
 
+    def _handle_restarted(
+        self, target: Target, incarnation: int, now: float
+    ) -> Target:
+        """Replaces a target that has restarted before the list shows it.
+
+        The new incarnation may be of another kind, so that no task starts on
+        it until its row is listed.
+
+        Returns:
+            The target that replaces the old one.
+        """
+        record = attrs.evolve(target.record, incarnation=incarnation)
+        restarted = self.replace_incarnation(target, record, now)
+        restarted.has_old_record = True
+        return restarted
+
     def _drop_runs(self, target: Target, cause: str, now: float) -> None:
         for run in list(target.runs.values()):
             self._finish_run(target, run, cause, now)
--- a/anvilford/placement/_orders.py
+++ b/anvilford/placement/_orders.py
@@ -9,7 +9,7 @@
 
 @attrs.frozen
 class StartRun:
-    """Command to start a run of a task.
+    """Command to start a run of a task; reaches no other incarnation.
 
     Attributes:
         target_id: Id of the target.
@@ -163,6 +163,17 @@
     """Another incarnation of the target answered; earlier runs are gone."""
 
 
+@attrs.frozen
+class Restarted:
+    """The target has restarted under its id; the command was not sent to it.
+
+    Attributes:
+        incarnation: Its present incarnation.
+    """
+
+    incarnation: int
+
+
 @attrs.frozen
 class NotSent:
     """The command was not sent; the target cannot have received any of it."""
@@ -173,7 +184,7 @@
     """The command was sent without an answer and may still be carried out."""
 
 
-OrderAnswer = Accepted | Refused | LifeReplaced | NotSent | NoAnswer
+OrderAnswer = Accepted | Refused | LifeReplaced | Restarted | NotSent | NoAnswer
 
 
 class RunEnd(enum.StrEnum):
--- a/anvilford/placement/_state.py
+++ b/anvilford/placement/_state.py
@@ -317,6 +317,9 @@
         missed_polls: Number of failed polls since the last report.
         isolated_job: Id of the job whose tasks may crash the target and have
             it to themselves; empty if there is none.
+        has_old_record: True if the target has restarted and the list does not
+            show its new row yet: capacity and labels in `record` are those of
+            the previous incarnation.
     """
 
     record: TargetRecord
@@ -343,6 +346,7 @@
     reachable: bool = True
     missed_polls: int = 0
     isolated_job: str = ""
+    has_old_record: bool = False
 
     @property
     def has_claimed_runs(self) -> bool:
--- a/anvilford/placement/_target_list.py
+++ b/anvilford/placement/_target_list.py
@@ -215,6 +215,7 @@
         old = target.record
         target.listed = True
         target.record = record
+        target.has_old_record = False
         if old.draining != record.draining:
             self.log_target_event(
                 "target state changed", record.target_id, record
--- a/anvilford/placement/tests/test_targets.py
+++ b/anvilford/placement/tests/test_targets.py
@@ -3,6 +3,7 @@
 import attrs
 
 from anvilford.order_model import PlacementSimulation
+from anvilford.placement import JobSpec
 from anvilford.placement import OutcomeKind
 from anvilford.placement import Resources
 from anvilford.placement.tests._shared import job
@@ -61,6 +62,40 @@
     case.assertIn("t1", placer.fleet.targets)
 
 
+def test_restarted_target_is_used_by_its_old_labels(case):
+    """Guards against a task on a target without the label that it requires.
+
+    A target came back under its id as another kind. A poll showed the new
+    incarnation before the list did, and the old labels went on to count.
+    """
+    site = PlacementSimulation([make_target("t1")])
+    site.add_placer("p", 1)
+    target = site.targets["t1"]
+    target.accepts_any_incarnation = True
+    old_record = target.record
+    site.run(0.1)
+    work = job(seconds=1.0)
+    step = attrs.evolve(work.spec.steps[0], label="a")
+    site.offer("p", attrs.evolve(work, spec=JobSpec("payload", (step,))))
+    site.run(0.3)
+    case.assertEqual(len(target.starts), 1)
+    target.restart(5000, site.now)
+    target.record = attrs.evolve(target.record, labels=("b", "r1"))
+    site.run(0.5)
+    placer = site.placers["p"]
+    case.assertEqual(placer.fleet.targets["t1"].record.incarnation, 5000)
+    placer.apply_target_list([old_record], [], site.now)
+    site.run(0.6)
+    site.list_targets("p")
+    site.run(2.0)
+    case.assertEqual(len(target.starts), 1)
+    # The target is usable again for tasks that do not require the label.
+    other = job(at=2.0)
+    site.offer("p", other)
+    site.run(3.0)
+    case.assertIs(outcome_kinds(site)[other.job_id], OutcomeKind.COMPLETED)
+
+
 def test_jobs_that_fail_everywhere_suspend_no_target(case):
     """A sound target must not be suspended for the failures of one job.
 
--- a/anvilford/platform/_target_calls.py
+++ b/anvilford/platform/_target_calls.py
@@ -1,5 +1,6 @@
 """HTTP client for the targets, which the platform calls "runners"."""
 
+import asyncio
 import json
 from typing import Any
 
@@ -17,6 +18,7 @@
 from anvilford.placement import Refusal
 from anvilford.placement import Refused
 from anvilford.placement import Report
+from anvilford.placement import Restarted
 from anvilford.placement import RunEnd
 from anvilford.placement import RunningTask
 from anvilford.placement import StartRun
@@ -52,11 +54,42 @@
     ) -> OrderAnswer:
         """Asks a target to start a run of a task.
 
+        The request names the target by its id only, and a target that has
+        restarted under its id may be of another kind. It is therefore sent only
+        over a connection on which the intended incarnation has reported; a new
+        connection is used for a poll first.
+
         Args:
             address: "IP:port" of the target.
             order: The run to start.
             timeout: Time limit for the call, in seconds.
         """
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout
+        answer = await self._send_start(address, order, timeout)
+        if isinstance(answer, CallFailed) and answer.no_connection:
+            poll = Poll(
+                order.target_id, order.incarnation, order.fence, None, 0, 0, 0.0
+            )
+            left = deadline - loop.time()
+            match await self.poll(address, poll, left):
+                case Report(incarnation=incarnation) if incarnation not in (
+                    0,
+                    order.incarnation,
+                ):
+                    return Restarted(incarnation)
+                case Report():
+                    left = deadline - loop.time()
+                    answer = await self._send_start(address, order, left)
+                case LifeReplaced() | Refused() as refusal:
+                    return refusal
+                case _:
+                    return NotSent()
+        return _decode_order_answer(answer)
+
+    async def _send_start(
+        self, address: str, order: StartRun, timeout: float
+    ) -> ClientResponse | CallFailed:
         body = {
             "task": order.task,
             "run": order.run,
@@ -64,10 +97,14 @@
             "deadline_ms": order.deadline_ms,
             "fencing_token": order.fence,
         }
-        answer = await self._call(
-            address, "POST /v1/run-start", order.target_id, body, timeout
+        return await self._call(
+            address,
+            "POST /v1/run-start",
+            order.target_id,
+            body,
+            timeout,
+            process_id=order.incarnation,
         )
-        return _decode_order_answer(answer)
 
     async def stop(
         self, address: str, order: StopRun, timeout: float
@@ -114,8 +151,13 @@
             address, "POST /v1/hold", order.target_id, body, timeout
         )
         match answer:
-            case ClientResponse(200, data):
-                return _decode_report(data)
+            case ClientResponse(200, data, connection):
+                report = _decode_report(data)
+                if isinstance(report, Report) and connection is not None:
+                    connection.process_id = (
+                        report.incarnation or order.incarnation
+                    )
+                return report
             case _:
                 return _decode_order_answer(answer)
 
@@ -126,6 +168,7 @@
         target_id: str,
         body: dict[str, Any],
         timeout: float,
+        process_id: int | None = None,
     ) -> ClientResponse | CallFailed:
         return await self.http.call(
             address,
@@ -133,6 +176,7 @@
             json.dumps(body).encode(),
             timeout,
             f"X-Anvilford-Expect-Instance: {target_id}\r\n",
+            process_id=process_id,
         )
 
 
