Choose no target that was replaced since the view of its service was made (LOST)

What callers saw: no answer until they left. Cause: a start whose answer shows that the target was replaced is repeated at once, and the view of the usable targets, up to 10 ms old, still had the dropped one. No order was sent, so no answer came, and a task that is placed has no timeout of its own.

Fix: a view holds only while no target was added, replaced or removed since. Evidence: test_task_started_on_a_target_that_was_just_replaced_hangs had no outcome before.

--- a/anvilford/placement/_placer.py
+++ b/anvilford/placement/_placer.py
@@ -294,7 +294,6 @@
                 may have used.
         """
         self.fleet.apply_target_list(records, dropped, now, is_current)
-        self._views.clear()
 
     def raise_fence(self, fence: int, now: float) -> None:
         """Adopts a higher fencing token and claims all targets with it.
@@ -644,11 +643,20 @@
         )
 
     def _view(self, service: str, now: float) -> ServiceView:
-        """Returns a view of a service that is at most `MAX_VIEW_AGE_S` old."""
+        """Returns a view of a service that is at most `MAX_VIEW_AGE_S` old.
+
+        It holds no target that has been replaced or removed since.
+        """
         view = self._views.get(service)
-        if view is None or not 0 <= now - view.created_at < MAX_VIEW_AGE_S:
+        if (
+            view is None
+            or view.index_version != self.fleet.index_version
+            or not 0 <= now - view.created_at < MAX_VIEW_AGE_S
+        ):
             view = self._views[service] = build_view(
-                self.fleet.targets_of_service(service), now
+                self.fleet.targets_of_service(service),
+                self.fleet.index_version,
+                now,
             )
         return view
 
--- a/anvilford/placement/_target_list.py
+++ b/anvilford/placement/_target_list.py
@@ -49,6 +49,8 @@
         list_is_current: Whether the list has all targets that other placers
             may have used.
         crashes: Targets that were lost while they ran tasks.
+        index_version: Increases whenever a target is added, replaced or
+            removed.
     """
 
     def __init__(
@@ -66,6 +68,7 @@
         self.list_version = 0
         self.list_is_current = True
         self.crashes = crashes
+        self.index_version = 0
         self._by_service: dict[str, list[Target]] = {}
         # Incarnation by id of targets at whose address another process answers.
         # The platform's list may show them for some seconds more.
@@ -289,6 +292,7 @@
 
     def rebuild_index(self) -> None:
         """Rebuilds the index of targets by service."""
+        self.index_version += 1
         self._by_service = {}
         for target in self.targets.values():
             service = target.record.service
--- a/anvilford/placement/_view.py
+++ b/anvilford/placement/_view.py
@@ -17,16 +17,20 @@
     Attributes:
         targets: Targets on which tasks may start, the fastest first.
         capacity: Total capacity of these targets.
+        index_version: `TargetList.index_version` at that time.
         created_at: Time of the snapshot.
     """
 
     targets: list[Target]
     capacity: Capacity
+    index_version: int
     created_at: float
 
 
-def build_view(targets: Iterable[Target], now: float) -> ServiceView:
+def build_view(
+    targets: Iterable[Target], index_version: int, now: float
+) -> ServiceView:
     """Returns a view of the usable ones among a service's targets."""
     usable = [target for target in targets if is_usable(target, now)]
     usable.sort(key=lambda target: -target.speed)
-    return ServiceView(usable, total_capacity(usable), now)
+    return ServiceView(usable, total_capacity(usable), index_version, now)
--- a/anvilford/placement/tests/test_targets.py
+++ b/anvilford/placement/tests/test_targets.py
@@ -62,6 +62,20 @@
     case.assertIn("t1", placer.fleet.targets)
 
 
+def test_task_started_on_a_target_that_was_just_replaced_hangs(case, site):
+    """Guards against a request that gets no answer.
+
+    The answer to a start showed that the target had been replaced. The list of
+    usable targets was up to 10 ms old and still had it, so that the task
+    started there again. No order went out, and no answer to it came.
+    """
+    site.targets["t1"].restart(5000, site.now)
+    work = job(seconds=0.05)
+    site.offer("p", work)
+    site.run(1.0)
+    case.assertIs(outcome_kinds(site)[work.job_id], OutcomeKind.COMPLETED)
+
+
 def test_restarted_target_is_used_by_its_old_labels(case):
     """Guards against a task on a target without the label that it requires.
 
