Count only targets on which a task had started as crashed by it (LOST)

Cause: the history of lost targets took each task with an order under way for a cause of the loss. A start that is answered with 421 counted although another process had answered, and so did starts under way beside it and starts to targets that were silent already. Two of them ended the job as failed.

Fix: a refused or unsent start is no loss. A loss tells which tasks had started there: confirmed, or the connection was closed instead of an answer, or the target was heard within 20 ms before. Only these count towards giving up. A task that was on a lost target starts again only on one that has just answered a poll, so that deadly tasks are still given up after at most three starts. The report to the members has both lists.

--- a/anvilford/http1/_client.py
+++ b/anvilford/http1/_client.py
@@ -45,12 +45,15 @@
             connection.
         no_connection: True if the call required a connection to a known
             process, and none was idle.
+        connection_closed: True if the connection was closed or reset after the
+            request was written.
     """
 
     sent: bool
     reason: str
     connection_refused: bool = False
     no_connection: bool = False
+    connection_closed: bool = False
 
 
 @attrs.define
@@ -112,17 +115,17 @@
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError:
-            self._fail("malformed response")
+            self._fail(CallFailed(True, "malformed response"))
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.keep_alive = False
         reason = "connection closed" if exc is None else repr(exc)
-        self._fail(reason)
+        self._fail(CallFailed(True, reason, connection_closed=True))
 
-    def _fail(self, reason: str) -> None:
+    def _fail(self, failure: CallFailed) -> None:
         self.keep_alive = False
         if self.response_future is not None and not self.response_future.done():
-            self.response_future.set_result(CallFailed(True, reason))
+            self.response_future.set_result(failure)
         if self.transport is not None:
             self.transport.abort()
 
@@ -153,7 +156,7 @@
     def on_body(self, body: bytes) -> None:
         self.body_size += len(body)
         if self.body_size > MAX_RESPONSE_BODY_BYTES:
-            self._fail("response too large")
+            self._fail(CallFailed(True, "response too large"))
         self.body_parts.append(body)
 
     def on_message_complete(self) -> None:
--- a/anvilford/node/tests/test_coordination.py
+++ b/anvilford/node/tests/test_coordination.py
@@ -454,10 +454,12 @@
         coordinator.membership.members = (OTHER_MEMBER,)
         coordinator._start_leading(Leader(2, LOCAL_MEMBER))
         tasks = ("a.0.0.0",)
-        coordinator.crashes.record_loss("r1", 3, tasks, LossState.SILENT, 0.0)
+        coordinator.crashes.record_loss(
+            "r1", 3, tasks, tasks[:1], LossState.SILENT, 0.0
+        )
         await run_for(coordinator, 0.2)
         report = TargetLossReport(
-            (TargetLoss("r1", 3, tasks, LossState.SILENT),)
+            (TargetLoss("r1", 3, tasks, LossState.SILENT, tasks[:1]),)
         )
         case.assertIn((OTHER_MEMBER.address, report), coordinator.links.sent)
 
--- a/anvilford/node/tests/test_fuzz.py
+++ b/anvilford/node/tests/test_fuzz.py
@@ -106,7 +106,9 @@
             Offer(job_id, "entry-9", policy, spec, 0.0, 1.0),
             LeaderQuery(Member("entry-9", "a", "127.0.0.1:1", 1.0, "t"), 1),
             WithdrawJob(job_id, "entry-9"),
-            TargetLossReport((TargetLoss("r", 1, ("t",), LossState.SILENT),)),
+            TargetLossReport(
+                (TargetLoss("r", 1, ("t",), LossState.SILENT, ("t",)),)
+            ),
         )
     )
     hello = frame(Hello("anvilford", SENDER))
--- a/anvilford/order_model/_site.py
+++ b/anvilford/order_model/_site.py
@@ -56,6 +56,8 @@
         silent_placers: Names of placers that the entry does not reach.
         deadly_jobs: Ids of jobs whose tasks crash each target that starts them.
         hopeless_jobs: Ids of jobs whose tasks fail on each target.
+        crashes_are_silent: If True, a crash closes no connection; the calls to
+            the target end with their timeout.
     """
 
     delayed_order_share: float = 0.0
@@ -64,6 +66,7 @@
     silent_placers: set[str] = attrs.field(factory=set)
     deadly_jobs: set[str] = attrs.field(factory=set)
     hopeless_jobs: set[str] = attrs.field(factory=set)
+    crashes_are_silent: bool = False
 
 
 class PlacementSimulation:
@@ -350,14 +353,16 @@
 
     def _break_connections(self, target: FakeTarget, calls: list) -> None:
         """Ends the calls to a target without an answer."""
+        is_silent = self.faults.crashes_are_silent
+        delay = ORDER_TIMEOUT_S if is_silent else self.one_way_delay_s
         for name, order in calls:
             if name is not None:
                 self.schedule(
-                    self.now + self.one_way_delay_s,
+                    self.now + delay,
                     self._deliver_answer,
                     name,
                     order,
-                    NoAnswer(),
+                    NoAnswer(connection_closed=not is_silent),
                 )
 
     def _hold_poll(self, target: FakeTarget, name: str, order: Poll) -> None:
--- a/anvilford/placement/_crashes.py
+++ b/anvilford/placement/_crashes.py
@@ -3,7 +3,8 @@
 A task may crash each target that starts it. A crash cannot be told from a cut
 connection at first: the target is only silent, and its lease ends. It is known
 to have crashed once another incarnation answers or registers, and not to have
-crashed once the same one answers.
+crashed once the same one answers. Targets also crash for other reasons: a task
+whose start may not have reached the target is no cause.
 """
 
 import enum
@@ -35,12 +36,14 @@
         incarnation: Incarnation that was lost.
         tasks: Names of the tasks that it may have run.
         state: What is known of the target.
+        started: Those of `tasks` that had started there, as far as is known.
     """
 
     target_id: str
     incarnation: int
     tasks: tuple[str, ...]
     state: LossState
+    started: tuple[str, ...] = ()
 
 
 class CrashHistory:
@@ -60,6 +63,7 @@
         target_id: str,
         incarnation: int,
         tasks: Iterable[str],
+        started: Iterable[str],
         state: LossState,
         now: float,
     ) -> None:
@@ -69,13 +73,22 @@
             target_id: Id of the target.
             incarnation: Incarnation that was lost.
             tasks: Names of the tasks that it may have run when it was lost.
+            started: Those of `tasks` that had started there, as far as is
+                known.
             state: What is known of the target.
             now: Current time in seconds.
         """
         known = self._losses.get((target_id, incarnation))
         if known is not None:
             tasks = {*known[1].tasks, *tasks}
-        loss = TargetLoss(target_id, incarnation, tuple(sorted(tasks)), state)
+            started = {*known[1].started, *started}
+        loss = TargetLoss(
+            target_id,
+            incarnation,
+            tuple(sorted(tasks)),
+            state,
+            tuple(sorted(started)),
+        )
         if (known is not None and known[1] == loss) or not loss.tasks:
             return
         self.apply(loss, now)
@@ -115,12 +128,26 @@
         """Returns how many targets were lost that may have run a task."""
         return len(self._keys_by_task.get(task, ()))
 
+    def count_possible_crashes(self, task: str) -> int:
+        """Returns how many targets were lost that a task may have crashed."""
+        return sum(task in loss.started for loss in self._losses_under(task))
+
     def count_crashes(self, task: str) -> int:
-        """Returns how many of the lost targets are known to have crashed."""
-        return sum(
-            self._losses[key][1].state is LossState.CRASHED
-            for key in self._keys_by_task.get(task, ())
-        )
+        """Returns how many targets crashed on which a task had started."""
+        return len(self.crashed_targets(task))
+
+    def crashed_targets(self, task: str) -> list[str]:
+        """Returns the ids of the targets that count as crashed by a task."""
+        return [
+            loss.target_id
+            for loss in self._losses_under(task)
+            if loss.state is LossState.CRASHED and task in loss.started
+        ]
+
+    def _losses_under(self, task: str) -> list[TargetLoss]:
+        return [
+            self._losses[key][1] for key in self._keys_by_task.get(task, ())
+        ]
 
     def drop_old_losses(self, now: float) -> None:
         """Forgets the losses of more than `LOSS_RETENTION_S` ago."""
--- a/anvilford/placement/_fleet.py
+++ b/anvilford/placement/_fleet.py
@@ -167,6 +167,7 @@
         run = Run(
             task, task.name, number, task.spec.need, RunPhase.ORDERED, now
         )
+        run.was_sent_to_live = target.was_heard_recently(now)
         if task.has_lost_target and not target.runs:
             target.isolated_job = task.job.job_id
         target.reserve(run)
@@ -184,6 +185,13 @@
         )
         self._send_poll(target, now)
 
+    def check_liveness(self, target: Target, now: float) -> bool:
+        """Returns whether a target was heard recently; probes it otherwise."""
+        if target.was_heard_recently(now):
+            return True
+        self._send_poll(target, now, is_probe=True)
+        return False
+
     def stop_job(self, job: Job, now: float) -> None:
         """Sends a stop for every run of a job."""
         for task in job.tasks:
@@ -321,6 +329,8 @@
                     target.record_clock(clock_ms, now)
                 self._handle_refused_start(target, run, order, reason, now)
             case LifeReplaced():
+                # Another process has answered, which has started nothing.
+                self._finish_run(target, run, "target_replaced", now)
                 self._handle_replaced(target, now)
             case Restarted(incarnation):
                 self._finish_run(target, run, "target_restarted", now)
@@ -328,7 +338,10 @@
             case NotSent():
                 target.retry_at = now + CLAIM_RETRY_S
                 self._finish_run(target, run, "not_sent", now)
-            case NoAnswer():
+            case NoAnswer(connection_closed):
+                run.has_started = (
+                    run.has_started or connection_closed or run.was_sent_to_live
+                )
                 if run.phase is RunPhase.ORDERED:
                     run.phase = RunPhase.DOUBTFUL
                     run.doubtful_at = now
@@ -337,6 +350,7 @@
     def _confirm_start(self, run: Run, now: float) -> None:
         """Marks a run as running on its target."""
         run.phase = RunPhase.RUNNING
+        run.has_started = True
         run.confirmed_at = run.percent_at = now
 
     def _handle_refused_start(
--- a/anvilford/placement/_orders.py
+++ b/anvilford/placement/_orders.py
@@ -181,7 +181,14 @@
 
 @attrs.frozen
 class NoAnswer:
-    """The command was sent without an answer and may still be carried out."""
+    """The command was sent without an answer and may still be carried out.
+
+    Attributes:
+        connection_closed: True if the connection was closed after the command
+            was sent, as by a target that crashed when it received it.
+    """
+
+    connection_closed: bool = False
 
 
 OrderAnswer = Accepted | Refused | LifeReplaced | Restarted | NotSent | NoAnswer
--- a/anvilford/placement/_placer.py
+++ b/anvilford/placement/_placer.py
@@ -472,10 +472,10 @@
         """
         job.has_lost_target = job.is_held = False
         for task in job.waiting:
-            losses = self.crashes.count_losses(task.name)
-            task.has_lost_target = losses > 0
-            job.has_lost_target = job.has_lost_target or losses > 0
-            job.is_held = job.is_held or losses >= CRASHES_TO_GIVE_UP
+            task.has_lost_target = self.crashes.count_losses(task.name) > 0
+            job.has_lost_target = job.has_lost_target or task.has_lost_target
+            crashes = self.crashes.count_possible_crashes(task.name)
+            job.is_held = job.is_held or crashes >= CRASHES_TO_GIVE_UP
 
     def _end_if_hopeless(self, job: Job, now: float) -> None:
         """Ends a job with lost targets if a task crashed them, or at its end.
@@ -492,6 +492,7 @@
                     {
                         "task": task.key,
                         "crashed_targets": crashes,
+                        "targets": self.crashes.crashed_targets(task.name),
                         "run": task.run,
                     },
                 )
@@ -609,7 +610,12 @@
                     best_speed,
                     self.options,
                 )
-            if target is None:
+            # A task that may crash its target is started only on one that is
+            # known to be alive, so that a crash after it tells its cause.
+            if target is None or (
+                task.has_lost_target
+                and not self.fleet.check_liveness(target, now)
+            ):
                 steps_without_target.add(task.step)
                 unplaced.append(task)
                 continue
--- a/anvilford/placement/_state.py
+++ b/anvilford/placement/_state.py
@@ -12,6 +12,9 @@
 from anvilford.placement._model import StepSpec
 from anvilford.placement._model import TargetRecord
 
+# Time since the last answer of a target within which a start without an answer
+# counts as received. An answer within a region takes some milliseconds.
+RECENT_CONTACT_S = 0.02
 # An answer after its job's objective, but within this multiple of it, counts as
 # late and keeps part of its value. A later answer has no value. The factor is
 # defined by the platform.
@@ -254,6 +257,11 @@
         stopped_at: Time at which the stop was last sent; once it is
             confirmed, the time of the confirmation.
         doubtful_at: Time at which the run became `DOUBTFUL`.
+        was_sent_to_live: Whether the target was heard just before the start was
+            sent.
+        has_started: Whether the run has started, as far as is known: the target
+            has confirmed it, or closed the connection instead of answering the
+            start, or was heard just before a start without an answer.
     """
 
     task: Task | None
@@ -267,6 +275,8 @@
     percent_at: float = 0.0
     stopped_at: float = 0.0
     doubtful_at: float = 0.0
+    was_sent_to_live: bool = False
+    has_started: bool = False
 
 
 class Ownership(enum.Enum):
@@ -372,6 +382,13 @@
                 return True
         return False
 
+    def was_heard_recently(self, now: float) -> bool:
+        """Returns whether the target was alive within `RECENT_CONTACT_S`."""
+        return (
+            self.clock_ms is not None
+            and now - self.last_contact_at <= RECENT_CONTACT_S
+        )
+
     def reserve(self, run: Run) -> None:
         """Adds a run and reserves its resources."""
         self.runs[run.task_name] = run
--- a/anvilford/placement/_target_list.py
+++ b/anvilford/placement/_target_list.py
@@ -261,6 +261,7 @@
             target.record.target_id,
             target.record.incarnation,
             target.runs,
+            [name for name, run in target.runs.items() if run.has_started],
             state,
             now,
         )
--- a/anvilford/placement/tests/test_crashes.py
+++ b/anvilford/placement/tests/test_crashes.py
@@ -191,3 +191,54 @@
         loss = TargetLoss(f"t{n}", 1, ("a.0.0.0",), LossState.CRASHED)
         history.apply(loss, 10.0 * n)
     case.assertLess(history.count_losses("a.0.0.0"), 10)
+
+
+def test_job_is_failed_after_starts_that_were_refused(case, site):
+    """Guards against a job shown as failed of which no task has run.
+
+    Idle targets had crashed unnoticed. Other processes answered the starts,
+    which counted as crashes of the targets under the task.
+    """
+    for name in list(site.targets)[:-1]:
+        site.targets[name].restart(9000, site.now)
+    work = job(seconds=0.05)
+    site.offer("p", work)
+    site.run(2.0)
+    case.assertEqual(outcomes_of(site, work), [OutcomeKind.COMPLETED])
+
+
+def test_job_is_failed_after_starts_on_targets_that_were_dead(case, site):
+    """Guards against a job shown as failed whose targets crashed before.
+
+    They were idle and had gone silent, so that the starts got no answer, and
+    were back as other incarnations later.
+    """
+    site.run(2.0)
+    # Orders in flight to a target that has crashed never reach it.
+    site.faults.delayed_order_share = 1.0
+    work = job(seconds=0.05, at=2.0)
+    site.offer("p", work)
+    site.run(4.5)
+    for name in list(site.targets)[:-1]:
+        site.targets[name].restart(9000, site.now)
+    site.faults.delayed_order_share = 0.0
+    site.run(30.0)
+    case.assertEqual(outcomes_of(site, work), [OutcomeKind.COMPLETED])
+
+
+def test_task_is_given_up_after_crashes_without_an_answer_to_its_start(case):
+    """A start that crashes its target before the answer is still counted.
+
+    The target closes no connection either; it was idle for seconds before.
+    """
+    site = PlacementSimulation([make_target(f"t{n:02}") for n in range(12)])
+    site.job_deadline_s = LONG_DEADLINE_S
+    site.faults.crashes_are_silent = True
+    site.add_placer("p", 1)
+    site.run(3.0)
+    work = job(at=3.0)
+    site.faults.deadly_jobs.add(work.job_id)
+    site.offer("p", work)
+    site.run(30.0)
+    case.assertLessEqual(count_starts(site, work), MAX_STARTS)
+    case.assertEqual(outcomes_of(site, work), [OutcomeKind.FAILED])
--- a/anvilford/platform/_target_calls.py
+++ b/anvilford/platform/_target_calls.py
@@ -185,8 +185,8 @@
     match answer:
         case CallFailed(False):
             return NotSent()
-        case CallFailed():
-            return NoAnswer()
+        case CallFailed(connection_closed=connection_closed):
+            return NoAnswer(connection_closed)
         case ClientResponse(421):
             return LifeReplaced()
         case ClientResponse(429) | ClientResponse(503):
--- a/anvilford/protocol/anvilford.thrift
+++ b/anvilford/protocol/anvilford.thrift
@@ -205,6 +205,7 @@
   2: required i64 incarnation
   3: required list<string> tasks
   4: required LossState state
+  5: optional list<string> started
 }
 
 struct TargetLossReport {
--- a/anvilford/protocol/wire/ttypes.py
+++ b/anvilford/protocol/wire/ttypes.py
@@ -782,15 +782,17 @@
      - incarnation
      - tasks
      - state
+     - started
 
     """
 
 
-    def __init__(self, target_id=None, incarnation=None, tasks=None, state=None,):
+    def __init__(self, target_id=None, incarnation=None, tasks=None, state=None, started=None,):
         self.target_id = target_id
         self.incarnation = incarnation
         self.tasks = tasks
         self.state = state
+        self.started = started
 
     def __repr__(self):
         L = ['%s=%r' % (key, value)
@@ -1310,6 +1312,7 @@
     (2, TType.I64, 'incarnation', None, None, ),  # 2
     (3, TType.LIST, 'tasks', (TType.STRING, 'UTF8', False), None, ),  # 3
     (4, TType.I32, 'state', None, None, ),  # 4
+    (5, TType.LIST, 'started', (TType.STRING, 'UTF8', False), None, ),  # 5
 )
 all_structs.append(TargetLossReport)
 TargetLossReport.thrift_spec = (
