Ignore rows of the target list with impossible ports, names or ids

A port above 65535 also raised an exception with each poll, and one in the search for a leader.

Cause: the decoder of a target's row took any string for an address, id or name.

Fix: names are printable and have at most 200 characters, ports are 1 to 65535; other rows name no target. The reason that is logged is bounded, and only the last version of a malformed row is remembered. No process ended by itself before, and none stopped following the list.

--- a/anvilford/node/_sync.py
+++ b/anvilford/node/_sync.py
@@ -389,7 +389,8 @@
             counters,
             self._target_list_pause,
         )
-        self._reported_malformed: set[tuple[str, int]] = set()
+        # Last reported version by key of rows that cannot be decoded.
+        self._reported_malformed: dict[str, int] = {}
 
     @property
     def is_placing(self) -> bool:
@@ -512,6 +513,8 @@
             record = self._decode_row(self._target_rows[target_id])
             if record is not None:
                 self._removed_targets[target_id] = (record, now)
+        for key in self._reported_malformed.keys() - rows.keys():
+            del self._reported_malformed[key]
         self._target_rows = dict(rows)
         self._targets = None
         for listener in self.target_listeners:
@@ -559,9 +562,9 @@
 
     def _warn_malformed_once(self, key: str, version: int, reason: str) -> None:
         """Logs a row that cannot be decoded, once for each of its versions."""
-        if (key, version) in self._reported_malformed:
+        if self._reported_malformed.get(key) == version:
             return
-        self._reported_malformed.add((key, version))
+        self._reported_malformed[key] = version
         _logger.warning(
             "row of the target list cannot be decoded; ignoring the target",
             extra={"target": key, "version": version, "reason": reason},
--- a/anvilford/node/tests/test_processes.py
+++ b/anvilford/node/tests/test_processes.py
@@ -48,6 +48,65 @@
     run(scenario())
 
 
+# Values of rows that another writer left in the target list.
+ODD_ROWS = {
+    "nested": b"[" * 100_000,
+    "nested-state": b'{"state":' + b"[" * 900 + b"]" * 900 + b"}",
+    "unreadable": b"\xff" * 1000,
+}
+# Changes of a valid row by another writer.
+ODD_FIELDS = {
+    "port": {"address": "127.0.0.1:99999"},
+    "port-0": {"address": "127.0.0.1:0"},
+    "port-sign": {"address": "127.0.0.1:-1"},
+    "number": {"capacity": {"cpu": 10**30, "mem_mb": 1, "gpu": 0}},
+    "infinite": {"cold_remaining_ms": float("inf")},
+    "digits": {"born": 10**400},
+    "id\r\nX-Odd: 1": {},
+    "id-\ud800": {},
+    "zone": {"zone": "z" * 100_000},
+}
+
+
+def test_odd_rows_of_the_target_list_end_or_stop_an_entry(case):
+    """Guards against entries that end, or stop to follow the target list.
+
+    Another writer left rows there that are deeply nested, have numbers that are
+    too large, a port out of range or an id that fits into no header.
+    """
+
+    async def scenario():
+        async with LoopbackSite() as site:
+            row = site.store.get("servers", site.targets[0].name)
+            for key, data in ODD_ROWS.items():
+                site.store.put_bytes("servers", key, data)
+            for key, change in ODD_FIELDS.items():
+                site.store.put("servers", key, {**row, **change})
+            site.targets[0].register(site.store, "draining")
+            await asyncio.sleep(2.0)
+            pids = {n: e.process.pid for n, e in site.entries.items()}
+            leader = site.leader_name()
+            site.entries[leader].stop(signal.SIGTERM)
+            await asyncio.sleep(0.5)
+            for name in site.entries.keys() - {leader}:
+                for _ in range(8):
+                    answer = await site.submit(name, site.new_job_id())
+                    case.assertEqual(status(answer), 200)
+            case.assertEqual(len(site.targets[0].target.starts), 0)
+            for name, entry in site.entries.items():
+                if name != leader:
+                    case.assertIsNone(entry.process.poll())
+                    case.assertEqual(entry.process.pid, pids[name])
+                errors = [
+                    record["message"]
+                    for record in entry.log_records()
+                    if record["level"] == "ERROR"
+                ]
+                case.assertEqual(errors, [])
+
+    run(scenario())
+
+
 def test_requests_without_a_queue_or_a_supported_job(case):
     """Requests that cannot be served are refused rather than accepted.
 
--- a/anvilford/platform/_decoding.py
+++ b/anvilford/platform/_decoding.py
@@ -30,6 +30,42 @@
     return value
 
 
+# Longest name of a target, service, zone or label; the keys of the store's rows
+# have at most 200 bytes.
+_NAME_LIMIT = 200
+
+
+def require_name(value: Any) -> str:
+    """Returns a value that is a short printable string.
+
+    Names go into header lines, log lines and messages to other entries.
+
+    Raises:
+        TypeError: The value is of another type.
+        ValueError: The string is empty, too long, or has control characters or
+            lone surrogates.
+    """
+    text = require_str(value)
+    if not text or len(text) > _NAME_LIMIT or not text.isprintable():
+        raise ValueError(f"not a name: {text!r:.100}")
+    return text
+
+
+def require_address(value: Any) -> str:
+    """Returns a value that is an address, "IP:port".
+
+    Raises:
+        TypeError: The value is of another type.
+        ValueError: There is no host, or no port from 1 to 65535.
+    """
+    host, _, port = require_name(value).rpartition(":")
+    if not host or not (port.isascii() and port.isdigit()):
+        raise ValueError(f"not an address: {value!r:.100}")
+    if not 0 < int(port) < 1 << 16:
+        raise ValueError(f"port out of range: {value!r:.100}")
+    return value
+
+
 def require_int(value: Any) -> int:
     """Returns a value that is a 64-bit integer.
 
--- a/anvilford/platform/_documents.py
+++ b/anvilford/platform/_documents.py
@@ -9,8 +9,9 @@
 from anvilford.placement import Resources
 from anvilford.placement import TargetRecord
 from anvilford.platform._decoding import DECODE_ERRORS
+from anvilford.platform._decoding import require_address
 from anvilford.platform._decoding import require_int
-from anvilford.platform._decoding import require_str
+from anvilford.platform._decoding import require_name
 from anvilford.platform._store import StoreRow
 from anvilford.routing import RequestLimits
 from anvilford.routing import Route
@@ -59,7 +60,13 @@
             ),
         )
     except DECODE_ERRORS as error:
-        return MalformedDocument(row.key, row.version, repr(error))
+        return _describe_malformed(row, error)
+
+
+def _describe_malformed(row: StoreRow, error: Exception) -> MalformedDocument:
+    # The text of an error may contain the whole row.
+    reason = f"{type(error).__name__}: {error!s:.200}"
+    return MalformedDocument(row.key, row.version, reason)
 
 
 def _decode_route(raw: dict[str, Any]) -> Route:
@@ -86,18 +93,15 @@
         entry = json.loads(row.value)
         if entry["state"] not in _TARGET_STATES:
             raise ValueError(
-                f"state is {entry['state']!r}, not 'ready' or 'draining'"
+                f"state is {entry['state']!r:.100}, not 'ready' or 'draining'"
             )
         capacity = entry["capacity"]
-        address, zone, service = (
-            require_str(entry[name]) for name in ("address", "zone", "service")
-        )
         return TargetRecord(
-            target_id=row.key,
+            target_id=require_name(row.key),
             incarnation=require_int(entry.get("born", 0)),
-            address=address,
-            zone=zone,
-            service=service,
+            address=require_address(entry["address"]),
+            zone=require_name(entry["zone"]),
+            service=require_name(entry["service"]),
             draining=entry["state"] == "draining",
             cold_ms=require_int(entry.get("cold_remaining_ms", 0)),
             capacity=Resources(
@@ -106,9 +110,9 @@
                 require_int(capacity.get("gpu", 0)),
             ),
             labels=tuple(
-                require_str(label) for label in entry.get("labels", ())
+                require_name(label) for label in entry.get("labels", ())
             ),
             version=row.version,
         )
     except DECODE_ERRORS as error:
-        return MalformedDocument(row.key, row.version, repr(error))
+        return _describe_malformed(row, error)
--- a/anvilford/platform/tests/test_documents.py
+++ b/anvilford/platform/tests/test_documents.py
@@ -62,6 +62,17 @@
         {"service": None},
         {"cold_remaining_ms": 0.5},
         {"labels": [1]},
+        {"address": "10.0.0.1:99999"},
+        {"address": "10.0.0.1:0"},
+        {"address": "10.0.0.1:-1"},
+        {"address": "10.0.0.1: 80"},
+        {"address": "10.0.0.1"},
+        {"address": ":80"},
+        {"address": "10.0.0.1\r\nX-Odd: 1:80"},
+        {"zone": "z" * 1000},
+        {"service": ""},
+        {"labels": ["a\ud800"]},
+        {"born": 10**30},
     ):
         with case.subTest(change=change):
             decoded = decode_target(row({**TARGET, **change}))
@@ -71,6 +82,13 @@
             case.assertIsInstance(decode_target(row(data)), MalformedDocument)
 
 
+def test_reason_for_a_malformed_row_is_short(case):
+    """Guards against log lines as long as a row of another writer."""
+    for data in (b"\xff" * 10**6, json.dumps({"state": "s" * 10**6}).encode()):
+        malformed = decode_target(row(data))
+        case.assertLess(len(malformed.reason), 500)
+
+
 def test_malformed_configuration_is_reported(case):
     """A configuration with any invalid part must be rejected as a whole.
 
--- a/standins/rows.py
+++ b/standins/rows.py
@@ -78,7 +78,11 @@
 
     def put(self, table: str, key: str, value: dict) -> None:
         """Writes a row, as an operator or a target does."""
-        self._write({(table, key): json.dumps(value).encode()})
+        self.put_bytes(table, key, json.dumps(value).encode())
+
+    def put_bytes(self, table: str, key: str, data: bytes) -> None:
+        """Writes a row whose value need not be readable."""
+        self._write({(table, key): data})
 
     def delete(self, table: str, key: str) -> None:
         """Deletes a row."""
