--- a/anvilford/node/_leader_row.py
+++ b/anvilford/node/_leader_row.py
@@ -2,13 +2,16 @@
 
 import json
 import logging
+import math
 
 import attrs
 
+from anvilford.leadership import FENCING_TOKENS_PER_TERM
 from anvilford.leadership import Leader
 from anvilford.leadership import Member
 from anvilford.node import _clock as clock
 from anvilford.platform import Conflict
+from anvilford.platform import DECODE_ERRORS
 from anvilford.platform import StoreClient
 from anvilford.platform import StoreFailed
 from anvilford.platform import StoreRow
@@ -21,9 +24,39 @@
 # because no caller's request waits for the store.
 STORE_TIMEOUT_S = 2.0
 
+# Run numbers under the fencing tokens of higher terms do not fit into messages.
+MAX_TERM = (1 << 58) // FENCING_TOKENS_PER_TERM
+
 _logger = logging.getLogger(__name__)
 
 
+def _decode_row(data: bytes) -> tuple[Leader, tuple[Member, ...]]:
+    """Returns the leader and the members named in a row.
+
+    Raises:
+        Exception: One of `DECODE_ERRORS`, if the row is malformed.
+    """
+    value = json.loads(data)
+    term = int(value["term"])
+    if not 0 <= term <= MAX_TERM:
+        raise ValueError("term out of range")
+    return (
+        Leader(term, _decode_member(value["leader"])),
+        tuple(_decode_member(raw) for raw in value["members"]),
+    )
+
+
+def _decode_member(raw: dict) -> Member:
+    cores = float(raw["cores"])
+    if not math.isfinite(cores):
+        raise ValueError("number of cores is not finite")
+    return Member(
+        *(str(raw[name]) for name in ("name", "zone", "address")),
+        cores,
+        str(raw["token"]),
+    )
+
+
 class LeaderRow:
     """Reads the leader's row, and writes it if it has not changed since.
 
@@ -120,13 +153,11 @@
         if row is None or row.version <= self.version:
             return
         try:
-            value = json.loads(row.value)
-            self.leader = Leader(int(value["term"]), Member(**value["leader"]))
-            self.members = tuple(Member(**m) for m in value["members"])
-        except (ValueError, TypeError, KeyError) as error:
+            self.leader, self.members = _decode_row(row.value)
+        except DECODE_ERRORS as error:
             _logger.error(
                 "leader row cannot be decoded; treating it as naming no leader",
-                extra={"error": repr(error)},
+                extra={"error": f"{type(error).__name__}: {error!s:.200}"},
             )
             self.leader, self.members = None, ()
         self.version = row.version
--- a/anvilford/node/_speed_row.py
+++ b/anvilford/node/_speed_row.py
@@ -2,10 +2,12 @@
 
 import json
 import logging
+import math
 
 from anvilford.node._leader_row import STORE_TABLE
 from anvilford.node._leader_row import STORE_TIMEOUT_S
 from anvilford.platform import Conflict
+from anvilford.platform import DECODE_ERRORS
 from anvilford.platform import StoreClient
 from anvilford.platform import StoreFailed
 from anvilford.platform import StoreRow
@@ -86,10 +88,16 @@
             return {}
         self.version = row.version
         try:
-            return {str(k): float(v) for k, v in json.loads(row.value).items()}
-        except (ValueError, TypeError, AttributeError) as error:
+            speeds = {
+                str(key): float(value)
+                for key, value in json.loads(row.value).items()
+            }
+        except DECODE_ERRORS as error:
             _logger.error(
                 "row of target speeds cannot be decoded; ignoring it",
-                extra={"error": repr(error)},
+                extra={"error": f"{type(error).__name__}: {error!s:.200}"},
             )
             return {}
+        return {
+            key: speed for key, speed in speeds.items() if math.isfinite(speed)
+        }
--- a/anvilford/platform/__init__.py
+++ b/anvilford/platform/__init__.py
@@ -11,6 +11,7 @@
 from anvilford.platform._caller_requests import InvalidJobBody
 from anvilford.platform._caller_requests import JOB_ID_HEX_DIGITS
 from anvilford.platform._caller_requests import UnsupportedJob
+from anvilford.platform._decoding import DECODE_ERRORS
 from anvilford.platform._documents import CONFIGURATION_KEY
 from anvilford.platform._documents import decode_configuration
 from anvilford.platform._documents import decode_target
@@ -29,6 +30,7 @@
 __all__ = [
     "CONFIGURATION_KEY",
     "Conflict",
+    "DECODE_ERRORS",
     "DEADLINE_HEADER",
     "HistoryLost",
     "JOB_ID_HEX_DIGITS",
