--- a/anvilford/node/_coordination.py
+++ b/anvilford/node/_coordination.py
@@ -697,8 +697,16 @@
 
     @property
     def _may_claim_site(self) -> bool:
-        """Whether this leader may take targets back from another one."""
-        return not self.is_stopping and not self.leader.is_partial
+        """Whether this leader may take targets back from another one.
+
+        Without a majority of the members it may not: the others follow that
+        leader, and the two would take the targets from each other in turn.
+        """
+        return (
+            not self.is_stopping
+            and not self.leader.is_partial
+            and self.heartbeats.has_majority
+        )
 
     def _claim_or_step_down(self) -> None:
         """Claims all targets with a higher token, or steps down."""
@@ -737,11 +745,12 @@
         """Reacts to a target that obeys a higher fencing token.
 
         Another placer is active. A leader that is stopping or serves only its
-        zone steps down; otherwise it raises its term after a delay.
+        zone steps down; another one raises its term after a delay, or steps
+        down if it does not hear a majority of the members by then.
         """
         if driver is not self.driver:
             return
-        if not self._may_claim_site:
+        if self.is_stopping or self.leader.is_partial:
             self._step_down("fence_lost")
         elif not self._raise_fence_at:
             self._raise_fence_at = clock.now() + FENCE_RAISE_DELAY_S
--- a/anvilford/node/_members.py
+++ b/anvilford/node/_members.py
@@ -133,6 +133,11 @@
             if name in self.live_names
         ]
 
+    @property
+    def has_majority(self) -> bool:
+        """Whether more than half of the known members count as live."""
+        return 2 * len(self.live_names) > len(self._last_heartbeats)
+
     def known_members(self) -> tuple[Member, ...]:
         """Returns the members that count towards the majority.
 
--- a/anvilford/node/tests/test_coordination.py
+++ b/anvilford/node/tests/test_coordination.py
@@ -13,6 +13,7 @@
 from anvilford.leadership import Opinion
 from anvilford.node import _clock as clock
 from anvilford.node._coordination import LeadershipCoordinator
+from anvilford.node._members import MEMBER_LIVE_TIMEOUT_S
 from anvilford.node._search import MembershipView
 from anvilford.placement import CrashHistory
 from anvilford.placement import LossState
@@ -264,6 +265,52 @@
     case.assertNotEqual(coordinator.leader, Leader(3, LOCAL_MEMBER))
 
 
+def test_leader_without_members_takes_the_targets_back(case, coordinator):
+    """Guards against two leaders that take the targets from each other.
+
+    A leader was cut off from the other members but not from the targets. The
+    others elected another one, and each raised its token above the other's.
+    """
+    others = [
+        Member(f"entry-{n}", "b", f"127.0.0.1:{n}", 1.0, f"t{n}")
+        for n in range(4, 8)
+    ]
+    coordinator.membership.members = (LOCAL_MEMBER, *others)
+
+    async def scenario():
+        coordinator._start_leading(Leader(2, LOCAL_MEMBER))
+        driver = coordinator.driver
+        last_heard = clock.now() - MEMBER_LIVE_TIMEOUT_S - 0.1
+        for member in others:
+            coordinator.heartbeats.record_heartbeat(member, last_heard, 0.0)
+        coordinator.on_fence_lost(driver)
+        coordinator._raise_fence_at = clock.now()
+        await coordinator._lead_step()
+        case.assertEqual(driver.raise_fence.call_count, 0)
+
+    asyncio.run(scenario())
+    case.assertIsNone(coordinator.driver)
+    case.assertNotEqual(coordinator.leader, Leader(3, LOCAL_MEMBER))
+
+
+def test_leader_with_a_majority_takes_the_targets_back(case, coordinator):
+    """A leader of the whole site must end that of a zone after its cut."""
+    others = [
+        Member(f"entry-{n}", "b", f"127.0.0.1:{n}", 1.0, f"t{n}")
+        for n in range(4, 8)
+    ]
+    coordinator.membership.members = (LOCAL_MEMBER, *others)
+
+    async def scenario():
+        coordinator._start_leading(Leader(2, LOCAL_MEMBER))
+        coordinator.on_fence_lost(coordinator.driver)
+        coordinator._raise_fence_at = clock.now()
+        await coordinator._lead_step()
+
+    asyncio.run(scenario())
+    case.assertEqual(coordinator.leader, Leader(3, LOCAL_MEMBER))
+
+
 def test_heartbeat_is_sent_while_another_has_no_answer(case, coordinator):
     """Guards against late heartbeats that count as proof of each other.
 
