--- a/anvilford/placement/_placer.py
+++ b/anvilford/placement/_placer.py
@@ -519,10 +519,16 @@
         """Starts waiting tasks on targets with free resources."""
         if not self._waiting:
             return
+        # A caller may have sent a job again to another entry, which offers it
+        # as new. The first claims may still reveal its runs.
+        is_claiming = self.fleet.is_claiming(now)
         jobs_by_service: dict[str, list[Job]] = {}
         for job in self._waiting.values():
             if job.is_held:
                 continue
+            is_new = not job.started and not job.unseen_runs_until
+            if is_new and is_claiming:
+                continue
             may_run_elsewhere = job.unseen_runs_until or job.lease_ended_at
             if not may_run_elsewhere or not self._must_wait(job, now):
                 jobs_by_service.setdefault(job.policy.service, []).append(job)
--- a/anvilford/placement/_target_list.py
+++ b/anvilford/placement/_target_list.py
@@ -113,10 +113,13 @@
         """Returns whether the first claims of this placer may still succeed.
 
         That is so for `CLAIM_RETRY_S` after its start, while targets have not
-        answered their first poll.
+        answered their first poll, or may be missing from the list.
         """
-        return now - self.started_at < CLAIM_RETRY_S and any(
-            t.ownership is Ownership.CLAIMING for t in self.targets.values()
+        return now - self.started_at < CLAIM_RETRY_S and (
+            not self.list_is_current
+            or any(
+                t.ownership is Ownership.CLAIMING for t in self.targets.values()
+            )
         )
 
     def may_have_unseen_runs(self, job: Job, now: float) -> bool:
