Test that a new leader starts nothing on a target that had left

Report of another operator: a server that had left was in use again after a restart. A new leader started jobs by the copy of the list that it had as a member. Since jobs that it does not know wait for the first claims and a current list (at most 0.25 s), it does not; the test fails without that wait for the list. No product code changes.

--- a/anvilford/placement/tests/test_handovers.py
+++ b/anvilford/placement/tests/test_handovers.py
@@ -207,3 +207,26 @@
     case.assertEqual(
         [o.kind for *_, o in site.outcomes], [OutcomeKind.COMPLETED]
     )
+
+
+def test_new_leader_uses_a_target_that_had_left(case):
+    """Guards against tasks on a target that left while a member did not lead.
+
+    Members read the list less often than the leader. A new leader started jobs
+    by its old copy before it had read the list.
+    """
+    site = PlacementSimulation([make_target("left"), make_target("t1")])
+    site.add_placer("new", 1)
+    site.list_targets("new", is_current=False)
+    site.run(0.05)
+    work = job()
+    site.offer("new", work)
+    site.run(0.1)
+    left = site.targets.pop("left")
+    site.list_targets("new")
+    site.placers["new"].fleet.targets["left"].unlisted_at = -10.0
+    site.run(1.0)
+    case.assertEqual(left.starts, [])
+    case.assertEqual(
+        [o.kind for *_, o in site.outcomes], [OutcomeKind.COMPLETED]
+    )
