--- a/anvilford/daemon/tests/test_callers.py
+++ b/anvilford/daemon/tests/test_callers.py
@@ -242,6 +242,8 @@
                 AUTHORIZATION,
             )
             answer = json.load(connection.getresponse())
+            if "results" not in answer:
+                raise AssertionError(f"answer without results: {answer}")
             results = [result["echo"] for result in answer["results"]]
             sent.append((system.echoes_of(job), results))
     except Exception as failure:  # noqa: BLE001 (reported by the test)
