--- a/anvilford/node/tests/test_coordination.py
+++ b/anvilford/node/tests/test_coordination.py
@@ -265,20 +265,26 @@
     case.assertNotEqual(coordinator.leader, Leader(3, LOCAL_MEMBER))
 
 
+def lead_four_members(coordinator):
+    """Starts to lead a site; returns the other members, which count as live."""
+    others = [
+        Member(f"entry-{n}", "b", f"127.0.0.1:{n}", 1.0, f"t{n}")
+        for n in range(4, 8)
+    ]
+    coordinator.membership.members = (LOCAL_MEMBER, *others)
+    coordinator._start_leading(Leader(2, LOCAL_MEMBER))
+    return others
+
+
 def test_leader_without_members_takes_the_targets_back(case, coordinator):
     """Guards against two leaders that take the targets from each other.
 
     A leader was cut off from the other members but not from the targets. The
     others elected another one, and each raised its token above the other's.
     """
-    others = [
-        Member(f"entry-{n}", "b", f"127.0.0.1:{n}", 1.0, f"t{n}")
-        for n in range(4, 8)
-    ]
-    coordinator.membership.members = (LOCAL_MEMBER, *others)
 
     async def scenario():
-        coordinator._start_leading(Leader(2, LOCAL_MEMBER))
+        others = lead_four_members(coordinator)
         driver = coordinator.driver
         last_heard = clock.now() - MEMBER_LIVE_TIMEOUT_S - 0.1
         for member in others:
@@ -295,14 +301,9 @@
 
 def test_leader_with_a_majority_takes_the_targets_back(case, coordinator):
     """A leader of the whole site must end that of a zone after its cut."""
-    others = [
-        Member(f"entry-{n}", "b", f"127.0.0.1:{n}", 1.0, f"t{n}")
-        for n in range(4, 8)
-    ]
-    coordinator.membership.members = (LOCAL_MEMBER, *others)
 
     async def scenario():
-        coordinator._start_leading(Leader(2, LOCAL_MEMBER))
+        lead_four_members(coordinator)
         coordinator.on_fence_lost(coordinator.driver)
         coordinator._raise_fence_at = clock.now()
         await coordinator._lead_step()
