Do not fail a job for the crashes of the deadly job beside it (LOST)

What callers would see: 200 with "failed" for a job that did nothing, since another job crashed both targets at which it was started.

Cause: starts of two jobs were under way at the same target; the first one crashed it, and the other one, which never arrived, counted as started there. No target was empty, so that both met again on the second one.

Fix: starts without an answer count only if all at that target are of one job, and a task that was on a lost target keeps other jobs away also from a target that is not empty.

--- a/anvilford/placement/_fleet.py
+++ b/anvilford/placement/_fleet.py
@@ -168,7 +168,7 @@
             task, task.name, number, task.spec.need, RunPhase.ORDERED, now
         )
         run.was_sent_to_live = target.was_heard_recently(now)
-        if task.has_lost_target and not target.runs:
+        if task.has_lost_target:
             target.isolated_job = task.job.job_id
         target.reserve(run)
         self.target_by_task[run.task_name] = target
@@ -339,9 +339,7 @@
                 target.retry_at = now + CLAIM_RETRY_S
                 self._finish_run(target, run, "not_sent", now)
             case NoAnswer(connection_closed):
-                run.has_started = (
-                    run.has_started or connection_closed or run.was_sent_to_live
-                )
+                run.start_was_lost = connection_closed or run.was_sent_to_live
                 if run.phase is RunPhase.ORDERED:
                     run.phase = RunPhase.DOUBTFUL
                     run.doubtful_at = now
@@ -350,7 +348,6 @@
     def _confirm_start(self, run: Run, now: float) -> None:
         """Marks a run as running on its target."""
         run.phase = RunPhase.RUNNING
-        run.has_started = True
         run.confirmed_at = run.percent_at = now
 
     def _handle_refused_start(
--- a/anvilford/placement/_state.py
+++ b/anvilford/placement/_state.py
@@ -259,9 +259,8 @@
         doubtful_at: Time at which the run became `DOUBTFUL`.
         was_sent_to_live: Whether the target was heard just before the start was
             sent.
-        has_started: Whether the run has started, as far as is known: the target
-            has confirmed it, or closed the connection instead of answering the
-            start, or was heard just before a start without an answer.
+        start_was_lost: Whether the start got no answer from a target that was
+            alive: it closed the connection, or was heard just before.
     """
 
     task: Task | None
@@ -276,14 +275,12 @@
     stopped_at: float = 0.0
     doubtful_at: float = 0.0
     was_sent_to_live: bool = False
-    has_started: bool = False
+    start_was_lost: bool = False
 
     @property
-    def was_lost_at_start(self) -> bool:
-        """Whether a target that was alive answered nothing after the start."""
-        return (
-            self.was_sent_to_live and self.has_started and not self.confirmed_at
-        )
+    def job_id(self) -> str:
+        """Id of the job of the task."""
+        return self.task_name.partition(".")[0]
 
 
 class Ownership(enum.Enum):
--- a/anvilford/placement/_target_list.py
+++ b/anvilford/placement/_target_list.py
@@ -259,18 +259,28 @@
         return replacement
 
     def record_loss(self, target: Target, state: LossState, now: float) -> None:
-        """Records that a target was lost with all runs known to be there."""
+        """Records that a target was lost with all runs known to be there.
+
+        Starts that got no answer count only if they are of one job: one of
+        several may have crashed the target before the others arrived.
+        """
+        runs = target.runs.values()
+        unanswered = [run for run in runs if not run.confirmed_at]
+        lost_starts = [run for run in unanswered if run.start_was_lost]
+        if len({run.job_id for run in unanswered}) > 1:
+            lost_starts = []
+        confirmed = [run for run in runs if run.confirmed_at]
         self.crashes.record_loss(
             target.record.target_id,
             target.record.incarnation,
             target.runs,
-            [name for name, run in target.runs.items() if run.has_started],
+            [run.task_name for run in (*confirmed, *lost_starts)],
             state,
             now,
         )
-        for name, run in target.runs.items():
-            if run.was_lost_at_start:
-                self.crashes.blame_for_earlier_losses(name, now)
+        for run in lost_starts:
+            if run.was_sent_to_live:
+                self.crashes.blame_for_earlier_losses(run.task_name, now)
 
     def log_target_event(
         self,
--- a/anvilford/placement/tests/test_crashes.py
+++ b/anvilford/placement/tests/test_crashes.py
@@ -4,8 +4,10 @@
 
 from anvilford.order_model import PlacementSimulation
 from anvilford.placement import CrashHistory
+from anvilford.placement import JobSpec
 from anvilford.placement import LossState
 from anvilford.placement import OutcomeKind
+from anvilford.placement import Resources
 from anvilford.placement import RunEnd
 from anvilford.placement import TargetLoss
 from anvilford.placement.tests._shared import job
@@ -242,3 +244,34 @@
     site.run(30.0)
     case.assertLessEqual(count_starts(site, work), CRASHES_TO_GIVE_UP)
     case.assertEqual(outcomes_of(site, work), [OutcomeKind.FAILED])
+
+
+def test_job_that_started_beside_a_deadly_one_is_failed(case):
+    """Guards against a job shown as failed whose neighbour crashed the targets.
+
+    Both were sent to the same target twice, and the deadly task crashed it
+    before the start of the other one arrived (soak, seed 9705).
+    """
+    site = PlacementSimulation(
+        [make_target("t1", cpu=14000), make_target("t2", cpu=14000)]
+    )
+    site.job_deadline_s = LONG_DEADLINE_S
+    site.faults.crashes_are_silent = True
+    site.add_placer("p", 1)
+    site.run(3.0)
+    # A long run on the second target: none is empty for a task at risk.
+    targets = site.placers["p"].fleet.targets
+    targets["t1"].suspended_until = 3.1
+    filler = job(seconds=15.0, at=3.0)
+    step = attrs.evolve(filler.spec.steps[0], need=Resources(100, 64))
+    spec = JobSpec("payload", (step,))
+    site.offer("p", attrs.evolve(filler, spec=spec))
+    targets["t1"].suspended_until = 0.0
+    targets["t2"].suspended_until = 3.5
+    deadly, sound = job(seconds=0.05, at=3.0), job(seconds=0.05, at=3.0)
+    site.faults.deadly_jobs.add(deadly.job_id)
+    site.offer("p", deadly)
+    site.offer("p", sound)
+    site.run(30.0)
+    case.assertNotIn(OutcomeKind.FAILED, outcomes_of(site, sound))
+    case.assertLessEqual(count_starts(site, deadly), MAX_STARTS)
--- a/testkit/soak/tests/test_soak.py
+++ b/testkit/soak/tests/test_soak.py
@@ -13,6 +13,7 @@
     108: "runs accepted by a restarted target were treated as lost",
     202: "runs accepted by a restarted target were treated as lost",
     9631: "a deadly task started three times before and after all entries ended",
+    9705: "a job counted as the cause of crashes by the deadly job beside it",
 }
 SEEDS = (1, 2)
 
