--- a/anvilford/placement/_state.py
+++ b/anvilford/placement/_state.py
@@ -329,8 +329,8 @@
         reachable: False from the second of two consecutive failed polls until
             the next report.
         missed_polls: Number of failed polls since the last report.
-        isolated_job: Id of the job whose tasks may crash the target and have
-            it to themselves; empty if there is none.
+        isolated_job: Id of the job whose tasks may crash the target, so that
+            no other job starts there; empty if there is none.
         has_old_record: True if the target has restarted and the list does not
             show its new row yet: capacity and labels in `record` are those of
             the previous incarnation.
--- a/anvilford/placement/_target_list.py
+++ b/anvilford/placement/_target_list.py
@@ -235,10 +235,10 @@
     ) -> Target:
         """Replaces a restarted target by its new incarnation.
 
-        Commands address a target by id only, so that starts sent since the
-        restart may have reached the new incarnation. Runs without a confirmed
-        start become `DOUBTFUL` until its next report shows whether they
-        exist.
+        Commands address a target by id only, and one without an answer may be
+        carried out later, by the new incarnation as well. Runs without a
+        confirmed start become `DOUBTFUL` until its next report shows whether
+        they exist.
 
         Returns:
             The target that replaces the old one.
