Open a target to other jobs once the task at risk there has ended

What callers would see: jobs refused while a target with free room takes none, until the last run on it has ended. Since a task at risk also closes a target that is not empty, and only an empty one was opened again.

--- a/anvilford/placement/_state.py
+++ b/anvilford/placement/_state.py
@@ -403,7 +403,9 @@
         if self.runs.get(run.task_name) is run:
             del self.runs[run.task_name]
             self.available = self.available.plus(run.need)
-            if not self.runs:
+            if run.job_id == self.isolated_job and not any(
+                other.job_id == run.job_id for other in self.runs.values()
+            ):
                 self.isolated_job = ""
 
     def record_clock(self, clock_ms: int, now: float) -> None:
--- a/anvilford/placement/tests/test_crashes.py
+++ b/anvilford/placement/tests/test_crashes.py
@@ -275,3 +275,29 @@
     site.run(30.0)
     case.assertNotIn(OutcomeKind.FAILED, outcomes_of(site, sound))
     case.assertLessEqual(count_starts(site, deadly), MAX_STARTS)
+
+
+def test_target_waits_for_all_runs_after_a_task_at_risk(case):
+    """Guards against a target that takes no job while a long run goes on.
+
+    A task at risk had started beside it and had ended; the target stayed closed
+    to other jobs until it was empty.
+    """
+    site = PlacementSimulation([make_target("t1")])
+    site.add_placer("p", 1)
+    site.run(0.1)
+    work, long_run = job(seconds=0.05), job(seconds=5.0)
+    task = f"{work.job_id}.0.0.0"
+    site.placers["p"].crashes.record_loss(
+        "lost", 1, (task,), (), LossState.SILENT, 0.1
+    )
+    site.job_deadline_s = LONG_DEADLINE_S
+    site.offer("p", long_run)
+    site.run(0.2)
+    site.offer("p", work)
+    site.run(0.5)
+    case.assertEqual(outcomes_of(site, work), [OutcomeKind.COMPLETED])
+    other = job(seconds=0.05, at=0.5)
+    site.offer("p", other)
+    site.run(1.5)
+    case.assertEqual(outcomes_of(site, other), [OutcomeKind.COMPLETED])
