Start an entry of the soak again that was frozen while it stopped

Cause: the soak's fault `stop` waited 5 s for the end of the process, and took one that had not ended for running. An entry that is frozen while it stops ends later, and was not started again, as the platform does.

The soak now waits for the grace, kills the process as the platform does, and starts it again; signals that end a process which has just started are sent only to the process that was ready.

--- a/testkit/soak/_checks.py
+++ b/testkit/soak/_checks.py
@@ -101,9 +101,12 @@
                     answer.status if isinstance(answer, ClientResponse) else 0
                 )
             if status != 200:
+                process = self.site.entries[name].process
+                exit_status = process.poll() if process else "not started"
                 self.add_violation(
                     f"{name} did not serve a job within {RECOVERY_LIMIT_S} s "
-                    f"after the faults; last status {status}, 200 expected"
+                    f"after the faults; last status {status}, 200 expected; "
+                    f"exit status {exit_status}"
                 )
 
     async def check_route(self, prefix: str) -> None:
--- a/testkit/soak/_run.py
+++ b/testkit/soak/_run.py
@@ -21,6 +21,7 @@
 import math
 import random
 import signal
+import subprocess
 import time
 from collections.abc import Callable
 from collections.abc import Iterable
@@ -42,6 +43,8 @@
 # number of routes that take longer than a second on it.
 SLOW_LINK_BYTES_PER_S = 950_000
 MANY_ROUTES = 4200
+# Time from SIGTERM to SIGKILL (`grace_s` of the users' sites).
+STOP_GRACE_S = 6.0
 # HTTP statuses of jobs that were refused before any task started.
 REFUSAL_STATUSES = (429, 503)
 
@@ -196,13 +199,18 @@
         )
 
     async def stop(self) -> None:
+        """Stops a random entry by SIGTERM, and by SIGKILL after the grace.
+
+        It may be frozen meanwhile, so that it has not ended by then.
+        """
         entry = self.random_entry()
         entry.send_signal(signal.SIGTERM)
-        if entry.process is not None:
-            process = entry.process
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(5.0):
-                    await asyncio.to_thread(process.wait)
+        process = entry.process
+        if process is not None:
+            with contextlib.suppress(subprocess.TimeoutExpired):
+                await asyncio.to_thread(process.wait, STOP_GRACE_S)
+            if entry.process is process and process.poll() is None:
+                entry.stop(signal.SIGKILL)
         await self.restart_entry(entry)
 
     async def freeze(self) -> None:
@@ -218,11 +226,16 @@
         yet. Such a process is started again, as the platform does.
         """
         entry = self.random_entry()
-        was_ready = await self.site.is_ready(entry.name)
+        was_ready = await self._is_ready(entry)
         entry.send_signal(signal.SIGHUP)
         if not was_ready:
             await self.restart_entry(entry)
 
+    async def _is_ready(self, entry: EntryProcess) -> bool:
+        """Returns whether an entry is ready and not another process by now."""
+        process = entry.process
+        return await self.site.is_ready(entry.name) and entry.process is process
+
     async def shift_clocks(self, end: float) -> None:
         """Simulates suspensions and wall-clock steps until a monotonic time.
 
@@ -236,8 +249,9 @@
             number = rng.choice((signal.SIGUSR1, signal.SIGUSR2))
             # A process that is not ready may not have its signal handlers
             # yet; the signal would end it.
-            if await self.site.is_ready(name):
-                self.site.entries[name].send_signal(number)
+            entry = self.site.entries[name]
+            if await self._is_ready(entry):
+                entry.send_signal(number)
                 at = round(time.monotonic() - self.checks.started, 2)
                 self.report.faults.append((at, signal.Signals(number).name))
 
