Log forgotten members, the runs of each start and the majority of a leader

Now: 'silent member does not count any more', 'claiming all targets with a higher fence', members_live and members_known in 'stepped down as leader', the fence in 'leader changed', run and fence in 'job started', and 'task started again' for the start of a task that has run before. The last one is a line for each start after 'task starts again', so that the volume stays bounded.

--- a/anvilford/node/_coordination.py
+++ b/anvilford/node/_coordination.py
@@ -418,6 +418,7 @@
             extra={
                 "leader": leader.member.name if leader else None,
                 "term": leader.term if leader else self.term,
+                "fence": leader.fence if leader else 0,
                 "is_partial": bool(leader and leader.is_partial),
                 "previous": previous.member.name if previous else None,
                 "contact_age_ms": int(contact_age * 1000),
@@ -767,6 +768,10 @@
         self._raise_fence_at = 0.0
         leader = Leader(self.term + 1, self.local_member)
         self.membership.term = leader.term
+        _logger.warning(
+            "claiming all targets with a higher fence",
+            extra={"fence": leader.fence, **self.heartbeats.counts},
+        )
         self._set_leader(leader)
         self.site.require_current_targets()
         self.update_targets()
@@ -813,7 +818,11 @@
             return
         _logger.warning(
             "stepped down as leader",
-            extra={"reason": reason, "term": self.term},
+            extra={
+                "reason": reason,
+                "term": self.term,
+                **self.heartbeats.counts,
+            },
         )
         self._close_driver()
         self._set_leader(None)
--- a/anvilford/node/_members.py
+++ b/anvilford/node/_members.py
@@ -113,6 +113,15 @@
             if now - last.received_at > MEMBER_RETENTION_S:
                 del self._last_heartbeats[name]
                 self._known_members = None
+                _logger.warning(
+                    "silent member does not count any more",
+                    extra={
+                        "member": name,
+                        "zone": last.member.zone,
+                        "silent_ms": int((now - last.received_at) * 1000),
+                        **self.counts,
+                    },
+                )
         live = {
             name
             for name, last in self._last_heartbeats.items()
@@ -171,6 +180,14 @@
         """Whether more than half of the known members count as live."""
         return 2 * len(self.live_names) > len(self._last_heartbeats)
 
+    @property
+    def counts(self) -> dict[str, int]:
+        """Number of members that are live and known, for the log."""
+        return {
+            "members_live": len(self.live_names),
+            "members_known": len(self._last_heartbeats),
+        }
+
     def known_members(self) -> tuple[Member, ...]:
         """Returns the members that count towards the majority.
 
--- a/anvilford/placement/_placer.py
+++ b/anvilford/placement/_placer.py
@@ -695,10 +695,13 @@
                 steps_without_target.add(task.step)
                 unplaced.append(task)
                 continue
+            is_repeated = task.run > 0
+            self.fleet.start(task, target, now)
             if not job.started:
                 job.started = True
-                self._log_job_start(job, target, now)
-            self.fleet.start(task, target, now)
+                self._log_job_start(job, task, target, now)
+            elif is_repeated:
+                self._log_repeated_start(task, target, now)
         if len(unplaced) == len(waiting):
             return False
         job.set_waiting(unplaced)
@@ -706,11 +709,15 @@
             self._waiting.pop(job.job_id, None)
         return True
 
-    def _log_job_start(self, job: Job, target: Target, now: float) -> None:
+    def _log_job_start(
+        self, job: Job, task: Task, target: Target, now: float
+    ) -> None:
         self._log_decision(
             "job started",
             job.job_id,
             {
+                "run": task.run,
+                "fence": self.fence,
                 "queue": job.policy.name,
                 "target": target.record.target_id,
                 "target_speed": round(target.speed, 2),
@@ -724,6 +731,30 @@
             },
         )
 
+    def _log_repeated_start(
+        self, task: Task, target: Target, now: float
+    ) -> None:
+        """Logs the start of a task that has run before.
+
+        With `task starts again`, it names both runs if they overlap.
+        """
+        job = task.job
+        self._log_decision(
+            "task started again",
+            job.job_id,
+            {
+                "task": task.key,
+                "run": task.run,
+                "fence": self.fence,
+                "target": target.record.target_id,
+                "zone": target.record.zone,
+                "entries": sorted(job.entries),
+                "unseen_runs_ms": int(
+                    max(job.unseen_runs_until - now, 0) * 1000
+                ),
+            },
+        )
+
     def _view(self, service: str, now: float) -> ServiceView:
         """Returns a view of a service that is at most `MAX_VIEW_AGE_S` old.
 
