--- a/anvilford/node/tests/test_members.py
+++ b/anvilford/node/tests/test_members.py
@@ -7,6 +7,7 @@
 from anvilford.node._members import MEMBER_CHECK_INTERVAL_S
 from anvilford.node._members import MEMBER_LIVE_TIMEOUT_S
 from anvilford.node._members import MEMBER_PROOF_TIMEOUT_S
+from anvilford.node._members import MEMBER_RETENTION_S
 from anvilford.node._members import MEMBER_SILENT_AFTER_S
 from anvilford.placement import PlacementOptions
 from anvilford.placement._placer import UNSEEN_RUNS_WINDOW_S
@@ -107,3 +108,75 @@
                 heartbeats.record_heartbeat(member, now, now)
         heartbeats.expire(now + 0.01)
         case.assertIs(heartbeats.hears_site, expected)
+
+
+def cut_members_off(
+    heard_zones: set[str], seconds: float
+) -> tuple[HeartbeatTracker, float]:
+    """Returns a tracker that heard only some zones of nine members lately.
+
+    Args:
+        heard_zones: Zones whose members send heartbeats.
+        seconds: Time for which the others have been silent.
+
+    Returns:
+        The tracker of the leader, in zone "a", and the present time.
+    """
+    members = [LEADER] + [
+        attrs.evolve(OTHER, name=f"entry-{number}", zone=zone)
+        for number, zone in enumerate("aabbccdd", 1)
+    ]
+    heartbeats = HeartbeatTracker(LEADER)
+    heartbeats.reset(members, 0.0)
+    now = 0.0
+    while now < seconds:
+        now += MEMBER_CHECK_INTERVAL_S
+        for member in members[1:]:
+            if member.zone in heard_zones:
+                heartbeats.record_heartbeat(member, now, now)
+        heartbeats.expire(now)
+    return heartbeats, now
+
+
+def test_cut_off_leader_becomes_a_majority_of_itself(case):
+    """Guards against a minority that forgets all others in a long cut.
+
+    Its leader took itself for one that hears the site, kept jobs of callers who
+    had gone to the other side, and took the targets back after the cut.
+    """
+    heartbeats, _ = cut_members_off({"a"}, 3 * MEMBER_RETENTION_S)
+    case.assertFalse(heartbeats.has_majority)
+    case.assertFalse(heartbeats.hears_site)
+    case.assertEqual(len(heartbeats.known_members()), 9)
+
+
+def test_leader_forgets_a_zone_that_was_cut_off(case):
+    """Guards against jobs that are kept for callers who went to that zone.
+
+    Most members are heard, so that those of the zone need not count for a
+    majority any more, but they may have a leader of their own.
+    """
+    heartbeats, now = cut_members_off({"a", "b", "c"}, 3 * MEMBER_RETENTION_S)
+    case.assertEqual(len(heartbeats.known_members()), 7)
+    case.assertTrue(heartbeats.has_majority)
+    case.assertFalse(heartbeats.hears_site)
+    heartbeats.record_heartbeat(
+        attrs.evolve(OTHER, name="entry-7", zone="d"), now, now
+    )
+    heartbeats.expire(now)
+    case.assertTrue(heartbeats.hears_site)
+
+
+def test_lost_members_of_a_zone_that_is_heard_are_forgotten(case):
+    """Members that are gone for good must not matter for ever."""
+    heartbeats, now = cut_members_off(set("abcd"), 1.0)
+    gone = attrs.evolve(OTHER, name="entry-9", zone="d")
+    heartbeats.record_heartbeat(gone, now, now)
+    members = [m for m in heartbeats.known_members() if m != gone]
+    for step in range(400):
+        at = now + step * MEMBER_CHECK_INTERVAL_S
+        for member in members:
+            heartbeats.record_heartbeat(member, at, at)
+        heartbeats.expire(at)
+    case.assertNotIn(gone, heartbeats.known_members())
+    case.assertTrue(heartbeats.hears_site)
--- a/testkit/cuts/tests/test_cuts.py
+++ b/testkit/cuts/tests/test_cuts.py
@@ -1,8 +1,10 @@
 """Tests of real entry processes that are cut off from each other."""
 
 import asyncio
+import datetime
 
 from anvilford.http1 import ClientResponse
+from anvilford.node._members import MEMBER_RETENTION_S
 from standins.site import LoopbackSite
 from testkit import function_tests
 from testkit.cuts import SiteLinks
@@ -15,6 +17,8 @@
 TASK_S = 4.0
 CALLER_DEADLINE_S = 1.5
 RESEND_AFTER_S = 1.3
+# Length of cuts that outlast the time for which silent members count.
+LONG_CUT_S = MEMBER_RETENTION_S + 1.5
 # As the limit of the soak test for the time after the last fault.
 RECOVERY_S = 8.0
 
@@ -149,3 +153,74 @@
     """
     statuses = asyncio.run(restart_after_a_cut())
     case.assertEqual(statuses[-1], 200, statuses)
+
+
+async def resend_in_a_long_cut() -> list[str]:
+    """Sends jobs again to the other side of a cut, in both directions.
+
+    Returns:
+        Tasks that ran twice at the same time.
+    """
+    site, links = make_site()
+    async with site:
+        while site.leader_name() != "entry-0":
+            await asyncio.sleep(0.05)
+        links.cut_zone("a")
+        await asyncio.sleep(LONG_CUT_S)
+        async with asyncio.TaskGroup() as callers:
+            for _ in range(JOBS // 2):
+                callers.create_task(send_twice(site, "entry-1", "entry-5"))
+                callers.create_task(send_twice(site, "entry-5", "entry-1"))
+        return site.find_overlapping_tasks()
+
+
+def test_job_sent_again_after_members_were_forgotten(case):
+    """Guards against a second run of a job kept for its lost caller.
+
+    The members behind a long cut did not count any more on either side, so that
+    both leaders believed that they heard the whole site.
+    """
+    case.assertEqual(asyncio.run(resend_in_a_long_cut()), [])
+
+
+async def end_a_long_cut() -> set[tuple[int, str]]:
+    """Ends a long cut of the leader's zone while jobs arrive.
+
+    Returns:
+        Terms and names of all leaders that members followed after it.
+    """
+    site = LoopbackSite(len(ZONES), len(TARGET_ZONES))
+    site.entry_zones = list(ZONES)
+    site.target_zones = list(TARGET_ZONES)
+    links = SiteLinks(site)
+    async with site:
+        await asyncio.sleep(1.0)
+        leader = site.leader_name()
+        links.cut_zone(ZONES[list(site.entries).index(leader)])
+        await asyncio.sleep(LONG_CUT_S)
+        links.heal()
+        ended_at = datetime.datetime.now(datetime.UTC)
+        async with asyncio.TaskGroup() as callers:
+            for _ in range(10):
+                for name in site.entries:
+                    job_id = site.new_job_id()
+                    callers.create_task(site.submit(name, job_id, 0.5))
+                await asyncio.sleep(0.4)
+        return {
+            (record["term"], record["leader"])
+            for entry in site.entries.values()
+            for record in entry.log_records()
+            if record["message"] == "leader changed"
+            and record["leader"] is not None
+            and datetime.datetime.fromisoformat(record["time"]) > ended_at
+        }
+
+
+def test_leaders_take_turns_after_members_were_forgotten(case):
+    """Guards against two leaders with a majority of their own after a cut.
+
+    The members of neither side knew those of the other, and each side elected
+    a leader again whenever its leader followed that of the other.
+    """
+    leaders = asyncio.run(end_a_long_cut())
+    case.assertEqual(len(leaders), 1, leaders)
