Forget silent members only while most are heard, and one in their zone

Cause: a leader dropped each member that was silent for 15 s from the list of which it needs a majority. In a cut that lasts longer, each side became the majority of what it still knew. Its leader believed that it heard the whole site, so that entries kept jobs of lost callers while these went to the other side; and after the cut both leaders took the targets back, and the members of each elected a leader among themselves whenever theirs had stepped down. The rule that a leader without a majority steps down rests on the same list. Class: a conclusion about the site from a list that shrinks by silence.

Why it works: a list shrinks only with a majority of itself, so that at most one side of a cut can shrink its own; a zone from which nobody is heard stays in it, so that no leader takes a zone that may have a leader of its own for lost. The cost: as long as a whole zone is gone, jobs of lost callers are given up at once, and members of that zone count towards the majority.

--- a/anvilford/node/_members.py
+++ b/anvilford/node/_members.py
@@ -21,8 +21,9 @@
 MEMBER_SILENT_AFTER_S = 0.4
 # Longest time between two checks of the members.
 MEMBER_CHECK_INTERVAL_S = 0.05
-# Members count towards the majority for this long after their last heartbeat,
-# so that members in a zone that was cut off for some seconds still count.
+# A member that has been silent for this long may be gone for good, as after the
+# loss of its machine, and does not count towards the majority any more. Silence
+# alone does not show it, since a cut may last longer: see `HeartbeatTracker`.
 MEMBER_RETENTION_S = 15.0
 
 _logger = logging.getLogger(__name__)
@@ -46,6 +47,11 @@
 class HeartbeatTracker:
     """Records when the leader last received a heartbeat of each member.
 
+    Silent members are forgotten only while most of the known ones are heard, and
+    one in the zone of each. Otherwise both sides of a cut would become the
+    majority of what they still know. A zone from which nobody is heard may be cut
+    off with a leader of its own.
+
     Times are those of `clock.now`, in seconds.
 
     Attributes:
@@ -105,23 +111,10 @@
         )
 
     def expire(self, now: float) -> None:
-        """Updates the live members and removes those past their retention."""
+        """Updates the live members and forgets those that are gone for good."""
         self._last_heartbeats[self.local_member.name] = _Heartbeat(
             self.local_member, now, now
         )
-        for name, last in list(self._last_heartbeats.items()):
-            if now - last.received_at > MEMBER_RETENTION_S:
-                del self._last_heartbeats[name]
-                self._known_members = None
-                _logger.warning(
-                    "silent member does not count any more",
-                    extra={
-                        "member": name,
-                        "zone": last.member.zone,
-                        "silent_ms": int((now - last.received_at) * 1000),
-                        **self.counts,
-                    },
-                )
         live = {
             name
             for name, last in self._last_heartbeats.items()
@@ -135,8 +128,33 @@
                 extra={"member": name},
             )
         self.live_names = live
+        self._forget_lost_members(now)
         self._update_hears_site(now)
 
+    def _forget_lost_members(self, now: float) -> None:
+        """Removes members past their retention, in zones that are heard."""
+        if not self.has_majority:
+            return
+        heard_zones = {member.zone for member in self.live_members()}
+        for name, last in list(self._last_heartbeats.items()):
+            silent_s = now - last.received_at
+            if (
+                silent_s <= MEMBER_RETENTION_S
+                or last.member.zone not in heard_zones
+            ):
+                continue
+            del self._last_heartbeats[name]
+            self._known_members = None
+            _logger.warning(
+                "silent member does not count any more",
+                extra={
+                    "member": name,
+                    "zone": last.member.zone,
+                    "silent_ms": int(silent_s * 1000),
+                    **self.counts,
+                },
+            )
+
     def _update_hears_site(self, now: float) -> None:
         heard = [
             last.member
