Repeat withdrawals of jobs with the heartbeats until a leader has them

What callers see: the run of a job whose caller has left goes on to its end, for as long as the task takes (38 s in the users' record), and occupies its target.

Cause: an entry that gave a job up told the leader of that moment once, by a message without an answer, and nobody if it knew no leader then. An entry that misses its leader for 0.25 s and finds the same one again keeps its jobs alive there by its heartbeats: the leader stops the jobs of an entry only after 0.6 s of silence. The same holds if the connection breaks before the withdrawal is read.

Evidence: reading, and the test: without a leader nothing is sent, then or later.

Change: the entry remembers the jobs that it has withdrawn and sends them again before each heartbeat, until that leader has answered one. Why it works: the heartbeats are the only thing that keeps the job alive at a leader, and each one now says that it is given up. A job that the same entry offers again is no longer reported. No change of the wire.

Test, which failed before: test_withdrawal_is_lost_while_no_leader_is_known. Cost: one message more for each withdrawn job; none for others. Not covered: a connection that breaks just after the answer to the heartbeat, if the withdrawal was queued behind it.

--- a/anvilford/node/_callers.py
+++ b/anvilford/node/_callers.py
@@ -30,7 +30,6 @@
 from anvilford.platform import InvalidJobBody
 from anvilford.platform import JOB_ID_HEX_DIGITS
 from anvilford.platform import UnsupportedJob
-from anvilford.protocol import WithdrawJob
 from anvilford.routing import Route
 from anvilford.telemetry import Counters
 
@@ -337,6 +336,7 @@
                 self.coordinator.fence,
             )
             progress.offer_count += 1
+            self.coordinator.forget_withdrawal(job_id)
             outcome = await self._send_offer(leader, offer, progress)
             if outcome.kind is not OutcomeKind.MOVED:
                 return outcome
@@ -410,17 +410,10 @@
 
     def _withdraw_job(self, job_id: str) -> None:
         """Tells the leader that the caller no longer waits for a job."""
-        leader = self.coordinator.leader
-        if leader is None:
-            return
-        if leader.member == self.coordinator.local_member:
-            driver = self.coordinator.driver
-            if driver is not None:
-                driver.withdraw(job_id, self.entry_name, "caller_left")
-            return
-        self.links.send(
-            leader.member.address, WithdrawJob(job_id, self.entry_name)
-        )
+        driver = self.coordinator.driver
+        if driver is not None:
+            driver.withdraw(job_id, self.entry_name, "caller_left")
+        self.coordinator.report_withdrawn_job(job_id)
 
     def _build_response(
         self,
--- a/anvilford/node/_coordination.py
+++ b/anvilford/node/_coordination.py
@@ -40,6 +40,7 @@
 from anvilford.protocol import LeaderAnnounced
 from anvilford.protocol import Message
 from anvilford.protocol import TargetLossReport
+from anvilford.protocol import WithdrawJob
 from anvilford.telemetry import Counters
 
 HEARTBEAT_INTERVAL_S = 0.15
@@ -138,9 +139,12 @@
         self.unanswered_jobs = UnansweredJobs()
         self.leader_hears_site = True
         self._local_unanswered_jobs = UnansweredJobs()
-        # Fencing token of the last leader that got a report of them, and the
-        # time at which that report was sent.
+        # Fencing token of the last leader that got a report of them and of
+        # withdrawn jobs, and the time at which that report was sent.
         self._unanswered_reported = (0, 0.0)
+        # Jobs that this entry has given up. Each leader that it follows next
+        # may still have them.
+        self._withdrawn_jobs = UnansweredJobs()
         self._leader_changed = asyncio.Event()
         self._wake = asyncio.Event()
         self._leader_contact_at = clock.now()
@@ -203,6 +207,26 @@
         self._local_unanswered_jobs.add((job_id,))
         self._expect_resent_jobs((job_id,), self.local_member.name)
 
+    def report_withdrawn_job(self, job_id: str) -> None:
+        """Tells the leader that this entry no longer waits for a job.
+
+        Heartbeats keep the jobs of this entry alive. The next ones repeat the
+        report until a leader has answered one: there may be no leader now, and
+        the report may be lost with its connection.
+        """
+        self._withdrawn_jobs.add((job_id,))
+        if self.leader is not None and self.driver is None:
+            self._send_withdrawals(self.leader, (job_id,))
+
+    def forget_withdrawal(self, job_id: str) -> None:
+        """Ends the reports of a withdrawn job that is offered again."""
+        self._withdrawn_jobs.remove(job_id)
+
+    def _send_withdrawals(self, leader: Leader, job_ids: Iterable[str]) -> None:
+        for job_id in job_ids:
+            message = WithdrawJob(job_id, self.local_member.name)
+            self.links.send(leader.member.address, message)
+
     def _expect_resent_jobs(self, job_ids: tuple[str, ...], entry: str) -> None:
         """Adds jobs that an entry has reported, also to the placer."""
         self.unanswered_jobs.add(job_ids)
@@ -526,6 +550,9 @@
         if reported_to != leader.fence:
             reported_at = 0.0
         now = clock.now()
+        self._send_withdrawals(
+            leader, self._withdrawn_jobs.list_since(reported_at)
+        )
         heartbeat = Heartbeat(
             self.local_member,
             self.fence,
--- a/anvilford/node/_unanswered.py
+++ b/anvilford/node/_unanswered.py
@@ -1,4 +1,4 @@
-"""Jobs that callers may send again, since they got no answer."""
+"""Jobs that lost their callers, which may send them again."""
 
 import collections
 from collections.abc import Iterable
@@ -7,6 +7,8 @@
 
 # Callers send a job again 1.3 s after a broken connection or status 504. A new
 # leader is found within 0.7 s, and runs of the one before may last 1.8 s more.
+# Withdrawn jobs need less: a leader that hears nothing of them for 0.6 s hears
+# nothing of their entry either, and stops them.
 UNANSWERED_RETENTION_S = 4.0
 # Only the latest ones are kept. Under overload, hundreds of callers a second
 # may get no answer.
@@ -14,7 +16,7 @@
 
 
 class UnansweredJobs:
-    """Remembers for some seconds which jobs may come again at any entry."""
+    """Remembers for some seconds which jobs have lost their callers."""
 
     def __init__(self):
         # Time of the last addition by job id, oldest first.
@@ -23,7 +25,7 @@
         )
 
     def add(self, job_ids: Iterable[str]) -> None:
-        """Adds jobs whose callers have been left without an answer."""
+        """Adds jobs, or renews those that are listed."""
         now = clock.now()
         for job_id in job_ids:
             self._added_at.pop(job_id, None)
@@ -31,6 +33,10 @@
         while len(self._added_at) > MAX_UNANSWERED_JOBS:
             self._added_at.popitem(last=False)
 
+    def remove(self, job_id: str) -> None:
+        """Removes a job; does nothing if it is not listed."""
+        self._added_at.pop(job_id, None)
+
     def list_since(self, earliest: float = 0.0) -> tuple[str, ...]:
         """Returns the ids of the jobs added at a time or later.
 
--- a/anvilford/node/tests/test_coordination.py
+++ b/anvilford/node/tests/test_coordination.py
@@ -557,6 +557,45 @@
     case.assertEqual(reports, [("job",), (), ("job",)])
 
 
+def test_withdrawal_is_lost_while_no_leader_is_known(case, coordinator):
+    """Guards against a job that runs to its end after its caller has left.
+
+    The entry missed the leader for a moment just when the caller left, or the
+    connection broke before the leader had read the withdrawal. The heartbeats
+    that followed kept the job alive there.
+    """
+    replies = []
+    leading = HeartbeatReply(1, True, False, (), {}, 0, 0, 0.0, 0)
+
+    async def call(address, message, timeout):
+        del address, message, timeout
+        return replies.pop(0)
+
+    def withdrawals():
+        sent, coordinator.links.sent = coordinator.links.sent, []
+        return [(address, message.job_id) for address, message in sent]
+
+    async def scenario():
+        coordinator.links.call = call
+        coordinator.report_withdrawn_job("job")
+        coordinator.report_withdrawn_job("offered again")
+        coordinator.forget_withdrawal("offered again")
+        case.assertEqual(withdrawals(), [])
+        coordinator.leader = LOST_LEADER
+        found = []
+        for reply in (Error("lost"), Ok(leading), Ok(leading)):
+            replies.append(reply)
+            await coordinator._send_heartbeat(LOST_LEADER, 1.0)
+            found.append(withdrawals())
+        expected = [(LOST_LEADER.member.address, "job")]
+        case.assertEqual(found, [expected, expected, []])
+        coordinator.report_withdrawn_job("later")
+        expected = [(LOST_LEADER.member.address, "later")]
+        case.assertEqual(withdrawals(), expected)
+
+    asyncio.run(scenario())
+
+
 def test_members_learn_which_jobs_may_come_again(case, coordinator):
     """Guards against a second run if the leader that knew of a job is lost.
 
