Name targets whose lease has ended when a job may run elsewhere (TWICE on the model)

What callers see: two runs of a task at the same time, after a target was cut off shortly before the entry of its job and the caller sent the job again to the other side.

Cause: a placer counts a run as over when the lease that it knows has ended. It lets the task wait until the job's entries are heard again, since another placer may have extended the lease. But when it then stopped the job of the silent entry, or left and handed its jobs on, it named only targets with runs that it still counted. The job that came again was taken for new, and the next leader was not told of the target.

Evidence: on the model, a second run starts at 1.4 s beside the one that the leader of the zone keeps alive until 2.0 s.

Change: such a job names the last target of each waiting task, too, until an entry has been heard after the end of the lease. Why it works: the rule by which the task waits and the targets that are passed on now go by the same condition.

Test, which failed before in both parts: test_lease_that_ended_hides_where_a_job_may_run. No cost for other jobs.

--- a/anvilford/placement/_placer.py
+++ b/anvilford/placement/_placer.py
@@ -336,8 +336,15 @@
         self.fleet.clear()
 
     def _possible_targets(self, job: Job, now: float) -> tuple[str, ...]:
-        """Returns the ids of all targets that may run tasks of a job."""
+        """Returns the ids of all targets that may run tasks of a job.
+
+        They include those whose lease has ended, if another placer may have
+        extended it.
+        """
         known = self.fleet.target_ids_of_job(job)
+        if job.lease_ended_at and self._may_have_moved(job):
+            lost = {task.target_id for task in job.waiting if task.target_id}
+            known = (*known, *lost)
         if now >= job.unseen_runs_until:
             return known
         if job.placed_elsewhere is None:
--- a/anvilford/placement/tests/test_two_placers.py
+++ b/anvilford/placement/tests/test_two_placers.py
@@ -342,3 +342,38 @@
         if job_id == late.job_id
     ]
     case.assertEqual(kinds, [OutcomeKind.REFUSED])
+
+
+def test_lease_that_ended_hides_where_a_job_may_run(case):
+    """Guards against a second run of a job whose lease ended at one placer.
+
+    Its target was cut off shortly before its entry, and the leader of the zone
+    has extended the lease. The first leader forgets the target, and stops the
+    job of the silent entry or leaves. The caller sends the job again.
+    """
+    for leaves in (False, True):
+        with case.subTest(leaves=leaves):
+            site = make_site()
+            site.job_deadline_s = 8.0
+            moved = start_on_far(site, 1.8)
+            cut_zone(site)
+            site.run(0.75)
+            site.faults.silent_placers.add("site")
+            site.run(0.9)
+            zone = site.add_placer("zone", 2)
+            site.offer("zone", moved, again=True, placed=("far",))
+            site.run(1.4)
+            placer = site.placers["site"]
+            case.assertTrue(placer.jobs[moved.job_id].lease_ended_at)
+            resubmitted = attrs.evolve(moved, arrival_time=site.now)
+            if leaves:
+                placer.release_jobs(site.now)
+                site._execute_effects("site")
+                _, _, _, outcome = site.outcomes[-1]
+                case.assertIn("far", outcome.placed)
+            else:
+                placer.stop_jobs_of("entry", site.now)
+                site.offer("site", resubmitted, entry="outside")
+            site.run(8.0)
+            case.assertTrue(zone.outcomes)
+            case.assertEqual(site.find_overlapping_tasks(), [])
