Keep the targets of a stopped job when another entry reports it (TWICE on the model)

What callers see: two runs of a task at the same time. Two entries wait for a job, one of them in a zone that is cut off; the caller gets no answer outside and sends the job again.

Cause: a leader that stops the job of a silent entry remembers the targets on which another leader may go on with it. The other entry of the job then reports it as left without an answer, and that report, which names no targets, replaced what was remembered. Without named targets, one that is silent still counted as controlled by this leader, so that the job was taken for new.

On the model, with the report, a second run starts at 2.1 s beside the one in the zone; without it, the job waits.

Change: a report without targets keeps those that are known, and extends the time. The offer that follows waits for them and for all that are not claimed.

Weighed and not taken: counting every silent target as not claimed for a report without targets. A target that has crashed would hold up each job that is sent again. A leader that meets an entry with a higher token claims all targets anyway.

Test, which failed before: test_report_of_a_job_hides_where_it_may_run. After: all tests of placement and order_model pass.

--- a/anvilford/placement/_placer.py
+++ b/anvilford/placement/_placer.py
@@ -75,11 +75,13 @@
 
     Attributes:
         until: Time by which its runs have ended, in seconds.
-        placed: Targets that may run it; None if they are not known.
+        placed: Ids of targets that may run it.
+        placed_is_known: Whether no others may.
     """
 
     until: float
-    placed: tuple[str, ...] | None = None
+    placed: tuple[str, ...] = ()
+    placed_is_known: bool = False
 
 
 class Placer:
@@ -205,18 +207,17 @@
         expected = self._expected_offers.get(offer.job_id)
         if offer.again or expected is None or now >= expected.until:
             return offer
-        if expected.placed is None:
-            may_run = self.fleet.has_unclaimed_targets(now)
-        else:
-            self.fleet.give_up_silent(expected.placed)
-            may_run = not self.fleet.owns_all(expected.placed)
+        self.fleet.give_up_silent(expected.placed)
+        may_run = not self.fleet.owns_all(expected.placed)
+        if not expected.placed_is_known:
+            may_run = may_run or self.fleet.has_unclaimed_targets(now)
         if not may_run:
             return offer
         return attrs.evolve(
             offer,
             again=True,
-            placed=expected.placed or (),
-            placed_is_known=expected.placed is not None,
+            placed=expected.placed,
+            placed_is_known=expected.placed_is_known,
         )
 
     def _expect_offer(self, job_id: str, expected: _ExpectedOffer) -> None:
@@ -266,7 +267,9 @@
         """
         until = now + UNSEEN_RUNS_WINDOW_S
         for job_id in job_ids:
-            self._expect_offer(job_id, _ExpectedOffer(until))
+            known = self._expected_offers.get(job_id)
+            placed = known.placed if known else ()
+            self._expect_offer(job_id, _ExpectedOffer(until, placed))
             job = self.jobs.get(job_id)
             if job is not None and not job.started and entry not in job.entries:
                 job.unseen_runs_until = until
@@ -309,7 +312,8 @@
         for job in list(self.jobs.values()):
             if entry in job.entries:
                 placed = self._possible_targets(job, now)
-                expected = _ExpectedOffer(now + UNSEEN_RUNS_WINDOW_S, placed)
+                until = now + UNSEEN_RUNS_WINDOW_S
+                expected = _ExpectedOffer(until, placed, placed_is_known=True)
                 self._expect_offer(job.job_id, expected)
                 self._end_job(
                     job, Outcome(OutcomeKind.LOST, "entry_silent"), now
--- a/anvilford/placement/tests/test_two_placers.py
+++ b/anvilford/placement/tests/test_two_placers.py
@@ -344,6 +344,37 @@
     case.assertEqual(kinds, [OutcomeKind.REFUSED])
 
 
+def test_report_of_a_job_hides_where_it_may_run(case):
+    """Guards against a second run of a job that two entries waited for.
+
+    The leader stops the job of the entry that is cut off, and names its
+    targets as those that the zone's leader may use. The other entry then
+    reports the job as left without an answer, which names no targets.
+    """
+    for reports in (0, 1):
+        with case.subTest(reports=reports):
+            site = make_site()
+            moved = start_on_far(site, 4.0)
+            site.offer("site", moved, entry="outside")
+            cut_zone(site)
+            site.run(0.8)
+            placer = site.placers["site"]
+            placer.stop_jobs_of("entry", site.now)
+            site.add_placer("zone", 2)
+            site.offer("zone", moved, again=True, placed_is_known=False)
+            site.run(0.9)
+            for _ in range(reports):
+                placer.expect_resent_jobs((moved.job_id,), "outside", site.now)
+            site.run(2.1)
+            case.assertTrue(site.targets["far"].running)
+            site.placers["zone"].stop_jobs_of("entry", site.now)
+            site._execute_effects("zone")
+            resubmitted = attrs.evolve(moved, arrival_time=site.now)
+            site.offer("site", resubmitted, entry="outside")
+            site.run(8.0)
+            case.assertEqual(site.find_overlapping_tasks(), [])
+
+
 def test_lease_that_ended_hides_where_a_job_may_run(case):
     """Guards against a second run of a job whose lease ended at one placer.
 
