Let a job whose run may still be found wait for it instead of giving it up

What callers see: status 504 for a job that was nearly done, after a change of the leader; its run is stopped. The longer the tasks, the more jobs are lost: of tasks of 38 s with a deadline of 75 s, all that the new leader gets later than 37 s after their arrival.

Cause: the new leader judged a job that is offered again as if its tasks had yet to start. If the claims were not answered before its next tick, 20 ms later at most, it gave the job up as too late, and stopped the run that it found milliseconds after that.

Change: such a job is not given up before its deadline while its earlier runs may still be found: for 0.5 s after the offer (RUN_DISCOVERY_S, which existed for this purpose), and only while there are targets that may run it and are not claimed. Why it works: by then, the claims have found the runs, or the targets are unreachable.

Test, which failed before in both parts: test_job_is_given_up_before_its_run_is_found (delays of 15 ms; with and without a lost poll).

--- a/anvilford/placement/_placer.py
+++ b/anvilford/placement/_placer.py
@@ -524,7 +524,7 @@
             job.objective_deadline if may_still_refuse else job.value_deadline
         )
         is_too_late = self._earliest_start(job, now) + run_time > limit
-        if not is_too_late:
+        if not is_too_late or self._may_find_runs(job, now):
             return
         if job.unseen_runs_until or job.has_run_before:
             outcome = Outcome(OutcomeKind.LOST, "too_late")
@@ -586,16 +586,33 @@
     def _earliest_start(self, job: Job, now: float) -> float:
         """Returns a lower bound on the start time of a waiting job.
 
-        For `RUN_DISCOVERY_S` after the offer, its earlier runs may still be
-        found. After that, it must wait until those runs have ended.
+        Once its earlier runs are not expected to be found any more, it must
+        wait until those runs have ended.
         """
-        found_by = (
-            job.unseen_runs_until - UNSEEN_RUNS_WINDOW_S + RUN_DISCOVERY_S
-        )
-        if now > found_by and self.fleet.may_have_unseen_runs(job, now):
+        if self._is_discovery_over(job, now) and (
+            self.fleet.may_have_unseen_runs(job, now)
+        ):
             return job.unseen_runs_until
         return now
 
+    def _may_find_runs(self, job: Job, now: float) -> bool:
+        """Returns whether earlier runs of a waiting job may still be found.
+
+        They may be nearly done, so that the time of a run from its start does
+        not tell whether the job is too late.
+        """
+        return (
+            now <= job.deadline
+            and not self._is_discovery_over(job, now)
+            and self.fleet.may_have_unseen_runs(job, now)
+        )
+
+    def _is_discovery_over(self, job: Job, now: float) -> bool:
+        """Returns whether `RUN_DISCOVERY_S` have passed since the offer."""
+        return now > (
+            job.unseen_runs_until - UNSEEN_RUNS_WINDOW_S + RUN_DISCOVERY_S
+        )
+
     def dispatch(self, now: float) -> None:
         """Starts waiting tasks on targets with free resources."""
         if not self._waiting:
--- a/anvilford/placement/tests/test_handovers.py
+++ b/anvilford/placement/tests/test_handovers.py
@@ -230,3 +230,36 @@
     case.assertEqual(
         [o.kind for *_, o in site.outcomes], [OutcomeKind.COMPLETED]
     )
+
+
+def test_job_is_given_up_before_its_run_is_found(case):
+    """Guards against work that is lost when the leader changes.
+
+    Most of the run is done, but the new leader has not seen it yet: a run from
+    the start would end too late. The longer the tasks, the more jobs are lost.
+    """
+    for late_s in (0.0, 0.1):
+        with case.subTest(late_s=late_s):
+            site = PlacementSimulation(
+                [make_target("near"), make_target("far")], one_way_delay_s=0.015
+            )
+            site.add_placer("first", 1)
+            site.run(0.1)
+            site.placers["first"].fleet.targets["near"].suspended_until = 0.3
+            work = job(seconds=1.8)
+            site.offer("first", work)
+            site.run(1.2)
+            site.remove_placer("first")
+            site.run(1.5)
+            if late_s:
+                site.faults.partitioned_pairs = {("second", "far")}
+            site.add_placer("second", 2)
+            site.offer("second", work, again=True, placed_is_known=False)
+            site.schedule(
+                site.now + late_s, site.faults.partitioned_pairs.clear
+            )
+            site.run(8.0)
+            kinds = [outcome.kind for _, _, _, outcome in site.outcomes]
+            case.assertEqual(kinds, [OutcomeKind.COMPLETED])
+            ends = [end for t in site.targets.values() for *_, end in t.ends]
+            case.assertEqual(ends, [RunEnd.DONE])
