Judge whether a run is stalled by how long its task should take

What callers see: jobs with tasks of more than about a minute are never answered, or late; their tasks are stopped and started again without end, and their targets suspended.

Cause: a run counted as stalled when its percentage had not changed for 0.6 s. That fits tasks of seconds, which advance by one percent every 90 ms at most. A task that takes more than 60 s on its target (38 s at speed 0.6, say) advances less often than every 0.6 s.

Change: for tasks of which 15% should take more than 0.6 s (4 s at speed 1), that time counts instead. Why it works: one percent takes as long only if the task takes 15 times its estimate. The price: a stalled task of 38 s is noticed after 5.7 s. For shorter tasks (those of the users' sites) nothing changes but that.

Not covered: with both targets of a site busy, a task that stalled starts on the stalled target again, before as after.

--- a/anvilford/placement/_fleet.py
+++ b/anvilford/placement/_fleet.py
@@ -531,7 +531,9 @@
         if reported.percent != run.percent:
             run.percent = reported.percent
             run.percent_at = now
-        elif run.phase is RunPhase.RUNNING and health.is_stalled(run, now):
+        elif run.phase is RunPhase.RUNNING and health.is_stalled(
+            target, run, now
+        ):
             # Checked only on reports: without them, a run that progresses
             # cannot be distinguished from a stalled one.
             self._record_failure(target, run.task_name, "run_stalled", now)
--- a/anvilford/placement/_health.py
+++ b/anvilford/placement/_health.py
@@ -31,9 +31,13 @@
 # them fail, the cause is the tasks rather than the targets.
 MAX_SUSPENDED_SHARE = 0.5
 # A run without a change of its progress percentage for this long counts as
-# stalled. The slowest tasks in the users' workload descriptions advance by one
-# percent every 90 ms.
+# stalled, if its task is short. The slowest tasks in the users' workload
+# descriptions advance by one percent every 90 ms.
 STALL_TIMEOUT_S = 0.6
+# The same for long tasks, as a share of the expected run time. One percent takes
+# that long if the task takes 15 times the expected time: 3% of the tasks run
+# seven times longer than the rest, and a target may be half as fast as assumed.
+STALL_RUN_TIME_SHARE = 0.15
 
 
 def record_success(target: Target, run: Run, now: float) -> None:
@@ -91,9 +95,14 @@
     return True
 
 
-def is_stalled(run: Run, now: float) -> bool:
-    """Returns whether a run has made no progress for `STALL_TIMEOUT_S`."""
-    return (
-        run.confirmed_at > 0
-        and now - max(run.percent_at, run.confirmed_at) > STALL_TIMEOUT_S
-    )
+def is_stalled(target: Target, run: Run, now: float) -> bool:
+    """Returns whether a run has made no progress for too long.
+
+    Its percentage changes less often the longer the task takes, which is not
+    known of a run that no entry has claimed.
+    """
+    if not run.confirmed_at or run.task is None:
+        return False
+    run_time = run.task.spec.estimate_ms / 1000 / target.speed
+    timeout = max(STALL_TIMEOUT_S, STALL_RUN_TIME_SHARE * run_time)
+    return now - max(run.percent_at, run.confirmed_at) > timeout
--- a/anvilford/placement/tests/test_placer.py
+++ b/anvilford/placement/tests/test_placer.py
@@ -147,6 +147,28 @@
     case.assertNotIn("target suspended", events)
 
 
+def test_long_task_counts_as_stalled(case, site):
+    """Guards against long tasks that are stopped again and again.
+
+    Their percentage changes less often than that of short ones. The estimate
+    may be too low: a task may take several times as long, on a slow target.
+    """
+    site.job_deadline_s = 500.0
+    for target in site.targets.values():
+        target.speed = 0.5
+    first = job(seconds=38.0, tasks=2)
+    slow = attrs.evolve(job(seconds=20.0), run_times_s=(80.0,))
+    site.offer("p", first)
+    site.offer("p", slow)
+    site.run(200.0)
+    case.assertEqual(
+        outcome_kinds(site),
+        {each.job_id: OutcomeKind.COMPLETED for each in (first, slow)},
+    )
+    starts = [start for t in site.targets.values() for start in t.starts]
+    case.assertEqual(len(starts), 3)
+
+
 def test_stalled_run_is_restarted_elsewhere(case, site):
     """Guards against a job that waits for a run without progress."""
     site.targets["t1"].is_stalled = True
@@ -158,6 +180,18 @@
     case.assertEqual(site.find_overlapping_tasks(), [])
 
 
+def test_long_stalled_run_is_restarted_elsewhere(case, site):
+    """Guards against long tasks that wait for a target without progress."""
+    site.job_deadline_s = 60.0
+    site.targets["t1"].is_stalled = True
+    site.targets["t1"].speed = 2.0
+    first = job(seconds=38.0, tasks=2)
+    site.offer("p", first)
+    site.run(50.0)
+    case.assertEqual(outcome_kinds(site), {first.job_id: OutcomeKind.COMPLETED})
+    case.assertEqual(site.find_overlapping_tasks(), [])
+
+
 def test_lost_target_ends_with_its_lease(case, site):
     """Guards against a second run while an unreachable target continues.
 
