Remember that a job has run each time it is sent again

What callers see: status 429 for a job whose tasks have started before. It promises that the job has never run (PROTOCOL, "A 429 or 503 response means ...").

Cause: a placer remembers for 20 s that a job was lost after tasks had started, and answers 504 instead of refusing it. If it had to turn the job down at once when it came again, that time was not renewed: a caller that comes back every 1.3 s was refused after 20 s.

On the model, a job that is withdrawn at 0.3 s and sent again at 12, 24 and 36 s under overload: lost, refused, refused.

Change: each such answer renews the time. Why it works: callers send a job again within seconds or not at all, so that 20 s need only cover the time between two tries.

Test, which failed before: test_job_that_ran_long_ago_is_refused. Not covered: another leader does not know that the job has run.

--- a/anvilford/placement/_placer.py
+++ b/anvilford/placement/_placer.py
@@ -182,6 +182,7 @@
         if refusal is not None:
             if job.has_run_before:
                 refusal = Outcome(OutcomeKind.LOST, refusal.reason)
+                self._remember_lost_job(job.job_id, now)
             self.effects.append(Settle(job.job_id, refusal))
             return
         job.set_waiting([t for t in job.tasks if t.phase is TaskPhase.WAITING])
@@ -833,9 +834,7 @@
         if outcome.kind in (OutcomeKind.COMPLETED, OutcomeKind.FAILED):
             self.outcomes[job.job_id] = (now, outcome)
         elif job.started or job.has_run_before:
-            # Inserted last, since the oldest ones are dropped first.
-            self._lost_jobs.pop(job.job_id, None)
-            self._lost_jobs[job.job_id] = now
+            self._remember_lost_job(job.job_id, now)
         self._log_decision(
             "job ended",
             job.job_id,
@@ -848,6 +847,11 @@
         )
         self.effects.append(Settle(job.job_id, outcome))
 
+    def _remember_lost_job(self, job_id: str, now: float) -> None:
+        # Inserted last, since the oldest ones are dropped first.
+        self._lost_jobs.pop(job_id, None)
+        self._lost_jobs[job_id] = now
+
     def _drop_old_outcomes(self, now: float) -> None:
         while self._expected_offers:
             job_id = next(iter(self._expected_offers))
--- a/anvilford/placement/tests/test_targets.py
+++ b/anvilford/placement/tests/test_targets.py
@@ -152,6 +152,26 @@
     case.assertNotIn(OutcomeKind.REFUSED, kinds)
 
 
+def test_job_that_ran_long_ago_is_refused(case, site):
+    """Guards against a refusal of a job that has run, under a long overload.
+
+    Its caller sent it again several times meanwhile, each time in vain.
+    """
+    first = job(seconds=0.5)
+    site.offer("p", first)
+    site.run(0.3)
+    site.placers["p"].withdraw(first.job_id, "entry", "caller_lost", site.now)
+    for at in (12.0, 24.0, 36.0):
+        site.run(at)
+        for _ in range(40):
+            site.offer("p", job(seconds=0.5, at=site.now))
+        site.run(at + 0.05)
+        site.offer("p", attrs.evolve(first, arrival_time=site.now))
+    site.run(40.0)
+    kinds = [o.kind for _, _, name, o in site.outcomes if name == first.job_id]
+    case.assertEqual(kinds, [OutcomeKind.LOST] * 4)
+
+
 def test_target_that_shrinks_gets_no_task_beyond_its_room(case, site):
     """A target may not guard its capacity, which may shrink while it runs.
 
