--- a/anvilford/node/_coordination.py
+++ b/anvilford/node/_coordination.py
@@ -40,6 +40,7 @@
 from anvilford.protocol import LeaderAnnounced
 from anvilford.protocol import Message
 from anvilford.protocol import TargetLossReport
+from anvilford.protocol import WithdrawJob
 from anvilford.telemetry import Counters
 
 HEARTBEAT_INTERVAL_S = 0.15
@@ -138,9 +139,14 @@
         self.unanswered_jobs = UnansweredJobs()
         self.leader_hears_site = True
         self._local_unanswered_jobs = UnansweredJobs()
-        # Fencing token of the last leader that got a report of them, and the
-        # time at which that report was sent.
+        # Fencing token of the last leader that got a report of them and of
+        # withdrawn jobs, and the time at which that report was sent.
         self._unanswered_reported = (0, 0.0)
+        # Jobs that this entry has given up. Each leader that it follows next
+        # may still have them.
+        self._withdrawn_jobs = UnansweredJobs()
+        # Token of the latest process of each member that this leader has heard.
+        self._process_tokens: dict[str, str] = {}
         self._leader_changed = asyncio.Event()
         self._wake = asyncio.Event()
         self._leader_contact_at = clock.now()
@@ -203,6 +209,26 @@
         self._local_unanswered_jobs.add((job_id,))
         self._expect_resent_jobs((job_id,), self.local_member.name)
 
+    def report_withdrawn_job(self, job_id: str) -> None:
+        """Tells the leader that this entry no longer waits for a job.
+
+        Heartbeats keep the jobs of this entry alive. The next ones repeat the
+        report until a leader has answered one: there may be no leader now, and
+        the report may be lost with its connection.
+        """
+        self._withdrawn_jobs.add((job_id,))
+        if self.leader is not None and self.driver is None:
+            self._send_withdrawals(self.leader, (job_id,))
+
+    def forget_withdrawal(self, job_id: str) -> None:
+        """Ends the reports of a withdrawn job that is offered again."""
+        self._withdrawn_jobs.remove(job_id)
+
+    def _send_withdrawals(self, leader: Leader, job_ids: Iterable[str]) -> None:
+        for job_id in job_ids:
+            message = WithdrawJob(job_id, self.local_member.name)
+            self.links.send(leader.member.address, message)
+
     def _expect_resent_jobs(self, job_ids: tuple[str, ...], entry: str) -> None:
         """Adds jobs that an entry has reported, also to the placer."""
         self.unanswered_jobs.add(job_ids)
@@ -243,9 +269,22 @@
     def _is_leading(self) -> bool:
         return self.driver is not None
 
+    def _stop_jobs_of_earlier_process(self, member: Member) -> None:
+        """Stops the jobs of a member that has restarted since it was heard.
+
+        It may be back before it counts as silent, and knows nothing of them.
+        """
+        token = self._process_tokens.get(member.name)
+        self._process_tokens[member.name] = member.token
+        if token not in (None, member.token):
+            self.driver.stop_jobs_of(member.name)
+
     def receive_heartbeat(self, message: Heartbeat) -> HeartbeatReply:
         """Records a member's heartbeat and returns the reply."""
         now = clock.now()
+        if self._is_leading:
+            # It may step down if it was suspended.
+            self._stop_jobs_of_earlier_process(message.member)
         if self._is_leading:
             # The heartbeat itself may have been sent long before it was read.
             followed_at = min(message.answered_at, now)
@@ -305,7 +344,9 @@
         Returns:
             Reply that states whether this member leads or reaches its leader.
         """
-        if not self._is_leading:
+        if self._is_leading:
+            self._stop_jobs_of_earlier_process(querying_member)
+        else:
             self.membership.querying_members[querying_member.name] = (
                 querying_member
             )
@@ -527,6 +568,9 @@
         if reported_to != leader.fence:
             reported_at = 0.0
         now = clock.now()
+        self._send_withdrawals(
+            leader, self._withdrawn_jobs.list_since(reported_at)
+        )
         heartbeat = Heartbeat(
             self.local_member,
             self.fence,
@@ -602,6 +646,7 @@
         self._close_driver()
         self.membership.term = leader.term
         self.has_written_row = False
+        self._process_tokens.clear()
         self.heartbeats.reset(
             [self.local_member, *self.membership.other_members], now
         )
--- a/anvilford/placement/_placer.py
+++ b/anvilford/placement/_placer.py
@@ -75,11 +75,13 @@
 
     Attributes:
         until: Time by which its runs have ended, in seconds.
-        placed: Targets that may run it; None if they are not known.
+        placed: Ids of targets that may run it.
+        placed_is_known: Whether no others may.
     """
 
     until: float
-    placed: tuple[str, ...] | None = None
+    placed: tuple[str, ...] = ()
+    placed_is_known: bool = False
 
 
 class Placer:
@@ -180,6 +182,7 @@
         if refusal is not None:
             if job.has_run_before:
                 refusal = Outcome(OutcomeKind.LOST, refusal.reason)
+                self._remember_lost_job(job.job_id, now)
             self.effects.append(Settle(job.job_id, refusal))
             return
         job.set_waiting([t for t in job.tasks if t.phase is TaskPhase.WAITING])
@@ -205,18 +208,17 @@
         expected = self._expected_offers.get(offer.job_id)
         if offer.again or expected is None or now >= expected.until:
             return offer
-        if expected.placed is None:
-            may_run = self.fleet.has_unclaimed_targets(now)
-        else:
-            self.fleet.give_up_silent(expected.placed)
-            may_run = not self.fleet.owns_all(expected.placed)
+        self.fleet.give_up_silent(expected.placed)
+        may_run = not self.fleet.owns_all(expected.placed)
+        if not expected.placed_is_known:
+            may_run = may_run or self.fleet.has_unclaimed_targets(now)
         if not may_run:
             return offer
         return attrs.evolve(
             offer,
             again=True,
-            placed=expected.placed or (),
-            placed_is_known=expected.placed is not None,
+            placed=expected.placed,
+            placed_is_known=expected.placed_is_known,
         )
 
     def _expect_offer(self, job_id: str, expected: _ExpectedOffer) -> None:
@@ -266,7 +268,9 @@
         """
         until = now + UNSEEN_RUNS_WINDOW_S
         for job_id in job_ids:
-            self._expect_offer(job_id, _ExpectedOffer(until))
+            known = self._expected_offers.get(job_id)
+            placed = known.placed if known else ()
+            self._expect_offer(job_id, _ExpectedOffer(until, placed))
             job = self.jobs.get(job_id)
             if job is not None and not job.started and entry not in job.entries:
                 job.unseen_runs_until = until
@@ -309,7 +313,8 @@
         for job in list(self.jobs.values()):
             if entry in job.entries:
                 placed = self._possible_targets(job, now)
-                expected = _ExpectedOffer(now + UNSEEN_RUNS_WINDOW_S, placed)
+                until = now + UNSEEN_RUNS_WINDOW_S
+                expected = _ExpectedOffer(until, placed, placed_is_known=True)
                 self._expect_offer(job.job_id, expected)
                 self._end_job(
                     job, Outcome(OutcomeKind.LOST, "entry_silent"), now
@@ -336,8 +341,15 @@
         self.fleet.clear()
 
     def _possible_targets(self, job: Job, now: float) -> tuple[str, ...]:
-        """Returns the ids of all targets that may run tasks of a job."""
+        """Returns the ids of all targets that may run tasks of a job.
+
+        They include those whose lease has ended, if another placer may have
+        extended it.
+        """
         known = self.fleet.target_ids_of_job(job)
+        if job.lease_ended_at and self._may_have_moved(job):
+            lost = {task.target_id for task in job.waiting if task.target_id}
+            known = (*known, *lost)
         if now >= job.unseen_runs_until:
             return known
         if job.placed_elsewhere is None:
@@ -513,7 +525,7 @@
             job.objective_deadline if may_still_refuse else job.value_deadline
         )
         is_too_late = self._earliest_start(job, now) + run_time > limit
-        if not is_too_late:
+        if not is_too_late or self._may_find_runs(job, now):
             return
         if job.unseen_runs_until or job.has_run_before:
             outcome = Outcome(OutcomeKind.LOST, "too_late")
@@ -575,16 +587,33 @@
     def _earliest_start(self, job: Job, now: float) -> float:
         """Returns a lower bound on the start time of a waiting job.
 
-        For `RUN_DISCOVERY_S` after the offer, its earlier runs may still be
-        found. After that, it must wait until those runs have ended.
+        Once its earlier runs are not expected to be found any more, it must
+        wait until those runs have ended.
         """
-        found_by = (
-            job.unseen_runs_until - UNSEEN_RUNS_WINDOW_S + RUN_DISCOVERY_S
-        )
-        if now > found_by and self.fleet.may_have_unseen_runs(job, now):
+        if self._is_discovery_over(job, now) and (
+            self.fleet.may_have_unseen_runs(job, now)
+        ):
             return job.unseen_runs_until
         return now
 
+    def _may_find_runs(self, job: Job, now: float) -> bool:
+        """Returns whether earlier runs of a waiting job may still be found.
+
+        They may be nearly done, so that the time of a run from its start does
+        not tell whether the job is too late.
+        """
+        return (
+            now <= job.deadline
+            and not self._is_discovery_over(job, now)
+            and self.fleet.may_have_unseen_runs(job, now)
+        )
+
+    def _is_discovery_over(self, job: Job, now: float) -> bool:
+        """Returns whether `RUN_DISCOVERY_S` have passed since the offer."""
+        return now > (
+            job.unseen_runs_until - UNSEEN_RUNS_WINDOW_S + RUN_DISCOVERY_S
+        )
+
     def dispatch(self, now: float) -> None:
         """Starts waiting tasks on targets with free resources."""
         if not self._waiting:
@@ -836,9 +865,7 @@
         if outcome.kind in (OutcomeKind.COMPLETED, OutcomeKind.FAILED):
             self.outcomes[job.job_id] = (now, outcome)
         elif job.started or job.has_run_before:
-            # Inserted last, since the oldest ones are dropped first.
-            self._lost_jobs.pop(job.job_id, None)
-            self._lost_jobs[job.job_id] = now
+            self._remember_lost_job(job.job_id, now)
         self._log_decision(
             "job ended",
             job.job_id,
@@ -851,6 +878,11 @@
         )
         self.effects.append(Settle(job.job_id, outcome))
 
+    def _remember_lost_job(self, job_id: str, now: float) -> None:
+        # Inserted last, since the oldest ones are dropped first.
+        self._lost_jobs.pop(job_id, None)
+        self._lost_jobs[job_id] = now
+
     def _drop_old_outcomes(self, now: float) -> None:
         while self._expected_offers:
             job_id = next(iter(self._expected_offers))
