Let a resent job wait for the claims if a run of it was found (TWICE)

A job of several tasks that a caller sent again just after a change of the leader could run a task twice.

Cause: a job that the new leader does not know waits up to 0.25 s for the claims of the targets. Once the run of one of its tasks was found, the job counted as started, and such jobs do not wait: its other tasks started on the first free target, also while the target that ran them had not answered its claim. After the 0.25 s they did the same.

Evidence: test_resent_job_with_a_found_run_waits_for_the_claims, which fails before the change with one task twice, for a run found before and after the offer.

Change: a job of which a run or an end of an earlier placer is adopted is treated as offered again. Why it works: its other tasks then wait until all targets are claimed, or until the runs of the earlier placer have ended (1.8 s).

Measured: the test passes; the 83 tests of placement and of its model pass.

--- a/anvilford/placement/_fleet.py
+++ b/anvilford/placement/_fleet.py
@@ -221,7 +221,7 @@
             if task.name in self.tasks_found_done:
                 task.phase = TaskPhase.DONE
                 job.open_tasks -= 1
-                adopted = True
+                adopted = job.has_earlier_runs = True
                 continue
             target = self.target_by_task.get(task.name)
             run = target.runs.get(task.name) if target else None
@@ -229,6 +229,7 @@
                 continue
             adopted = True
             if run.task is None:
+                job.has_earlier_runs = True
                 run.need = task.spec.need
                 target.available = target.available.minus(run.need)
                 run.percent_at = now
--- a/anvilford/placement/_placer.py
+++ b/anvilford/placement/_placer.py
@@ -173,7 +173,7 @@
             return
         offer = self._recognize_repeated_offer(offer, now)
         job = self._create_job(offer, now)
-        found = self.fleet.adopt_runs(job, now)
+        found = self._find_runs(job, now)
         self._update_held(job)
         may_have_run = found or offer.again or job.has_lost_target
         refusal = None if may_have_run else self._check_admission(job, now)
@@ -246,7 +246,7 @@
                 "placed_elsewhere": job.placed_elsewhere,
             },
         )
-        self.fleet.adopt_runs(job, now)
+        self._find_runs(job, now)
         self._update_waiting(job, now)
 
     def expect_resent_jobs(
@@ -418,9 +418,22 @@
 
     def _adopt_runs(self, job: Job, now: float) -> None:
         """Assigns known runs and ends to the waiting tasks of a job."""
-        if self.fleet.adopt_runs(job, now):
+        if self._find_runs(job, now):
             self._update_waiting(job, now)
 
+    def _find_runs(self, job: Job, now: float) -> bool:
+        """Adopts known runs and ends of a job; returns whether there were any.
+
+        An earlier placer that started one task may have started the others, on
+        targets that are not claimed yet. The entry need not know: the caller
+        may have sent the job to it after the change of the placer.
+        """
+        found = self.fleet.adopt_runs(job, now)
+        if job.has_earlier_runs and not job.unseen_runs_until:
+            job.unseen_runs_until = now + UNSEEN_RUNS_WINDOW_S
+            job.placed_elsewhere = None
+        return found
+
     def _update_waiting(self, job: Job, now: float) -> None:
         """Updates the waiting tasks of a job after tasks were adopted or done."""
         job.set_waiting(
--- a/anvilford/placement/_state.py
+++ b/anvilford/placement/_state.py
@@ -135,6 +135,8 @@
         waiting: Tasks without a run, as last set by `set_waiting`.
         open_tasks: Number of tasks that are not done.
         started: True once a run was started or adopted.
+        has_earlier_runs: True once a run or an end was adopted that no job of
+            this placer had.
         has_lost_target: True if a waiting task has one, as last updated.
         is_held: True while no task starts because so many targets were lost
             under one of them that it may have crashed them.
@@ -158,6 +160,7 @@
     waiting: list[Task] = attrs.field(factory=list)
     open_tasks: int = 0
     started: bool = False
+    has_earlier_runs: bool = False
     has_lost_target: bool = False
     is_held: bool = False
     objective: float = 0.0
--- a/anvilford/placement/tests/test_two_placers.py
+++ b/anvilford/placement/tests/test_two_placers.py
@@ -44,6 +44,24 @@
     return started
 
 
+def start_on_near_and_far(seconds):
+    """Returns a site and a job with a task on "near" and one on "far".
+
+    A third target, "spare", is free. Each target has room for one task.
+    """
+    site = PlacementSimulation(
+        [make_target(name, cpu=8000) for name in ("near", "far", "spare")],
+        one_way_delay_s=ONE_WAY_DELAY_S,
+    )
+    site.add_placer("site", 1)
+    site.run(0.1)
+    site.placers["site"].fleet.targets["spare"].suspended_until = 0.3
+    started = job(seconds=seconds, tasks=2)
+    site.offer("site", started)
+    site.run(0.2)
+    return site, started
+
+
 def test_run_kept_alive_by_another_placer_starts_again(case):
     """Guards against a second run after another placer extended the lease.
 
@@ -295,6 +313,32 @@
             case.assertEqual(site.find_overlapping_tasks(), [])
 
 
+def test_resent_job_with_a_found_run_waits_for_the_claims(case):
+    """Guards against a second run of a task beside the found run of another.
+
+    The caller resubmits at another entry just after a change of the leader,
+    which nobody has told of the job. The new leader finds the run of one task
+    before or after the offer; the first poll of the target that runs the other
+    task is lost.
+    """
+    for offered_after in (0.005, 0.03):
+        with case.subTest(offered_after=offered_after):
+            site, first = start_on_near_and_far(2.0)
+            for name in ("near", "far"):
+                case.assertEqual(len(site.targets[name].running), 1)
+            site.remove_placer("site")
+            site.run(0.65)
+            site.faults.partitioned_pairs = {("new", "far")}
+            site.add_placer("new", 2)
+            site.run(0.65 + offered_after)
+            resubmitted = attrs.evolve(first, arrival_time=site.now)
+            site.offer("new", resubmitted, entry="other")
+            site.run(0.7)
+            site.faults.partitioned_pairs.clear()
+            site.run(8.0)
+            case.assertEqual(site.find_overlapping_tasks(), [])
+
+
 def test_job_sent_again_after_its_placer_was_cut_off(case):
     """Guards against a second run on a target that the new placer reaches.
 
