--- a/anvilford/node/_coordination.py
+++ b/anvilford/node/_coordination.py
@@ -66,7 +66,8 @@
 # A leader with a much better member appoints it when it has led for this long:
 # members without a heartbeat no longer count as live then.
 APPOINT_AFTER_S = 1.0
-# Shortest time between two appointments, if the member does not take over.
+# Shortest time between two appointments of the same process. It may not have
+# taken over, or have lost the lead since.
 APPOINT_AGAIN_AFTER_S = 10.0
 
 _logger = logging.getLogger(__name__)
@@ -155,6 +156,8 @@
         self._raise_fence_at = 0.0
         self._row_write_due_at = 0.0
         self._may_appoint_at = 0.0
+        # The member that was appointed last, and when it may be appointed again.
+        self._last_appointment: tuple[Member | None, float] = (None, 0.0)
         self._speeds_write_due_at = 0.0
         self._row_write_task: asyncio.Task | None = None
         # Reference to the pending read or write of the speed row, which keeps
@@ -608,7 +611,7 @@
         self._leader_contact_at = now
         self._row_write_due_at = now
         self._speeds_write_due_at = now + SPEEDS_WRITE_INTERVAL_S
-        self._may_appoint_at = max(now + APPOINT_AFTER_S, self._may_appoint_at)
+        self._may_appoint_at = now + APPOINT_AFTER_S
         self.site.is_placing = True
         self.driver = self.create_driver(leader.fence, leader.is_partial)
         self.driver.start(
@@ -684,9 +687,12 @@
         better = find_better_leader(
             self.local_member, self.heartbeats.live_members()
         )
-        if better is None:
+        appointed, may_appoint_again_at = self._last_appointment
+        if better is None or (
+            better == appointed and now < may_appoint_again_at
+        ):
             return
-        self._may_appoint_at = now + APPOINT_AGAIN_AFTER_S
+        self._last_appointment = (better, now + APPOINT_AGAIN_AFTER_S)
         _logger.info(
             "appointing a member with more cores as leader",
             extra={
--- a/anvilford/node/tests/test_coordination.py
+++ b/anvilford/node/tests/test_coordination.py
@@ -12,6 +12,8 @@
 from anvilford.leadership import Member
 from anvilford.leadership import Opinion
 from anvilford.node import _clock as clock
+from anvilford.node._coordination import APPOINT_AFTER_S
+from anvilford.node._coordination import APPOINT_AGAIN_AFTER_S
 from anvilford.node._coordination import LeadershipCoordinator
 from anvilford.node._members import MEMBER_LIVE_TIMEOUT_S
 from anvilford.node._search import MembershipView
@@ -464,6 +466,44 @@
     case.assertIsNone(coordinator.driver)
 
 
+def test_restarted_member_is_appointed_soon(case, coordinator):
+    """Guards against a small leader for 10 s after the large member restarted.
+
+    The leader had appointed that member before, which led until it was lost.
+    The restarted process is another one: only an appointment of the same one
+    is not repeated soon, since it did not take over, or lost the lead.
+    """
+    large = attrs.evolve(OTHER_MEMBER, cores=2.0)
+    restarted = attrs.evolve(large, token="t1-restarted")
+    coordinator.links.send = mock.Mock()
+
+    async def scenario():
+        for term, member in ((2, large), (4, restarted)):
+            coordinator._start_leading(Leader(term, LOCAL_MEMBER))
+            coordinator.receive_heartbeat(Heartbeat(member, 0))
+            now = clock.now()
+            coordinator.links.send.reset_mock()
+            coordinator._appoint_better_member(now + 0.5 * APPOINT_AFTER_S)
+            coordinator.links.send.assert_not_called()
+            coordinator._appoint_better_member(now + APPOINT_AFTER_S)
+            appointment = LeaderAnnounced(Leader(term + 1, member))
+            coordinator.links.send.assert_called_once_with(
+                member.address, appointment
+            )
+            coordinator.receive_announcement(appointment.leader)
+            case.assertIsNone(coordinator.driver)
+        coordinator._start_leading(Leader(6, LOCAL_MEMBER))
+        coordinator.receive_heartbeat(Heartbeat(restarted, 0))
+        coordinator.links.send.reset_mock()
+        coordinator._appoint_better_member(now + 2 * APPOINT_AFTER_S)
+        coordinator.links.send.assert_not_called()
+        again_at = now + APPOINT_AFTER_S + APPOINT_AGAIN_AFTER_S
+        coordinator._appoint_better_member(again_at)
+        coordinator.links.send.assert_called_once()
+
+    asyncio.run(scenario())
+
+
 def test_appointed_member_leads_once(case, coordinator):
     """An appointment that arrives late or twice must not start a new term."""
 
