--- a/anvilford/daemon/tests/test_changes.py
+++ b/anvilford/daemon/tests/test_changes.py
@@ -11,6 +11,11 @@
 RACES = 3
 EXIT_NOT_IN_FORCE = 3
 EXIT_CONFLICT = 4
+# Time within which a change must be in force on every VM that runs.
+IN_FORCE_LIMIT_S = 8
+# A job that runs when a change begins and still runs when it is in force.
+LONG_TASK_MS = 1000 * (IN_FORCE_LIMIT_S + 2)
+LONG_DEADLINE_MS = 2 * LONG_TASK_MS
 
 
 def test_racing_operators(case):
@@ -105,14 +110,14 @@
         case,
         lambda: system.configuration_in_force(site, third)["version"]
         == version,
-        8,
+        IN_FORCE_LIMIT_S,
     )
 
 
 def check_maintenance(case, site):
     """Checks that `maintenance` rejects new jobs and completes running ones."""
     first = site.entries[0]
-    job = system.distinct_job(4, 2500)
+    job = system.distinct_job(4, LONG_TASK_MS, LONG_DEADLINE_MS)
     with system.BackgroundSubmission(site, first, job) as background:
         system.wait_until(case, lambda: system.all_started(site, job), 5)
         status, report = system.anvilctl(first, "preset", "use", "maintenance")
