--- a/anvilford/daemon/tests/test_marks.py
+++ b/anvilford/daemon/tests/test_marks.py
@@ -35,7 +35,7 @@
     case.assertEqual(status, 0)
     entry.process.signal(signal.SIGTERM)
     case.assertEqual(entry.process.wait(), 0)
-    fresh = site.start_entry(ZONE, cluster.free_address())
+    fresh = site.start_entry(ZONE, site.reserve_address())
     site.wait_ready(fresh)
     answer = site.submit(
         fresh, site.issue_submission_ids(fresh)[0], cluster.job_document(8, 20)
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -8,9 +8,7 @@
 import json
 import os
 import pathlib
-import random
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -20,6 +18,8 @@
 import attrs
 import urllib3
 
+from standins.ports import reserve_addresses
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 CALLER_TOKEN = "caller-token-for-loopback"
 OTHER_CALLER_TOKEN = "other-caller-token-for-loopback"
@@ -28,22 +28,6 @@
 PEER_TOKEN = "peer-token-for-loopback"
 SERVICE = "line-brain"
 START_TIMEOUT_S = 20.0
-# Ports of the site's listeners. The range lies below the kernel's ephemeral
-# range, because an outgoing connection once took a port between its choice and
-# the start of the daemon ("address already in use").
-PORT_RANGE = (10_000, 32_768)
-_used_ports: set[int] = set()
-
-
-def free_address() -> str:
-    """Returns a free loopback "IP:port" that was not returned before."""
-    while True:
-        port = random.randrange(*PORT_RANGE)
-        with socket.socket() as probe, contextlib.suppress(OSError):
-            probe.bind(("127.0.0.1", port))
-            if port not in _used_ports:
-                _used_ports.add(port)
-                return f"127.0.0.1:{port}"
 
 
 @attrs.define(eq=False)
@@ -153,8 +137,13 @@
     def __exit__(self, *exc_info: object) -> None:
         self._stack.close()
 
+    def reserve_address(self) -> str:
+        """Reserves an "IP:port" on which a process of this site may listen."""
+        (address,) = reserve_addresses(self._stack, 1)
+        return address
+
     def _start_all(self) -> None:
-        self.platform = free_address()
+        self.platform = self.reserve_address()
         self.platform_process = self._start(
             "platform", "standins.platform", "--address", self.platform
         )
@@ -170,7 +159,7 @@
             self._list_target(vm_id, zone, SERVICE)
         self.put_configuration({"preset": "ordinary"})
         planned = [
-            (zone, free_address())
+            (zone, self.reserve_address())
             for zone in self.zones
             for _ in range(self.entries_per_zone)
         ]
@@ -188,7 +177,7 @@
         self._list_target(vm_id, zone, service)
 
     def _launch_target(self, vm_id: str, *options: str) -> None:
-        address = free_address()
+        address = self.reserve_address()
         process = self._start(
             vm_id,
             "standins.target",
@@ -210,8 +199,8 @@
         """Starts an entry daemon and adds it to the platform's VM list."""
         entry = Entry(
             zone,
-            free_address(),
-            free_address(),
+            self.reserve_address(),
+            self.reserve_address(),
             peers,
             self._folder / f"entry-{len(self.entries)}-{peers}.json",
             None,
--- a/standins/site.py
+++ b/standins/site.py
@@ -9,9 +9,7 @@
 import json
 import os
 import pathlib
-import random
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -24,6 +22,7 @@
 from anvilford.http1 import ClientResponse
 from anvilford.http1 import HttpClient
 from anvilford.order_model import overlapping_tasks
+from standins.ports import reserve_addresses
 from standins.rows import RowStore
 from standins.runner import FakeTargetServer
 
@@ -31,10 +30,6 @@
 SERVICE = "line"
 ZONES = ("a", "b")
 READY_TIMEOUT_S = 20.0
-# Range of the entries' ports. It lies below the kernel's ephemeral range,
-# because an outgoing connection could take a port between its choice and the
-# start of the entry.
-ENTRY_PORTS = (20_000, 32_000)
 # Length of the end of a log that an error message shows.
 LOG_TAIL_CHARACTERS = 2000
 
@@ -308,8 +303,7 @@
         stack: contextlib.AsyncExitStack,
     ) -> EntryProcess:
         name = f"entry-{number}"
-        ports = reserve_ports(stack, 4)
-        addresses = [f"127.0.0.1:{port}" for port in ports]
+        addresses = reserve_addresses(stack, 4)
         settings = folder / f"{name}.json"
         settings.write_text(
             json.dumps(
@@ -344,32 +338,3 @@
 
 async def _unchanged(address: str) -> str:
     return address
-
-
-def reserve_ports(
-    stack: contextlib.AsyncExitStack | contextlib.ExitStack, count: int
-) -> list[int]:
-    """Reserves random ports until the stack closes.
-
-    Each port stays bound by a socket that does not listen. Other sites, also
-    those of other processes, cannot reserve it, but an entry can listen on it.
-    Without the reservation two test runs at once drew the same ports, and an
-    entry failed with "address already in use".
-
-    Args:
-        stack: Closes the sockets.
-        count: Number of ports.
-    """
-    rng = random.SystemRandom()
-    ports: list[int] = []
-    while len(ports) < count:
-        sock = stack.enter_context(socket.socket())
-        try:
-            sock.bind(("127.0.0.1", rng.randrange(*ENTRY_PORTS)))
-        except OSError:
-            continue  # The port is in use; try another one.
-        # SO_REUSEADDR is set only after the bind: an entry, which sets it too,
-        # can share the port, while the bind of another reservation fails.
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        ports.append(sock.getsockname()[1])
-    return ports
--- a/standins/tests/test_site.py
+++ b/standins/tests/test_site.py
@@ -7,14 +7,15 @@
 from unittest import mock
 
 from standins import cluster
+from standins import ports
 from standins import site
 from testkit import function_tests
 
 load_tests = function_tests(__name__)
 
 # Hardly more ports than the test reserves, so that a reservation that does not
-# hold would return some port twice.
-FEW_PORTS = (31_900, 31_940)
+# hold would return some port twice. No site draws from this range.
+FEW_PORTS = (9_900, 9_940)
 
 
 def test_reserved_ports_are_not_drawn_again(case):
@@ -25,14 +26,36 @@
     """
     with (
         contextlib.ExitStack() as stack,
-        mock.patch.object(site, "ENTRY_PORTS", FEW_PORTS),
+        mock.patch.object(ports, "PORTS", FEW_PORTS),
     ):
         drawn = [
-            port for _ in range(9) for port in site.reserve_ports(stack, 4)
+            address
+            for _ in range(9)
+            for address in ports.reserve_addresses(stack, 4)
         ]
         case.assertEqual(len(set(drawn)), len(drawn))
-        with socket.create_server(("127.0.0.1", drawn[0])) as server:
-            case.assertEqual(server.getsockname()[1], drawn[0])
+        host, _, port = drawn[0].rpartition(":")
+        with socket.create_server((host, int(port))) as server:
+            case.assertEqual(server.getsockname()[1], int(port))
+
+
+def test_both_kinds_of_sites_reserve_their_ports(case):
+    """An entry of one site must not lose a port to a daemon of another one.
+
+    The site of daemons drew its ports without a reservation, from a range that
+    holds that of the entries. In a soak beside CI, a daemon listened on a port
+    that an entry, which started later, had reserved (seed 12003).
+    """
+    with (
+        contextlib.ExitStack() as stack,
+        mock.patch.object(ports, "PORTS", FEW_PORTS),
+    ):
+        daemons = cluster.Site()
+        stack.push(daemons)
+        used = {daemons.reserve_address() for _ in range(8)}
+        case.assertEqual(len(used), 8)
+        for drawn in ports.reserve_addresses(stack, 24):
+            case.assertNotIn(drawn, used)
 
 
 def test_entries_have_a_session_of_their_own(case):
