--- a/testkit/cuts/__init__.py
+++ b/testkit/cuts/__init__.py
@@ -8,12 +8,16 @@
 from testkit.cuts._run import CutOptions
 from testkit.cuts._run import CutReport
 from testkit.cuts._run import play_day
+from testkit.cuts._sites import CutSite
+from testkit.cuts._sites import SITES
 
 __all__ = [
     "Burst",
     "Cut",
     "CutOptions",
     "CutReport",
+    "CutSite",
+    "SITES",
     "SiteLinks",
     "load_day",
     "play_day",
--- a/testkit/cuts/__main__.py
+++ b/testkit/cuts/__main__.py
@@ -9,12 +9,14 @@
 from testkit.cuts import CutOptions
 from testkit.cuts import load_day
 from testkit.cuts import play_day
+from testkit.cuts import SITES
 
 
 def main() -> int:
     """Plays a day with each seed; returns 1 if a task ran twice at once."""
     parser = argparse.ArgumentParser(prog="testkit.cuts")
     parser.add_argument("day", type=pathlib.Path, help="day file")
+    parser.add_argument("--site", choices=SITES, default=CutOptions().site)
     parser.add_argument("--seed", type=int, default=1, help="first seed")
     parser.add_argument("--seeds", type=int, default=1, help="number of seeds")
     parser.add_argument("--load", type=float, default=CutOptions().load)
@@ -37,6 +39,7 @@
         arguments.longest_stall,
         not arguments.no_resends,
         arguments.until,
+        arguments.site,
     )
     day = load_day(arguments.day)
     failed = 0
--- a/testkit/cuts/_run.py
+++ b/testkit/cuts/_run.py
@@ -21,17 +21,11 @@
 from testkit.cuts._day import Cut
 from testkit.cuts._day import Disruption
 from testkit.cuts._links import SiteLinks
+from testkit.cuts._sites import CutSite
+from testkit.cuts._sites import JobKind
+from testkit.cuts._sites import SITES
 
-# Entries and targets of the users' site kerlann-fill.
-ENTRY_ZONES = (
-    "lorient-a",
-    *("quimper-a",) * 3,
-    *("quimper-b",) * 3,
-    "vannes-a",
-)
-TARGET_ZONES = tuple(sorted(set(ENTRY_ZONES))) * 6
-# `deadline ms` and `retransmit_ms` of that site.
-CALLER_DEADLINE_S = 1.5
+# `retransmit_ms` of the users' sites.
 RESEND_AFTER_S = 1.3
 TASK_CPU = 6800
 # Speeds of the targets, and how much longer than its mean a task may take.
@@ -44,42 +38,20 @@
 CALM_S = 3.0
 
 
-@attrs.frozen
-class JobKind:
-    """A kind of job of the users' site.
-
-    Attributes:
-        name: Name.
-        per_s: Mean arrivals per second.
-        tasks: Number of tasks.
-        seconds: Mean run time of a task at a target of speed 1.
-    """
-
-    name: str
-    per_s: float
-    tasks: int
-    seconds: float
-
-
-JOB_KINDS = (
-    JobKind("weigh-check", 15.1, 8, 0.051),
-    JobKind("fill-plan", 2.75, 4, 0.76),
-    JobKind("seal-confirm", 44.0, 2, 0.17),
-)
-
-
 @attrs.frozen
 class CutOptions:
     """How a day is played.
 
     Attributes:
         load: Factor of all arrivals.
-        plan_load: Further factor of the arrivals of fill-plan.
+        plan_load: Further factor of the arrivals of the site's second kind of
+            job, the one with the longest tasks.
         delay_s: Mean delay of answers from other zones, in seconds.
         stalls_per_s: Mean number of processes that are suspended each second.
         longest_stall_s: Longest such suspension, in seconds.
         resends: Whether callers send a job again after no answer.
         until_s: End of the last disruption that is played, in seconds.
+        site: Name of the site.
     """
 
     load: float = 0.6
@@ -89,6 +61,7 @@
     longest_stall_s: float = 0.3
     resends: bool = True
     until_s: float = math.inf
+    site: str = "kerlann-fill"
 
 
 @attrs.define
@@ -116,6 +89,7 @@
     def __init__(self, site: LoopbackSite, seed: int, options: CutOptions):
         self.site = site
         self.options = options
+        self.model: CutSite = SITES[options.site]
         self.rng = random.Random(seed)
         self.links = SiteLinks(site, options.delay_s)
         self.report = CutReport()
@@ -177,7 +151,7 @@
             while self.now < end:
                 calls.create_task(self._submit(kind))
                 rate = kind.per_s * self.options.load
-                if kind.name == "fill-plan":
+                if kind == self.model.kinds[1]:
                     rate *= self.options.plan_load
                 for burst in self.bursts:
                     if (
@@ -223,9 +197,9 @@
                 self.site.entries[entry].caller_address,
                 f"POST /jobs/{job_id}",
                 json.dumps(body).encode(),
-                CALLER_DEADLINE_S,
+                self.model.deadline_s,
                 f"Host: {HOST}\r\n"
-                f"X-Anvilford-Deadline-Ms: {int(CALLER_DEADLINE_S * 1000)}\r\n",
+                f"X-Anvilford-Deadline-Ms: {int(self.model.deadline_s * 1000)}\r\n",
             )
         return answer.status if isinstance(answer, ClientResponse) else 0
 
@@ -269,9 +243,10 @@
         options: How the day is played.
         logs: Folder for the logs of the entries if a task overlapped.
     """
-    site = LoopbackSite(len(ENTRY_ZONES), len(TARGET_ZONES))
-    site.entry_zones = list(ENTRY_ZONES)
-    site.target_zones = list(TARGET_ZONES)
+    model = SITES[options.site]
+    site = LoopbackSite(len(model.entry_zones), len(model.target_zones))
+    site.entry_zones = model.entry_zones
+    site.target_zones = model.target_zones
     play = _Play(site, seed, options)
     disruptions = [
         disruption
@@ -288,7 +263,7 @@
         stalls = asyncio.ensure_future(play.stall_processes())
         await asyncio.gather(
             play.disrupt(disruptions),
-            *(play.submit_jobs(kind, end) for kind in JOB_KINDS),
+            *(play.submit_jobs(kind, end) for kind in model.kinds),
         )
         play.is_over = True
         await stalls
