Cuts: callers whose connections break, and that send a job several times

The report counts each way. A test shows that the product's server sees each of them as Request.disconnected has it.

--- a/testkit/cuts/__init__.py
+++ b/testkit/cuts/__init__.py
@@ -5,8 +5,8 @@
 from testkit.cuts._day import load_day
 from testkit.cuts._entry import use_cut_loop
 from testkit.cuts._links import SiteLinks
+from testkit.cuts._report import CutReport
 from testkit.cuts._run import CutOptions
-from testkit.cuts._run import CutReport
 from testkit.cuts._run import play_day
 from testkit.cuts._sites import CutSite
 from testkit.cuts._sites import SITES
--- a/testkit/cuts/__main__.py
+++ b/testkit/cuts/__main__.py
@@ -7,58 +7,79 @@
 import uvloop
 
 from testkit.cuts import CutOptions
+from testkit.cuts import CutReport
 from testkit.cuts import load_day
 from testkit.cuts import play_day
 from testkit.cuts import SITES
 
 
-def main() -> int:
-    """Plays a day with each seed; returns 1 if a task ran twice at once."""
+def parse_options(arguments: list[str]) -> argparse.Namespace:
+    """Returns the parsed command line, with its `CutOptions` as `options`."""
+    default = CutOptions()
     parser = argparse.ArgumentParser(prog="testkit.cuts")
-    parser.add_argument("day", type=pathlib.Path, help="day file")
-    parser.add_argument("--site", choices=SITES, default=CutOptions().site)
-    parser.add_argument("--seed", type=int, default=1, help="first seed")
-    parser.add_argument("--seeds", type=int, default=1, help="number of seeds")
-    parser.add_argument("--load", type=float, default=CutOptions().load)
-    parser.add_argument(
-        "--plan-load", type=float, default=CutOptions().plan_load
+    add = parser.add_argument
+    add("day", type=pathlib.Path, help="day file")
+    add("--site", choices=SITES, default=default.site)
+    add("--seed", type=int, default=1, help="first seed")
+    add("--seeds", type=int, default=1, help="number of seeds")
+    add("--load", type=float, default=default.load)
+    add("--plan-load", type=float, default=default.plan_load)
+    add("--tries", type=int, default=default.tries, help="entries for a job")
+    add(
+        "--breaks",
+        type=float,
+        default=default.broken_share,
+        help="share of the requests whose connections break",
     )
-    parser.add_argument("--delay", type=float, default=CutOptions().delay_s)
-    parser.add_argument("--stalls", type=float, default=0.0)
-    parser.add_argument("--longest-stall", type=float, default=0.3)
-    parser.add_argument("--until", type=float, default=CutOptions().until_s)
-    parser.add_argument("--no-resends", action="store_true")
-    parser.add_argument("--logs", type=pathlib.Path, help="folder for logs")
-    parser.add_argument("--events", action="store_true", help="print the cuts")
-    arguments = parser.parse_args()
-    options = CutOptions(
-        arguments.load,
-        arguments.plan_load,
-        arguments.delay,
-        arguments.stalls,
-        arguments.longest_stall,
-        not arguments.no_resends,
-        arguments.until,
-        arguments.site,
+    add("--delay", type=float, default=default.delay_s)
+    add("--stalls", type=float, default=default.stalls_per_s)
+    add("--longest-stall", type=float, default=default.longest_stall_s)
+    add("--until", type=float, default=default.until_s)
+    add("--no-resends", action="store_true")
+    add("--logs", type=pathlib.Path, help="folder for logs")
+    add("--events", action="store_true", help="print the cuts")
+    parsed = parser.parse_args(arguments)
+    parsed.options = CutOptions(
+        site=parsed.site,
+        load=parsed.load,
+        plan_load=parsed.plan_load,
+        tries=1 if parsed.no_resends else parsed.tries,
+        broken_share=parsed.breaks,
+        delay_s=parsed.delay,
+        stalls_per_s=parsed.stalls,
+        longest_stall_s=parsed.longest_stall,
+        until_s=parsed.until,
     )
-    day = load_day(arguments.day)
+    return parsed
+
+
+def main() -> int:
+    """Plays a day with each seed; returns 1 if a task ran twice at once."""
+    parsed = parse_options(sys.argv[1:])
+    day = load_day(parsed.day)
     failed = 0
-    for seed in range(arguments.seed, arguments.seed + arguments.seeds):
-        logs = arguments.logs and arguments.logs / str(seed)
-        report = uvloop.run(play_day(day, seed, options, logs))
-        print(
-            f"seed {seed}: answers {dict(report.answers)}, {report.resent} sent"
-            f" again, {len(report.overlaps)} tasks twice",
-            flush=True,
-        )
+    for seed in range(parsed.seed, parsed.seed + parsed.seeds):
+        logs = parsed.logs and parsed.logs / str(seed)
+        report = uvloop.run(play_day(day, seed, parsed.options, logs))
         failed += bool(report.overlaps)
-        for text in report.overlaps:
-            print(f"  TWICE {text}")
-        if report.overlaps or arguments.events:
-            print("  " + "\n  ".join(report.events), flush=True)
-    print(f"{arguments.seeds - failed} passed, {failed} failed")
+        print_report(seed, report, parsed.events)
+    print(f"{parsed.seeds - failed} passed, {failed} failed")
     return 1 if failed else 0
 
 
+def print_report(seed: int, report: CutReport, with_events: bool) -> None:
+    """Prints what was seen in a play; events also if a task ran twice."""
+    print(
+        f"seed {seed}: answers {dict(sorted(report.answers.items()))},"
+        f" {report.resent} sent again, breaks {dict(report.breaks)},"
+        f" {len(report.overlaps)} tasks twice"
+    )
+    for text in report.overlaps:
+        print(f"  TWICE {text}")
+    if report.overlaps or with_events:
+        print("  " + "\n  ".join(report.events))
+    sys.stdout.flush()
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- /dev/null
+++ b/testkit/cuts/_callers.py
@@ -0,0 +1,272 @@
+"""Callers whose connections break and who send jobs again."""
+
+import asyncio
+import collections
+import enum
+import json
+import random
+import socket
+import struct
+from collections.abc import Callable
+
+import attrs
+
+from standins.site import HOST
+from standins.site import LoopbackSite
+from testkit.cuts._report import CutReport
+from testkit.cuts._sites import JobKind
+
+# `retransmit_ms` of the users' sites.
+RESEND_AFTER_S = 1.3
+TASK_CPU = 6800
+# Longest time to open a connection, as that of the product's client.
+CONNECT_TIMEOUT_S = 0.5
+# How much longer than its mean a task may take.
+RUN_TIME_SIGMA = 0.5
+MAX_RUN_TIME_RATIO = 4.0
+# A connection breaks within this multiple of the run time of the job's tasks,
+# so that most of the jobs run at that moment.
+BREAK_TIME_RATIO = 1.2
+READ_BYTES = 65536
+
+
+class Break(enum.Enum):
+    """How the connection of a caller ends before the answer.
+
+    Attributes:
+        FIN: The caller closes it in order.
+        RESET: The caller's machine resets it.
+        SILENT: The caller stops using it, and it stays open until the end of
+            the play, as if it had been lost on the way.
+    """
+
+    FIN = "fin"
+    RESET = "reset"
+    SILENT = "silent"
+
+
+@attrs.frozen
+class PlannedBreak:
+    """A break of one connection, unless the answer comes before.
+
+    Attributes:
+        how: How it breaks.
+        after_s: Time after the request was sent, in seconds.
+    """
+
+    how: Break
+    after_s: float
+
+
+@attrs.define
+class CallerConnections:
+    """Sends requests over connections of their own; a context manager.
+
+    Leaving the context closes the connections of silent callers.
+
+    Attributes:
+        breaks: Number of connections that broke, by the way in which they did.
+        silent: Open connections of callers that stopped using them.
+    """
+
+    breaks: collections.Counter
+    silent: list[socket.socket] = attrs.field(factory=list)
+
+    def __enter__(self) -> "CallerConnections":
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        for sock in self.silent:
+            sock.close()
+
+    async def call(
+        self,
+        address: str,
+        request: bytes,
+        timeout_s: float,
+        planned: PlannedBreak | None = None,
+    ) -> int:
+        """Sends a request and returns the status of the answer; 0 for none.
+
+        Args:
+            address: "IP:port" of the entry.
+            request: The whole request.
+            timeout_s: Time after which the caller closes the connection.
+            planned: How the connection breaks before, if it does.
+        """
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        sock = socket.socket()
+        sock.setblocking(False)
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                await loop.sock_connect(sock, (host, int(port)))
+            await loop.sock_sendall(sock, request)
+        except OSError:  # Includes TimeoutError.
+            sock.close()
+            return 0
+        wait_s = min(timeout_s, planned.after_s) if planned else timeout_s
+        try:
+            async with asyncio.timeout(wait_s):
+                status = await _read_status(loop, sock)
+        except TimeoutError:
+            self._end(sock, planned if wait_s < timeout_s else None)
+            return 0
+        except BaseException:
+            sock.close()
+            raise
+        sock.close()
+        return status
+
+    def _end(self, sock: socket.socket, planned: PlannedBreak | None) -> None:
+        """Breaks a connection as planned, or closes it at the deadline."""
+        if planned is None:
+            sock.close()
+            return
+        self.breaks[planned.how.value] += 1
+        match planned.how:
+            case Break.FIN:
+                sock.close()
+            case Break.RESET:
+                # Without lingering, a close sends a reset.
+                linger = struct.pack("ii", 1, 0)
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                sock.close()
+            case Break.SILENT:
+                self.silent.append(sock)
+
+
+async def _read_status(
+    loop: asyncio.AbstractEventLoop, sock: socket.socket
+) -> int:
+    """Reads the answer up to its end; 0 if the connection ends before."""
+    data = b""
+    while True:
+        head, separator, body = data.partition(b"\r\n\r\n")
+        if separator and len(body) >= _content_length(head):
+            return int(head.split(b" ", 2)[1])
+        try:
+            chunk = await loop.sock_recv(sock, READ_BYTES)
+        except TimeoutError:
+            raise
+        except OSError:
+            return 0
+        if not chunk:
+            return 0
+        data += chunk
+
+
+def _content_length(head: bytes) -> int:
+    for line in head.lower().split(b"\r\n"):
+        if line.startswith(b"content-length:"):
+            return int(line.partition(b":")[2])
+    return 0
+
+
+@attrs.define
+class CallerOptions:
+    """How callers behave.
+
+    Attributes:
+        deadline_s: Time for which they wait for an answer, in seconds.
+        tries: Largest number of entries that get the same job.
+        broken_share: Share of the requests whose connections break.
+    """
+
+    deadline_s: float
+    tries: int = 2
+    broken_share: float = 0.0
+
+
+class Callers:
+    """Submits jobs, and sends them again if there is no answer.
+
+    Attributes:
+        site: The site.
+        rng: Determines jobs, entries and breaks.
+        options: How callers behave.
+        connections: Sends the requests.
+        report: Counts answers and jobs that were sent again.
+    """
+
+    def __init__(
+        self,
+        site: LoopbackSite,
+        rng: random.Random,
+        options: CallerOptions,
+        connections: CallerConnections,
+        report: CutReport,
+    ):
+        self.site = site
+        self.rng = rng
+        self.options = options
+        self.connections = connections
+        self.report = report
+
+    async def submit_jobs(
+        self, kind: JobKind, rate: Callable[[JobKind], float | None]
+    ) -> None:
+        """Submits jobs of one kind, and waits for the last answer.
+
+        Args:
+            kind: The kind.
+            rate: Returns the mean arrivals per second of the kind at this
+                moment, or None once traffic ends.
+        """
+        async with asyncio.TaskGroup() as calls:
+            while (per_s := rate(kind)) is not None:
+                calls.create_task(self._submit(kind))
+                await asyncio.sleep(self.rng.expovariate(per_s))
+
+    async def _submit(self, kind: JobKind) -> None:
+        """Submits a job, and again to other entries if there is no answer."""
+        job_id = self.site.new_job_id()
+        ratio = self.rng.lognormvariate(0.0, RUN_TIME_SIGMA)
+        seconds = kind.seconds * min(ratio, MAX_RUN_TIME_RATIO)
+        entries = self.rng.sample(
+            list(self.site.entries),
+            min(self.options.tries, len(self.site.entries)),
+        )
+        for attempt, entry in enumerate(entries):
+            if attempt:
+                self.report.resent += 1
+                await asyncio.sleep(RESEND_AFTER_S)
+            status = await self.connections.call(
+                self.site.entries[entry].caller_address,
+                self._request(job_id, kind, seconds),
+                self.options.deadline_s,
+                self._plan_break(seconds),
+            )
+            self.report.answers[status] += 1
+            if status not in (0, 502, 504):
+                return
+
+    def _plan_break(self, seconds: float) -> PlannedBreak | None:
+        if self.rng.random() >= self.options.broken_share:
+            return None
+        longest = min(seconds * BREAK_TIME_RATIO, self.options.deadline_s)
+        how = self.rng.choice(list(Break))
+        return PlannedBreak(how, self.rng.uniform(0.0, longest))
+
+    def _request(self, job_id: str, kind: JobKind, seconds: float) -> bytes:
+        document = {
+            "spec": json.dumps({"seconds": seconds, "cpu": TASK_CPU}),
+            "steps": [
+                {
+                    "count": kind.tasks,
+                    "cpu": TASK_CPU,
+                    "mem_mb": 64,
+                    "estimate_ms": int(kind.seconds * 1000),
+                }
+            ],
+            "best_effort": True,
+        }
+        body = json.dumps(document)
+        return (
+            f"POST /jobs/{job_id} HTTP/1.1\r\n"
+            f"Host: {HOST}\r\n"
+            "Content-Type: application/json\r\n"
+            "X-Anvilford-Deadline-Ms:"
+            f" {int(self.options.deadline_s * 1000)}\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n{body}"
+        ).encode()
--- /dev/null
+++ b/testkit/cuts/_report.py
@@ -0,0 +1,73 @@
+"""What was seen in a play, and the check of its runs."""
+
+import collections
+import itertools
+import math
+from collections.abc import Iterable
+
+import attrs
+
+from standins.runner import FakeTargetServer
+
+
+@attrs.define
+class CutReport:
+    """Result of a play.
+
+    Attributes:
+        answers: Number of answers by status; 0 for none.
+        resent: Number of times that a job was sent again.
+        breaks: Number of callers' connections that broke, by the way.
+        leaders: Leaders after each cut, as the store has them.
+        events: What happened when, in seconds after the start of traffic.
+        overlaps: Each two runs of a task at the same time.
+    """
+
+    answers: collections.Counter = attrs.field(factory=collections.Counter)
+    resent: int = 0
+    breaks: collections.Counter = attrs.field(factory=collections.Counter)
+    leaders: list[str] = attrs.field(factory=list)
+    events: list[str] = attrs.field(factory=list)
+    overlaps: list[str] = attrs.field(factory=list)
+
+
+@attrs.frozen(order=True)
+class _Span:
+    """Time of a run, in seconds after the start of traffic."""
+
+    start: float
+    end: float
+    run: int
+    place: str
+
+    def __str__(self) -> str:
+        return (
+            f"run {self.run} on {self.place} {self.start:.3f} to {self.end:.3f}"
+        )
+
+
+def find_overlaps(
+    servers: Iterable[FakeTargetServer], now: float, started: float
+) -> list[str]:
+    """Returns a text for each two runs of a task at the same time.
+
+    Args:
+        servers: All targets.
+        now: Monotonic time in seconds.
+        started: Monotonic time of the start of traffic.
+    """
+    spans = collections.defaultdict(list)
+    for server in servers:
+        target = server.target
+        target.advance(now)
+        place = f"{server.name} ({server.zone})"
+        ends = {(task, run): at for at, task, run, _ in target.ends}
+        for at, task, run in target.starts:
+            end = ends.get((task, run), math.inf)
+            spans[task].append(_Span(at - started, end - started, run, place))
+    return [
+        f"{task}: {a}, {b}"
+        for task, runs in sorted(spans.items())
+        for a, b in itertools.combinations(sorted(runs), 2)
+        if a.end > b.start
+    ]
--- /dev/null
+++ b/testkit/cuts/tests/test_callers.py
@@ -0,0 +1,81 @@
+"""Tests of callers whose connections break."""
+
+import asyncio
+import collections
+
+from anvilford.http1 import HttpListener
+from anvilford.http1 import ListenerLimits
+from anvilford.http1 import Request
+from anvilford.http1 import Response
+from testkit import function_tests
+from testkit.cuts._callers import Break
+from testkit.cuts._callers import CallerConnections
+from testkit.cuts._callers import PlannedBreak
+
+load_tests = function_tests(__name__)
+
+REQUEST = b"GET / HTTP/1.1\r\nHost: queue.example\r\nContent-Length: 0\r\n\r\n"
+ANSWER_AFTER_S = 0.4
+BREAK_AFTER_S = 0.05
+SEEN = {Break.FIN: False, Break.RESET: True, Break.SILENT: None}
+
+
+async def call_server(planned: PlannedBreak | None, timeout_s: float):
+    """Calls a product's server that answers after `ANSWER_AFTER_S`.
+
+    Returns:
+        The status that the caller got, the breaks that were counted, and what
+        `Request.disconnected` was before the answer; None if it was pending.
+    """
+    seen: list[bool | None] = []
+
+    async def handle(request: Request) -> Response:
+        await asyncio.wait([request.disconnected], timeout=ANSWER_AFTER_S)
+        is_done = request.disconnected.done()
+        seen.append(request.disconnected.result() if is_done else None)
+        return Response(200, b"{}")
+
+    breaks: collections.Counter = collections.Counter()
+    async with HttpListener("127.0.0.1:0", handle, ListenerLimits()) as server:
+        with CallerConnections(breaks) as connections:
+            status = await connections.call(
+                server.address, REQUEST, timeout_s, planned
+            )
+            await asyncio.sleep(ANSWER_AFTER_S)
+    return status, breaks, seen
+
+
+def test_servers_see_how_a_connection_breaks(case):
+    """Guards against breaks that are not sent, or sent as another kind.
+
+    An earlier trial meant to reset connections, and closed them in order.
+    """
+    for how, disconnected in SEEN.items():
+        planned = PlannedBreak(how, BREAK_AFTER_S)
+        status, breaks, seen = asyncio.run(call_server(planned, 5.0))
+        case.assertEqual((status, seen), (0, [disconnected]), how)
+        case.assertEqual(breaks, {how.value: 1}, how)
+
+
+def test_answers_before_a_break_count(case):
+    """Guards against a job that is sent again after its answer came."""
+    planned = PlannedBreak(Break.RESET, 2.0)
+    status, breaks, seen = asyncio.run(call_server(planned, 5.0))
+    case.assertEqual((status, breaks, seen), (200, {}, [None]))
+
+
+def test_callers_close_at_their_deadline(case):
+    """Guards against a caller that waits on, or whose end counts as a break."""
+    planned = PlannedBreak(Break.RESET, 2.0)
+    status, breaks, seen = asyncio.run(call_server(planned, 0.1))
+    case.assertEqual((status, breaks, seen), (0, {}, [False]))
+
+
+def test_refused_connections_have_no_answer(case):
+    """Guards against a caller that ends the play if an entry is down."""
+
+    async def call() -> int:
+        with CallerConnections(collections.Counter()) as connections:
+            return await connections.call("127.0.0.1:1", REQUEST, 1.0)
+
+    case.assertEqual(asyncio.run(call()), 0)
