--- a/testkit/cuts/__main__.py
+++ b/testkit/cuts/__main__.py
@@ -24,6 +24,8 @@
     add("--seeds", type=int, default=1, help="number of seeds")
     add("--load", type=float, default=default.load)
     add("--plan-load", type=float, default=default.plan_load)
+    add("--stretch", type=float, default=default.stretch)
+    add("--task-stretch", type=float, default=default.task_stretch)
     add("--tries", type=int, default=default.tries, help="entries for a job")
     add(
         "--breaks",
@@ -43,6 +45,8 @@
         site=parsed.site,
         load=parsed.load,
         plan_load=parsed.plan_load,
+        stretch=parsed.stretch,
+        task_stretch=parsed.task_stretch,
         tries=1 if parsed.no_resends else parsed.tries,
         broken_share=parsed.breaks,
         delay_s=parsed.delay,
--- a/testkit/cuts/_day.py
+++ b/testkit/cuts/_day.py
@@ -63,3 +63,17 @@
             case _:
                 raise ValueError(f"cannot be given to processes: {fault}")
     return sorted(disruptions, key=lambda disruption: disruption.at)
+
+
+def stretch_day(
+    disruptions: list[Disruption], factor: float
+) -> list[Disruption]:
+    """Returns the disruptions of a day whose times are all longer."""
+    return [
+        attrs.evolve(
+            disruption,
+            at=disruption.at * factor,
+            length=disruption.length * factor,
+        )
+        for disruption in disruptions
+    ]
--- a/testkit/cuts/_run.py
+++ b/testkit/cuts/_run.py
@@ -17,6 +17,7 @@
 from testkit.cuts._day import Burst
 from testkit.cuts._day import Cut
 from testkit.cuts._day import Disruption
+from testkit.cuts._day import stretch_day
 from testkit.cuts._links import SiteLinks
 from testkit.cuts._report import CutReport
 from testkit.cuts._report import find_overlaps
@@ -41,17 +42,24 @@
         load: Factor of all arrivals.
         plan_load: Further factor of the arrivals of the site's second kind of
             job, the one with the longest tasks.
+        stretch: Factor of run times, deadlines and all times of the day; there
+            are fewer arrivals by the same factor. The product's waits and the
+            callers' time before a job is sent again stay as they are.
+        task_stretch: Further such factor, without the times of the day.
         tries: Largest number of entries that get the same job.
         broken_share: Share of the requests whose connections break.
         delay_s: Mean delay of answers from other zones, in seconds.
         stalls_per_s: Mean number of processes that are suspended each second.
         longest_stall_s: Longest such suspension, in seconds.
-        until_s: End of the last disruption that is played, in seconds.
+        until_s: End of the last disruption that is played, in seconds of the
+            day file.
     """
 
     site: str = "kerlann-fill"
     load: float = 0.6
     plan_load: float = 1.9
+    stretch: float = 1.0
+    task_stretch: float = 1.0
     tries: int = 2
     broken_share: float = 0.0
     delay_s: float = 0.002
@@ -61,12 +69,13 @@
 
     @property
     def model(self) -> CutSite:
-        """The site."""
-        return SITES[self.site]
+        """The site, with stretched tasks."""
+        return SITES[self.site].stretch(self.stretch * self.task_stretch)
 
     def select(self, disruptions: list[Disruption]) -> list[Disruption]:
-        """Returns the disruptions that are played."""
-        return [d for d in disruptions if d.at + d.length <= self.until_s]
+        """Returns the stretched disruptions that are played."""
+        selected = [d for d in disruptions if d.at + d.length <= self.until_s]
+        return stretch_day(selected, self.stretch)
 
 
 class _Play:
