Cuts: a job that ran twice is shown with its calls

Whether a caller closed, reset or silently left its connection decides what an entry can know, and the report of two runs did not say it.

--- a/testkit/cuts/__init__.py
+++ b/testkit/cuts/__init__.py
@@ -1,5 +1,6 @@
 """Real entry processes whose connections to each other are cut."""
 
+from testkit.cuts._callers import Break
 from testkit.cuts._day import Burst
 from testkit.cuts._day import Cut
 from testkit.cuts._day import load_day
@@ -12,6 +13,7 @@
 from testkit.cuts._sites import SITES
 
 __all__ = [
+    "Break",
     "Burst",
     "Cut",
     "CutOptions",
--- a/testkit/cuts/__main__.py
+++ b/testkit/cuts/__main__.py
@@ -6,6 +6,7 @@
 
 import uvloop
 
+from testkit.cuts import Break
 from testkit.cuts import CutOptions
 from testkit.cuts import CutReport
 from testkit.cuts import load_day
@@ -33,6 +34,12 @@
         default=default.broken_share,
         help="share of the requests whose connections break",
     )
+    add(
+        "--break-kinds",
+        nargs="+",
+        choices=[how.value for how in Break],
+        default=[how.value for how in default.breaks],
+    )
     add("--delay", type=float, default=default.delay_s)
     add("--stalls", type=float, default=default.stalls_per_s)
     add("--longest-stall", type=float, default=default.longest_stall_s)
@@ -49,6 +56,7 @@
         task_stretch=parsed.task_stretch,
         tries=1 if parsed.no_resends else parsed.tries,
         broken_share=parsed.breaks,
+        breaks=tuple(Break(value) for value in parsed.break_kinds),
         delay_s=parsed.delay,
         stalls_per_s=parsed.stalls,
         longest_stall_s=parsed.longest_stall,
--- a/testkit/cuts/_callers.py
+++ b/testkit/cuts/_callers.py
@@ -1,18 +1,19 @@
 """Callers whose connections break and who send jobs again."""
 
 import asyncio
-import collections
 import enum
 import json
 import random
 import socket
 import struct
+import time
 from collections.abc import Callable
 
 import attrs
 
 from standins.site import HOST
 from standins.site import LoopbackSite
+from testkit.cuts._report import CallRecord
 from testkit.cuts._report import CutReport
 from testkit.cuts._sites import JobKind
 
@@ -58,6 +59,20 @@
     after_s: float
 
 
+@attrs.frozen
+class CallResult:
+    """How a request ended.
+
+    Attributes:
+        status: Status of the answer; 0 for none.
+        how: What ended it: "answer", "refused" (no connection), "closed" (by
+            the entry), "deadline" or the value of a `Break`.
+    """
+
+    status: int
+    how: str
+
+
 @attrs.define
 class CallerConnections:
     """Sends requests over connections of their own; a context manager.
@@ -65,11 +80,9 @@
     Leaving the context closes the connections of silent callers.
 
     Attributes:
-        breaks: Number of connections that broke, by the way in which they did.
         silent: Open connections of callers that stopped using them.
     """
 
-    breaks: collections.Counter
     silent: list[socket.socket] = attrs.field(factory=list)
 
     def __enter__(self) -> "CallerConnections":
@@ -85,8 +98,8 @@
         request: bytes,
         timeout_s: float,
         planned: PlannedBreak | None = None,
-    ) -> int:
-        """Sends a request and returns the status of the answer; 0 for none.
+    ) -> CallResult:
+        """Sends a request and waits for the answer.
 
         Args:
             address: "IP:port" of the entry.
@@ -104,26 +117,26 @@
             await loop.sock_sendall(sock, request)
         except OSError:  # Includes TimeoutError.
             sock.close()
-            return 0
+            return CallResult(0, "refused")
         wait_s = min(timeout_s, planned.after_s) if planned else timeout_s
         try:
             async with asyncio.timeout(wait_s):
                 status = await _read_status(loop, sock)
         except TimeoutError:
-            self._end(sock, planned if wait_s < timeout_s else None)
-            return 0
+            return self._end(sock, planned if wait_s < timeout_s else None)
         except BaseException:
             sock.close()
             raise
         sock.close()
-        return status
+        return CallResult(status, "answer" if status else "closed")
 
-    def _end(self, sock: socket.socket, planned: PlannedBreak | None) -> None:
+    def _end(
+        self, sock: socket.socket, planned: PlannedBreak | None
+    ) -> CallResult:
         """Breaks a connection as planned, or closes it at the deadline."""
         if planned is None:
             sock.close()
-            return
-        self.breaks[planned.how.value] += 1
+            return CallResult(0, "deadline")
         match planned.how:
             case Break.FIN:
                 sock.close()
@@ -134,6 +147,7 @@
                 sock.close()
             case Break.SILENT:
                 self.silent.append(sock)
+        return CallResult(0, planned.how.value)
 
 
 async def _read_status(
@@ -171,11 +185,13 @@
         deadline_s: Time for which they wait for an answer, in seconds.
         tries: Largest number of entries that get the same job.
         broken_share: Share of the requests whose connections break.
+        breaks: Ways in which they do, each as likely as the others.
     """
 
     deadline_s: float
     tries: int = 2
     broken_share: float = 0.0
+    breaks: tuple[Break, ...] = tuple(Break)
 
 
 class Callers:
@@ -186,7 +202,7 @@
         rng: Determines jobs, entries and breaks.
         options: How callers behave.
         connections: Sends the requests.
-        report: Counts answers and jobs that were sent again.
+        report: Receives each call.
     """
 
     def __init__(
@@ -231,21 +247,31 @@
             if attempt:
                 self.report.resent += 1
                 await asyncio.sleep(RESEND_AFTER_S)
-            status = await self.connections.call(
+            sent_at = time.monotonic()
+            result = await self.connections.call(
                 self.site.entries[entry].caller_address,
                 self._request(job_id, kind, seconds),
                 self.options.deadline_s,
                 self._plan_break(seconds),
             )
-            self.report.answers[status] += 1
-            if status not in (0, 502, 504):
+            self.report.add_call(
+                CallRecord(
+                    job_id,
+                    entry,
+                    sent_at,
+                    time.monotonic(),
+                    result.how,
+                    result.status,
+                )
+            )
+            if result.status not in (0, 502, 504):
                 return
 
     def _plan_break(self, seconds: float) -> PlannedBreak | None:
         if self.rng.random() >= self.options.broken_share:
             return None
         longest = min(seconds * BREAK_TIME_RATIO, self.options.deadline_s)
-        how = self.rng.choice(list(Break))
+        how = self.rng.choice(self.options.breaks)
         return PlannedBreak(how, self.rng.uniform(0.0, longest))
 
     def _request(self, job_id: str, kind: JobKind, seconds: float) -> bytes:
--- a/testkit/cuts/_report.py
+++ b/testkit/cuts/_report.py
@@ -10,6 +10,31 @@
 from standins.runner import FakeTargetServer
 
 
+@attrs.frozen
+class CallRecord:
+    """A request of a caller and how it ended.
+
+    Attributes:
+        job_id: Job id.
+        entry: Name of the entry.
+        sent_at: Monotonic time of the request, in seconds.
+        ended_at: Monotonic time of the end, in seconds.
+        how: What ended it, as in `CallResult`.
+        status: Status of the answer; 0 for none.
+    """
+
+    job_id: str
+    entry: str
+    sent_at: float
+    ended_at: float
+    how: str
+    status: int
+
+
+# Ends of a call that the caller's connection caused.
+BREAKS = ("fin", "reset", "silent")
+
+
 @attrs.define
 class CutReport:
     """Result of a play.
@@ -21,6 +46,7 @@
         leaders: Leaders after each cut, as the store has them.
         events: What happened when, in seconds after the start of traffic.
         overlaps: Each two runs of a task at the same time.
+        calls: Calls of each job, in order.
     """
 
     answers: collections.Counter = attrs.field(factory=collections.Counter)
@@ -29,6 +55,30 @@
     leaders: list[str] = attrs.field(factory=list)
     events: list[str] = attrs.field(factory=list)
     overlaps: list[str] = attrs.field(factory=list)
+    calls: dict[str, list[CallRecord]] = attrs.field(factory=dict)
+
+    def add_call(self, call: CallRecord) -> None:
+        """Counts a call that ended."""
+        self.answers[call.status] += 1
+        if call.how in BREAKS:
+            self.breaks[call.how] += 1
+        self.calls.setdefault(call.job_id, []).append(call)
+
+    def describe_calls(
+        self, job_id: str, zones: dict[str, str], started: float
+    ) -> list[str]:
+        """Returns a text for each call of a job.
+
+        Args:
+            job_id: Job id.
+            zones: Zone of each entry.
+            started: Monotonic time of the start of traffic.
+        """
+        return [
+            f"{call.sent_at - started:.3f} to {call.ended_at - started:.3f}"
+            f" {call.entry} ({zones[call.entry]}): {call.how} {call.status}"
+            for call in self.calls.get(job_id, ())
+        ]
 
 
 @attrs.frozen(order=True)
--- a/testkit/cuts/_run.py
+++ b/testkit/cuts/_run.py
@@ -11,6 +11,7 @@
 import attrs
 
 from standins.site import LoopbackSite
+from testkit.cuts._callers import Break
 from testkit.cuts._callers import CallerConnections
 from testkit.cuts._callers import CallerOptions
 from testkit.cuts._callers import Callers
@@ -48,6 +49,7 @@
         task_stretch: Further such factor, without the times of the day.
         tries: Largest number of entries that get the same job.
         broken_share: Share of the requests whose connections break.
+        breaks: Ways in which they do.
         delay_s: Mean delay of answers from other zones, in seconds.
         stalls_per_s: Mean number of processes that are suspended each second.
         longest_stall_s: Longest such suspension, in seconds.
@@ -62,6 +64,7 @@
     task_stretch: float = 1.0
     tries: int = 2
     broken_share: float = 0.0
+    breaks: tuple[Break, ...] = tuple(Break)
     delay_s: float = 0.002
     stalls_per_s: float = 0.0
     longest_stall_s: float = 0.3
@@ -113,7 +116,7 @@
             server.target.speed = self.rng.uniform(*TARGET_SPEEDS)
         await asyncio.sleep(WARM_UP_S)
         self.started = time.monotonic()
-        with CallerConnections(self.report.breaks) as connections:
+        with CallerConnections() as connections:
             callers = Callers(
                 self.site,
                 self.rng,
@@ -121,6 +124,7 @@
                     self.model.deadline_s,
                     self.options.tries,
                     self.options.broken_share,
+                    self.options.breaks,
                 ),
                 connections,
                 self.report,
@@ -135,9 +139,18 @@
                     ),
                 )
                 stalls.cancel()
-        self.report.overlaps = find_overlaps(
+        self._check()
+
+    def _check(self) -> None:
+        """Adds each two runs at once, with the calls of their job."""
+        overlaps = find_overlaps(
             self.site.targets, time.monotonic(), self.started
         )
+        zones = dict(zip(self.site.entries, self.site.entry_zones, strict=True))
+        for text in overlaps:
+            job_id = text.partition(".")[0]
+            calls = self.report.describe_calls(job_id, zones, self.started)
+            self.report.overlaps.append("\n    ".join([text, *calls]))
 
     def _rate(self, kind: JobKind) -> float | None:
         """Returns the arrivals per second now; None after the end."""
--- a/testkit/cuts/tests/test_callers.py
+++ b/testkit/cuts/tests/test_callers.py
@@ -1,7 +1,6 @@
 """Tests of callers whose connections break."""
 
 import asyncio
-import collections
 
 from anvilford.http1 import HttpListener
 from anvilford.http1 import ListenerLimits
@@ -10,6 +9,7 @@
 from testkit import function_tests
 from testkit.cuts._callers import Break
 from testkit.cuts._callers import CallerConnections
+from testkit.cuts._callers import CallResult
 from testkit.cuts._callers import PlannedBreak
 
 load_tests = function_tests(__name__)
@@ -24,8 +24,8 @@
     """Calls a product's server that answers after `ANSWER_AFTER_S`.
 
     Returns:
-        The status that the caller got, the breaks that were counted, and what
-        `Request.disconnected` was before the answer; None if it was pending.
+        How the call ended, and what `Request.disconnected` was before the
+        answer; None if it was pending.
     """
     seen: list[bool | None] = []
 
@@ -35,14 +35,13 @@
         seen.append(request.disconnected.result() if is_done else None)
         return Response(200, b"{}")
 
-    breaks: collections.Counter = collections.Counter()
     async with HttpListener("127.0.0.1:0", handle, ListenerLimits()) as server:
-        with CallerConnections(breaks) as connections:
-            status = await connections.call(
+        with CallerConnections() as connections:
+            result = await connections.call(
                 server.address, REQUEST, timeout_s, planned
             )
             await asyncio.sleep(ANSWER_AFTER_S)
-    return status, breaks, seen
+    return result.how, result.status, seen
 
 
 def test_servers_see_how_a_connection_breaks(case):
@@ -52,30 +51,29 @@
     """
     for how, disconnected in SEEN.items():
         planned = PlannedBreak(how, BREAK_AFTER_S)
-        status, breaks, seen = asyncio.run(call_server(planned, 5.0))
-        case.assertEqual((status, seen), (0, [disconnected]), how)
-        case.assertEqual(breaks, {how.value: 1}, how)
+        result = asyncio.run(call_server(planned, 5.0))
+        case.assertEqual(result, (how.value, 0, [disconnected]))
 
 
 def test_answers_before_a_break_count(case):
     """Guards against a job that is sent again after its answer came."""
     planned = PlannedBreak(Break.RESET, 2.0)
-    status, breaks, seen = asyncio.run(call_server(planned, 5.0))
-    case.assertEqual((status, breaks, seen), (200, {}, [None]))
+    result = asyncio.run(call_server(planned, 5.0))
+    case.assertEqual(result, ("answer", 200, [None]))
 
 
 def test_callers_close_at_their_deadline(case):
     """Guards against a caller that waits on, or whose end counts as a break."""
     planned = PlannedBreak(Break.RESET, 2.0)
-    status, breaks, seen = asyncio.run(call_server(planned, 0.1))
-    case.assertEqual((status, breaks, seen), (0, {}, [False]))
+    result = asyncio.run(call_server(planned, 0.1))
+    case.assertEqual(result, ("deadline", 0, [False]))
 
 
 def test_refused_connections_have_no_answer(case):
     """Guards against a caller that ends the play if an entry is down."""
 
-    async def call() -> int:
-        with CallerConnections(collections.Counter()) as connections:
+    async def call() -> CallResult:
+        with CallerConnections() as connections:
             return await connections.call("127.0.0.1:1", REQUEST, 1.0)
 
-    case.assertEqual(asyncio.run(call()), 0)
+    case.assertEqual(asyncio.run(call()), CallResult(0, "refused"))
--- a/testkit/cuts/tests/test_options.py
+++ b/testkit/cuts/tests/test_options.py
@@ -1,6 +1,7 @@
 """Tests of the options of a play."""
 
 from testkit import function_tests
+from testkit.cuts import Break
 from testkit.cuts import Burst
 from testkit.cuts import Cut
 from testkit.cuts import CutOptions
@@ -11,7 +12,7 @@
 COMMAND = (
     "day.toml --site trama-norte --load 0.5 --plan-load 2 --stretch 3"
     " --task-stretch 4 --tries 5 --breaks 0.6 --delay 0.007 --stalls 8"
-    " --longest-stall 0.9 --until 10"
+    " --longest-stall 0.9 --until 10 --break-kinds silent fin"
 )
 
 
@@ -55,7 +56,18 @@
     case.assertEqual(
         parsed.options,
         CutOptions(
-            "trama-norte", 0.5, 2.0, 3.0, 4.0, 5, 0.6, 0.007, 8.0, 0.9, 10.0
+            "trama-norte",
+            0.5,
+            2.0,
+            3.0,
+            4.0,
+            5,
+            0.6,
+            (Break.SILENT, Break.FIN),
+            0.007,
+            8.0,
+            0.9,
+            10.0,
         ),
     )
     case.assertEqual(parse_options(["day.toml"]).options, CutOptions())
