Cuts: silent and one-way cuts, cuts of entries only, cuts that overlap

A cut of the rig reset all connections and cut off a zone or the leader, one at a time. A cut can hold connections back now: bytes are neither delivered nor is the connection reset, they are lost if it is closed meanwhile, and new ones cannot be opened; one_way does so for one direction only. core_cut cuts the entries of a zone or a random half off from the other entries, but not from the targets, with or without the store.

--- a/testkit/cuts/__init__.py
+++ b/testkit/cuts/__init__.py
@@ -2,9 +2,16 @@
 
 from testkit.cuts._callers import Break
 from testkit.cuts._day import Burst
-from testkit.cuts._day import Cut
+from testkit.cuts._day import EntryCut
+from testkit.cuts._day import format_day
+from testkit.cuts._day import LeaderCut
 from testkit.cuts._day import load_day
+from testkit.cuts._day import parse_day
+from testkit.cuts._day import Stall
+from testkit.cuts._day import ZoneCut
 from testkit.cuts._entry import use_cut_loop
+from testkit.cuts._links import How
+from testkit.cuts._links import LinkCut
 from testkit.cuts._links import SiteLinks
 from testkit.cuts._report import CutReport
 from testkit.cuts._run import CutOptions
@@ -15,10 +22,17 @@
 __all__ = [
     "Break",
     "Burst",
-    "Cut",
     "CutOptions",
     "CutReport",
     "CutSite",
+    "EntryCut",
+    "How",
+    "LeaderCut",
+    "Stall",
+    "ZoneCut",
+    "format_day",
+    "parse_day",
+    "LinkCut",
     "SITES",
     "SiteLinks",
     "load_day",
--- a/testkit/cuts/_entry.py
+++ b/testkit/cuts/_entry.py
@@ -1,9 +1,10 @@
 """Runs an entry whose connections to some addresses are cut or delayed.
 
-The file beside the settings, with the suffix ".links", is a JSON object:
-"blocked" lists addresses that cannot be reached, "delays" has the mean delay in
-seconds of the answers of others. Open connections to a blocked address are
-aborted; attempts to open one wait until it is reachable.
+The file beside the settings, with the suffix ".links", is a JSON object: "reset"
+lists addresses whose open connections are aborted, "held" has the directions
+("in", "out") in which the bytes of others are held back, "delays" the mean delay
+in seconds of answers. Attempts to open a connection to an address of the first two
+wait until it is in neither.
 """
 
 import asyncio
@@ -16,6 +17,7 @@
 import uvloop
 
 from anvilford.node import main
+from testkit.cuts._held import HeldConnection
 
 READ_INTERVAL_S = 0.01
 
@@ -57,10 +59,11 @@
     def __init__(self):
         super().__init__()
         self.links_path = pathlib.Path(sys.argv[1]).with_suffix(".links")
-        self.blocked: frozenset[str] = frozenset()
+        self.reset: frozenset[str] = frozenset()
+        self.held: dict[str, list[str]] = {}
         self.delays: dict[str, float] = {}
         self._changed_ns = 0
-        self._open: dict[asyncio.BaseTransport, str] = {}
+        self._open: dict[HeldConnection, str] = {}
         self._read_links()
 
     def _read_links(self) -> None:
@@ -70,32 +73,40 @@
             return
         self._changed_ns = changed_ns
         links = json.loads(self.links_path.read_text(encoding="utf-8"))
-        self.blocked = frozenset(links["blocked"])
+        self.reset = frozenset(links["reset"])
+        self.held = links["held"]
         self.delays = links["delays"]
-        for transport, address in list(self._open.items()):
-            if transport.is_closing():
-                del self._open[transport]
-            elif address in self.blocked:
-                transport.abort()
+        for connection, address in list(self._open.items()):
+            self._apply(connection, address)
+            if connection.is_over:
+                del self._open[connection]
+
+    def _apply(self, connection: HeldConnection, address: str) -> None:
+        if address in self.reset:
+            connection.reset()
+        else:
+            connection.hold(self.held.get(address, ()))
 
     async def create_connection(self, factory, host=None, port=None, **kwargs):
         """Opens a connection once its address can be reached."""
         address = f"{host}:{port}"
-        while address in self.blocked:
+        while address in self.reset or address in self.held:
             await asyncio.sleep(READ_INTERVAL_S)
         delay = self.delays.get(address)
-        inner = None
+        connection = None
 
         def create_protocol() -> asyncio.Protocol:
-            nonlocal inner
-            inner = factory()
-            return DelayedProtocol(inner, delay) if delay else inner
-
-        transport, _ = await super().create_connection(
-            create_protocol, host, port, **kwargs
-        )
-        self._open[transport] = address
-        return transport, inner
+            nonlocal connection
+            connection = HeldConnection(factory())
+            if delay:
+                return DelayedProtocol(connection, delay)
+            return connection
+
+        await super().create_connection(create_protocol, host, port, **kwargs)
+        self._open[connection] = address
+        # A cut may have begun while the connection was opened.
+        self._apply(connection, address)
+        return connection.transport, connection.inner
 
 
 def use_cut_loop() -> None:
--- a/testkit/cuts/_report.py
+++ b/testkit/cuts/_report.py
@@ -43,7 +43,6 @@
         answers: Number of answers by status; 0 for none.
         resent: Number of times that a job was sent again.
         breaks: Number of callers' connections that broke, by the way.
-        leaders: Leaders after each cut, as the store has them.
         events: What happened when, in seconds after the start of traffic.
         overlaps: Each two runs of a task at the same time.
         calls: Calls of each job, in order.
@@ -52,7 +51,6 @@
     answers: collections.Counter = attrs.field(factory=collections.Counter)
     resent: int = 0
     breaks: collections.Counter = attrs.field(factory=collections.Counter)
-    leaders: list[str] = attrs.field(factory=list)
     events: list[str] = attrs.field(factory=list)
     overlaps: list[str] = attrs.field(factory=list)
     calls: dict[str, list[CallRecord]] = attrs.field(factory=dict)
--- a/testkit/cuts/_run.py
+++ b/testkit/cuts/_run.py
@@ -5,7 +5,6 @@
 import math
 import pathlib
 import random
-import signal
 import time
 
 import attrs
@@ -16,9 +15,9 @@
 from testkit.cuts._callers import CallerOptions
 from testkit.cuts._callers import Callers
 from testkit.cuts._day import Burst
-from testkit.cuts._day import Cut
 from testkit.cuts._day import Disruption
 from testkit.cuts._day import stretch_day
+from testkit.cuts._disrupt import Disruptor
 from testkit.cuts._links import SiteLinks
 from testkit.cuts._report import CutReport
 from testkit.cuts._report import find_overlaps
@@ -129,10 +128,15 @@
                 connections,
                 self.report,
             )
+            disruptor = Disruptor(self.site, self.links, self.rng, self.log)
             async with asyncio.TaskGroup() as tasks:
-                stalls = tasks.create_task(self._stall_processes())
+                stalls = tasks.create_task(
+                    disruptor.stall_at_random(
+                        self.options.stalls_per_s, self.options.longest_stall_s
+                    )
+                )
                 await asyncio.gather(
-                    self._disrupt(),
+                    disruptor.carry_out(self.disruptions, lambda: self.now),
                     *(
                         callers.submit_jobs(kind, self._rate)
                         for kind in self.model.kinds
@@ -168,40 +172,6 @@
                 rate *= burst.factor
         return rate
 
-    async def _disrupt(self) -> None:
-        """Carries out the disruptions of the day, one cut at a time."""
-        for disruption in self.disruptions:
-            await asyncio.sleep(disruption.at - self.now)
-            if isinstance(disruption, Cut):
-                await self._cut(disruption)
-
-    async def _cut(self, cut: Cut) -> None:
-        leader = self.site.leader_name() or next(iter(self.site.entries))
-        self.log(
-            f"cut of {cut.zone or leader} for {cut.length} s; {leader} leads"
-        )
-        if cut.zone is None:
-            self.links.cut_entry(leader)
-        else:
-            self.links.cut_zone(cut.zone)
-        await asyncio.sleep(cut.at + cut.length - self.now)
-        self.links.heal()
-        self.report.leaders.append(self.site.leader_name() or "")
-        self.log(f"cut ends; {self.report.leaders[-1]} leads")
-
-    async def _stall_processes(self) -> None:
-        """Suspends random entries for a moment, as on a busy machine."""
-        rate = self.options.stalls_per_s
-        while rate:
-            await asyncio.sleep(self.rng.expovariate(rate))
-            entry = self.rng.choice(list(self.site.entries.values()))
-            seconds = self.rng.uniform(0.02, self.options.longest_stall_s)
-            entry.send_signal(signal.SIGSTOP)
-            try:
-                await asyncio.sleep(seconds)
-            finally:
-                entry.send_signal(signal.SIGCONT)
-
 
 def _keep_logs(site: LoopbackSite, folder: pathlib.Path) -> None:
     folder.mkdir(parents=True, exist_ok=True)
--- a/testkit/cuts/tests/test_options.py
+++ b/testkit/cuts/tests/test_options.py
@@ -3,8 +3,9 @@
 from testkit import function_tests
 from testkit.cuts import Break
 from testkit.cuts import Burst
-from testkit.cuts import Cut
 from testkit.cuts import CutOptions
+from testkit.cuts import LeaderCut
+from testkit.cuts import ZoneCut
 from testkit.cuts.__main__ import parse_options
 
 load_tests = function_tests(__name__)
@@ -21,7 +22,7 @@
 
     Of two stretches, one leaves the times of the day as they are.
     """
-    day = [Burst(1.0, 2.0, None, 3.0), Cut(4.0, 5.0, "planta-vc")]
+    day = [Burst(1.0, 2.0, None, 3.0), ZoneCut(4.0, 5.0, "planta-vc")]
     plain = CutOptions(site="trama-norte")
     for stretch, task_stretch in ((10.0, 1.0), (1.0, 10.0), (2.0, 5.0)):
         options = CutOptions(
@@ -31,7 +32,7 @@
             options.select(day),
             [
                 Burst(stretch, 2.0 * stretch, None, 3.0),
-                Cut(4.0 * stretch, 5.0 * stretch, "planta-vc"),
+                ZoneCut(4.0 * stretch, 5.0 * stretch, "planta-vc"),
             ],
         )
         case.assertAlmostEqual(options.model.deadline_s, 15.0)
@@ -45,9 +46,9 @@
 
 def test_until_counts_in_seconds_of_the_day_file(case):
     """Guards against cuts that a stretched day leaves out."""
-    day = [Cut(4.0, 5.0), Cut(8.0, 5.0)]
+    day = [LeaderCut(4.0, 5.0), LeaderCut(8.0, 5.0)]
     options = CutOptions(stretch=10.0, until_s=9.0)
-    case.assertEqual(options.select(day), [Cut(40.0, 50.0)])
+    case.assertEqual(options.select(day), [LeaderCut(40.0, 50.0)])
 
 
 def test_command_line(case):
