--- a/standins/runner.py
+++ b/standins/runner.py
@@ -52,6 +52,8 @@
             entry.
         address: "IP:port"; set on entry.
         drop_every: If n > 0, every n-th answer is withheld.
+        clock_rate: Rate of the target's clock; above 1 it is fast.
+        clock_offset_s: What it is ahead by at the monotonic time 0, in seconds.
     """
 
     def __init__(self, name: str, zone: str, service: str, cpu: int = 16000):
@@ -61,6 +63,8 @@
         self.cpu = cpu
         self.name = name
         self.drop_every = 0
+        self.clock_rate = 1.0
+        self.clock_offset_s = 0.0
         self._orders = 0
         self._store: RowStore | None = None
         self._tasks: set[asyncio.Task] = set()
@@ -93,9 +97,17 @@
             task.cancel()
         await self._listener.__aexit__(*exc_info)
 
+    def now(self) -> float:
+        """Returns the time of the target's clock in seconds."""
+        return time.monotonic() * self.clock_rate + self.clock_offset_s
+
+    def monotonic_time(self, at: float) -> float:
+        """Returns the monotonic time of a time of the target's clock."""
+        return (at - self.clock_offset_s) / self.clock_rate
+
     def restart(self) -> None:
         """Simulates a restart: a new incarnation without the earlier runs."""
-        now = time.monotonic()
+        now = self.now()
         self.incarnation += 1 + int(now * 1000) % 1000
         self.target.restart(self.incarnation, now)
 
@@ -125,7 +137,7 @@
         if expected not in (None, self.name):
             return Response(421)
         body = json.loads(request.body or b"{}")
-        now = time.monotonic()
+        now = self.now()
         if self.target.is_down:
             await asyncio.sleep(WITHHELD_S)
         match request.target:
@@ -187,7 +199,7 @@
             0.0,
         )
         end = time.monotonic() + order.wait_ms / 1000
-        answer = self.target.poll(order, time.monotonic())
+        answer = self.target.poll(order, self.now())
         while (
             isinstance(answer, Report)
             and not answer.ended
@@ -195,13 +207,13 @@
             and time.monotonic() < end
         ):
             await asyncio.sleep(POLL_CHECK_INTERVAL_S)
-            self.target.advance(time.monotonic())
+            self.target.advance(self.now())
             if self.target.unacknowledged_ends:
-                answer = self.target.poll(order, time.monotonic())
+                answer = self.target.poll(order, self.now())
         return answer
 
     def _respond(self, answer) -> Response:
-        clock = self.target.clock_ms(time.monotonic())
+        clock = self.target.clock_ms(self.now())
         match answer:
             case Accepted():
                 body: dict = {"clock_ms": clock}
--- a/testkit/cuts/__main__.py
+++ b/testkit/cuts/__main__.py
@@ -43,6 +43,7 @@
     add("--delay", type=float, default=default.delay_s)
     add("--stalls", type=float, default=default.stalls_per_s)
     add("--longest-stall", type=float, default=default.longest_stall_s)
+    add("--clock-drift", type=float, default=default.clock_drift)
     add("--until", type=float, default=default.until_s)
     add("--no-resends", action="store_true")
     add("--logs", type=pathlib.Path, help="folder for logs")
@@ -60,6 +61,7 @@
         delay_s=parsed.delay,
         stalls_per_s=parsed.stalls,
         longest_stall_s=parsed.longest_stall,
+        clock_drift=parsed.clock_drift,
         until_s=parsed.until,
     )
     return parsed
@@ -84,6 +86,9 @@
     print(
         f"seed {seed}: answers {dict(sorted(report.answers.items()))},"
         f" {report.resent} sent again, breaks {dict(report.breaks)},"
+        f" {report.terms.raised} terms of leaders of the whole site,"
+        f" {report.terms.alternations} by another leader than the one before,"
+        f" {report.terms.shared} by two,"
         f" {len(report.overlaps)} tasks twice"
     )
     for text in report.overlaps:
--- a/testkit/cuts/_report.py
+++ b/testkit/cuts/_report.py
@@ -31,6 +31,58 @@
     status: int
 
 
+@attrs.frozen
+class LeaderTerms:
+    """Leaders of the whole site in a play.
+
+    A leader of a single zone (`is_partial`) does not count.
+
+    Attributes:
+        leaderships: Terms in which an entry led, as (time, term, name), by
+            time. The text of the time is that of the log.
+    """
+
+    leaderships: tuple[tuple[str, int, str], ...]
+
+    @property
+    def raised(self) -> int:
+        """Number of terms that were raised."""
+        return len(self.leaderships)
+
+    @property
+    def alternations(self) -> int:
+        """How often a leader other than the last one began to lead."""
+        names = [name for _, _, name in self.leaderships]
+        return sum(a != b for a, b in itertools.pairwise(names))
+
+    @property
+    def shared(self) -> int:
+        """Number of terms that two leaders had."""
+        counts = collections.Counter(term for _, term, _ in self.leaderships)
+        return sum(count > 1 for count in counts.values())
+
+
+def read_terms(records: dict[str, list[dict]]) -> LeaderTerms:
+    """Returns the leaders of the whole site, from the logs of the entries.
+
+    Args:
+        records: Log records of each entry by name.
+    """
+    leaderships = {
+        (record["term"], name): record["time"]
+        for name, lines in records.items()
+        for record in reversed(lines)
+        if record.get("message") == "leader changed"
+        and record["leader"] == name
+        and not record["is_partial"]
+    }
+    return LeaderTerms(
+        tuple(
+            sorted((at, term, name) for (term, name), at in leaderships.items())
+        )
+    )
+
+
 # Ends of a call that the caller's connection caused.
 BREAKS = ("fin", "reset", "silent")
 
@@ -42,6 +94,7 @@
     Attributes:
         answers: Number of answers by status; 0 for none.
         resent: Number of times that a job was sent again.
+        terms: Leaders of the whole site, as read from their logs.
         breaks: Number of callers' connections that broke, by the way.
         events: What happened when, in seconds after the start of traffic.
         overlaps: Each two runs of a task at the same time.
@@ -50,6 +103,7 @@
 
     answers: collections.Counter = attrs.field(factory=collections.Counter)
     resent: int = 0
+    terms: LeaderTerms | None = None
     breaks: collections.Counter = attrs.field(factory=collections.Counter)
     events: list[str] = attrs.field(factory=list)
     overlaps: list[str] = attrs.field(factory=list)
@@ -95,24 +149,26 @@
 
 
 def find_overlaps(
-    servers: Iterable[FakeTargetServer], now: float, started: float
+    servers: Iterable[FakeTargetServer], started: float
 ) -> list[str]:
     """Returns a text for each two runs of a task at the same time.
 
     Args:
         servers: All targets.
-        now: Monotonic time in seconds.
         started: Monotonic time of the start of traffic.
     """
     spans = collections.defaultdict(list)
     for server in servers:
         target = server.target
-        target.advance(now)
+        target.advance(server.now())
         place = f"{server.name} ({server.zone})"
         ends = {(task, run): at for at, task, run, _ in target.ends}
         for at, task, run in target.starts:
             end = ends.get((task, run), math.inf)
-            spans[task].append(_Span(at - started, end - started, run, place))
+            start, end = map(server.monotonic_time, (at, end))
+            spans[task].append(
+                _Span(start - started, end - started, run, place)
+            )
     return [
         f"{task}: {a}, {b}"
         for task, runs in sorted(spans.items())
--- a/testkit/cuts/_run.py
+++ b/testkit/cuts/_run.py
@@ -21,12 +21,15 @@
 from testkit.cuts._links import SiteLinks
 from testkit.cuts._report import CutReport
 from testkit.cuts._report import find_overlaps
+from testkit.cuts._report import read_terms
 from testkit.cuts._sites import CutSite
 from testkit.cuts._sites import JobKind
 from testkit.cuts._sites import SITES
 
 # Speeds of the targets.
 TARGET_SPEEDS = (0.5, 1.2)
+# Range of the values at which the targets' clocks start.
+CLOCK_RANGE_S = 1000.0
 # Time between the start of the processes and that of traffic.
 WARM_UP_S = 2.0
 # Time between the last disruption and the end of traffic.
@@ -52,6 +55,8 @@
         delay_s: Mean delay of answers from other zones, in seconds.
         stalls_per_s: Mean number of processes that are suspended each second.
         longest_stall_s: Longest such suspension, in seconds.
+        clock_drift: By how much of the time the targets' clocks are slow or
+            fast at most; they start at different values then.
         until_s: End of the last disruption that is played, in seconds of the
             day file.
     """
@@ -67,6 +72,7 @@
     delay_s: float = 0.002
     stalls_per_s: float = 0.0
     longest_stall_s: float = 0.3
+    clock_drift: float = 0.0
     until_s: float = math.inf
 
     @property
@@ -99,6 +105,7 @@
         self.links = SiteLinks(site, options.delay_s)
         self.report = CutReport()
         self.started = 0.0
+        site.before_start = self._prepare
 
     @property
     def now(self) -> float:
@@ -109,10 +116,18 @@
         """Adds an event to the report."""
         self.report.events.append(f"{self.now:.3f} {text}")
 
-    async def run(self) -> None:
-        """Plays the day on the running site."""
+    def _prepare(self) -> None:
+        """Sets the targets' speeds and clocks, and the entries' links."""
+        drift = self.options.clock_drift
         for server in self.site.targets:
             server.target.speed = self.rng.uniform(*TARGET_SPEEDS)
+            if drift:
+                server.clock_rate = self.rng.uniform(1 - drift, 1 + drift)
+                server.clock_offset_s = self.rng.uniform(0.0, CLOCK_RANGE_S)
+        self.links.heal()
+
+    async def run(self) -> None:
+        """Plays the day on the running site."""
         await asyncio.sleep(WARM_UP_S)
         self.started = time.monotonic()
         with CallerConnections() as connections:
@@ -147,8 +162,9 @@
 
     def _check(self) -> None:
         """Adds each two runs at once, with the calls of their job."""
-        overlaps = find_overlaps(
-            self.site.targets, time.monotonic(), self.started
+        overlaps = find_overlaps(self.site.targets, self.started)
+        self.report.terms = read_terms(
+            {e.name: e.log_records() for e in self.site.entries.values()}
         )
         zones = dict(zip(self.site.entries, self.site.entry_zones, strict=True))
         for text in overlaps:
--- a/testkit/cuts/tests/test_options.py
+++ b/testkit/cuts/tests/test_options.py
@@ -13,7 +13,7 @@
 COMMAND = (
     "day.toml --site trama-norte --load 0.5 --plan-load 2 --stretch 3"
     " --task-stretch 4 --tries 5 --breaks 0.6 --delay 0.007 --stalls 8"
-    " --longest-stall 0.9 --until 10 --break-kinds silent fin"
+    " --longest-stall 0.9 --clock-drift 0.02 --until 10 --break-kinds silent fin"
 )
 
 
@@ -68,6 +68,7 @@
             0.007,
             8.0,
             0.9,
+            0.02,
             10.0,
         ),
     )
