--- a/testkit/cuts/__init__.py
+++ b/testkit/cuts/__init__.py
@@ -13,6 +13,7 @@
 from testkit.cuts._links import How
 from testkit.cuts._links import LinkCut
 from testkit.cuts._links import SiteLinks
+from testkit.cuts._random_day import draw_day
 from testkit.cuts._report import CutReport
 from testkit.cuts._run import CutOptions
 from testkit.cuts._run import play_day
@@ -30,6 +31,7 @@
     "LeaderCut",
     "Stall",
     "ZoneCut",
+    "draw_day",
     "format_day",
     "parse_day",
     "LinkCut",
--- a/testkit/cuts/__main__.py
+++ b/testkit/cuts/__main__.py
@@ -1,4 +1,7 @@
-"""Plays days with cuts: `python -m testkit.cuts review/2/day.toml --seed 1`."""
+"""Plays days with cuts: `python -m testkit.cuts review/2/day.toml --seed 1`.
+
+With `--random-day` instead of a file, each seed draws a day, which is printed.
+"""
 
 import argparse
 import pathlib
@@ -9,6 +12,8 @@
 from testkit.cuts import Break
 from testkit.cuts import CutOptions
 from testkit.cuts import CutReport
+from testkit.cuts import draw_day
+from testkit.cuts import format_day
 from testkit.cuts import load_day
 from testkit.cuts import play_day
 from testkit.cuts import SITES
@@ -19,7 +24,10 @@
     default = CutOptions()
     parser = argparse.ArgumentParser(prog="testkit.cuts")
     add = parser.add_argument
-    add("day", type=pathlib.Path, help="day file")
+    add("day", type=pathlib.Path, nargs="?", help="day file")
+    add("--random-day", action="store_true", help="draw a day for each seed")
+    add("--length", type=float, default=60.0, help="of drawn days, seconds")
+    add("--longest-cut", type=float, default=40.0, help="of drawn days")
     add("--site", choices=SITES, default=default.site)
     add("--seed", type=int, default=1, help="first seed")
     add("--seeds", type=int, default=1, help="number of seeds")
@@ -49,6 +57,8 @@
     add("--logs", type=pathlib.Path, help="folder for logs")
     add("--events", action="store_true", help="print the cuts")
     parsed = parser.parse_args(arguments)
+    if parsed.random_day == (parsed.day is not None):
+        parser.error("either a day file or --random-day is needed")
     parsed.options = CutOptions(
         site=parsed.site,
         load=parsed.load,
@@ -70,10 +80,15 @@
 def main() -> int:
     """Plays a day with each seed; returns 1 if a task ran twice at once."""
     parsed = parse_options(sys.argv[1:])
-    day = load_day(parsed.day)
     failed = 0
     for seed in range(parsed.seed, parsed.seed + parsed.seeds):
         logs = parsed.logs and parsed.logs / str(seed)
+        if parsed.random_day:
+            site = SITES[parsed.site]
+            day = draw_day(site, seed, parsed.length, parsed.longest_cut)
+            print(format_day(f"seed-{seed}", day), flush=True)
+        else:
+            day = load_day(parsed.day)
         report = uvloop.run(play_day(day, seed, parsed.options, logs))
         failed += bool(report.overlaps)
         print_report(seed, report, parsed.events)
--- a/testkit/cuts/_run.py
+++ b/testkit/cuts/_run.py
@@ -16,6 +16,7 @@
 from testkit.cuts._callers import Callers
 from testkit.cuts._day import Burst
 from testkit.cuts._day import Disruption
+from testkit.cuts._day import format_day
 from testkit.cuts._day import stretch_day
 from testkit.cuts._disrupt import Disruptor
 from testkit.cuts._links import SiteLinks
@@ -220,10 +221,8 @@
         await play.run()
         if logs is not None and play.report.overlaps:
             _keep_logs(site, logs)
-            (logs / "events.txt").write_text(
-                "\n".join(
-                    [str(options), *play.report.events, *play.report.overlaps]
-                ),
-                encoding="utf-8",
-            )
+            lines = [str(options), *play.report.events, *play.report.overlaps]
+            (logs / "events.txt").write_text("\n".join(lines), "utf-8")
+            day = format_day("failed", disruptions)
+            (logs / "day.toml").write_text(day, "utf-8")
     return play.report
