Cuts: callers that leave their connection open at the deadline

An entry cannot know of a silent break before the caller's deadline, so that a job that is sent again 1.3 s later to the other side of a cut may run twice whatever the entry does.

Measured: tests of callers, options and report, all passed.

--- a/testkit/cuts/_callers.py
+++ b/testkit/cuts/_callers.py
@@ -39,11 +39,18 @@
         RESET: The caller's machine resets it.
         SILENT: The caller stops using it, and it stays open until the end of
             the play, as if it had been lost on the way.
+        UNCLOSED: The same at the caller's deadline, which the entry knows,
+            while it cannot know of an earlier silent break.
     """
 
     FIN = "fin"
     RESET = "reset"
     SILENT = "silent"
+    UNCLOSED = "unclosed"
+
+
+# Ways in which connections break unless others are chosen.
+DEFAULT_BREAKS = (Break.FIN, Break.RESET, Break.SILENT)
 
 
 @attrs.frozen
@@ -123,7 +130,8 @@
             async with asyncio.timeout(wait_s):
                 status = await _read_status(loop, sock)
         except TimeoutError:
-            return self._end(sock, planned if wait_s < timeout_s else None)
+            is_planned = planned and planned.after_s <= timeout_s
+            return self._end(sock, planned if is_planned else None)
         except BaseException:
             sock.close()
             raise
@@ -145,7 +153,7 @@
                 linger = struct.pack("ii", 1, 0)
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
                 sock.close()
-            case Break.SILENT:
+            case Break.SILENT | Break.UNCLOSED:
                 self.silent.append(sock)
         return CallResult(0, planned.how.value)
 
@@ -191,7 +199,7 @@
     deadline_s: float
     tries: int = 2
     broken_share: float = 0.0
-    breaks: tuple[Break, ...] = tuple(Break)
+    breaks: tuple[Break, ...] = DEFAULT_BREAKS
 
 
 class Callers:
@@ -270,8 +278,10 @@
     def _plan_break(self, seconds: float) -> PlannedBreak | None:
         if self.rng.random() >= self.options.broken_share:
             return None
-        longest = min(seconds * BREAK_TIME_RATIO, self.options.deadline_s)
         how = self.rng.choice(self.options.breaks)
+        if how is Break.UNCLOSED:
+            return PlannedBreak(how, self.options.deadline_s)
+        longest = min(seconds * BREAK_TIME_RATIO, self.options.deadline_s)
         return PlannedBreak(how, self.rng.uniform(0.0, longest))
 
     def _request(self, job_id: str, kind: JobKind, seconds: float) -> bytes:
--- a/testkit/cuts/_report.py
+++ b/testkit/cuts/_report.py
@@ -84,7 +84,7 @@
 
 
 # Ends of a call that the caller's connection caused.
-BREAKS = ("fin", "reset", "silent")
+BREAKS = ("fin", "reset", "silent", "unclosed")
 
 
 @attrs.define
--- a/testkit/cuts/_run.py
+++ b/testkit/cuts/_run.py
@@ -14,6 +14,7 @@
 from testkit.cuts._callers import CallerConnections
 from testkit.cuts._callers import CallerOptions
 from testkit.cuts._callers import Callers
+from testkit.cuts._callers import DEFAULT_BREAKS
 from testkit.cuts._day import Burst
 from testkit.cuts._day import Disruption
 from testkit.cuts._day import format_day
@@ -69,7 +70,7 @@
     task_stretch: float = 1.0
     tries: int = 2
     broken_share: float = 0.0
-    breaks: tuple[Break, ...] = tuple(Break)
+    breaks: tuple[Break, ...] = DEFAULT_BREAKS
     delay_s: float = 0.002
     stalls_per_s: float = 0.0
     longest_stall_s: float = 0.3
--- a/testkit/cuts/tests/test_callers.py
+++ b/testkit/cuts/tests/test_callers.py
@@ -17,7 +17,12 @@
 REQUEST = b"GET / HTTP/1.1\r\nHost: queue.example\r\nContent-Length: 0\r\n\r\n"
 ANSWER_AFTER_S = 0.4
 BREAK_AFTER_S = 0.05
-SEEN = {Break.FIN: False, Break.RESET: True, Break.SILENT: None}
+SEEN = {
+    Break.FIN: False,
+    Break.RESET: True,
+    Break.SILENT: None,
+    Break.UNCLOSED: None,
+}
 
 
 async def call_server(planned: PlannedBreak | None, timeout_s: float):
@@ -67,6 +72,9 @@
     planned = PlannedBreak(Break.RESET, 2.0)
     result = asyncio.run(call_server(planned, 0.1))
     case.assertEqual(result, ("deadline", 0, [False]))
+    planned = PlannedBreak(Break.UNCLOSED, 0.1)
+    result = asyncio.run(call_server(planned, 0.1))
+    case.assertEqual(result, ("unclosed", 0, [None]))
 
 
 def test_refused_connections_have_no_answer(case):
