Cuts: a test of a play; options in two groups

A short one does: a silent cut of a zone, a one-way cut of entries during it, the leader suspended, callers that close or reset connections, drifting clocks.

--- a/testkit/cuts/__main__.py
+++ b/testkit/cuts/__main__.py
@@ -6,6 +6,7 @@
 import argparse
 import pathlib
 import sys
+from collections.abc import Callable
 
 import uvloop
 
@@ -21,16 +22,45 @@
 
 def parse_options(arguments: list[str]) -> argparse.Namespace:
     """Returns the parsed command line, with its `CutOptions` as `options`."""
-    default = CutOptions()
     parser = argparse.ArgumentParser(prog="testkit.cuts")
-    add = parser.add_argument
+    _add_plays(parser.add_argument)
+    _add_options(parser.add_argument, CutOptions())
+    parsed = parser.parse_args(arguments)
+    if parsed.random_day == (parsed.day is not None):
+        parser.error("either a day file or --random-day is needed")
+    parsed.options = CutOptions(
+        site=parsed.site,
+        load=parsed.load,
+        plan_load=parsed.plan_load,
+        stretch=parsed.stretch,
+        task_stretch=parsed.task_stretch,
+        tries=1 if parsed.no_resends else parsed.tries,
+        broken_share=parsed.breaks,
+        breaks=tuple(Break(value) for value in parsed.break_kinds),
+        delay_s=parsed.delay,
+        stalls_per_s=parsed.stalls,
+        longest_stall_s=parsed.longest_stall,
+        clock_drift=parsed.clock_drift,
+        until_s=parsed.until,
+    )
+    return parsed
+
+
+def _add_plays(add: Callable) -> None:
+    """Adds the arguments that say which days are played and what is kept."""
     add("day", type=pathlib.Path, nargs="?", help="day file")
     add("--random-day", action="store_true", help="draw a day for each seed")
     add("--length", type=float, default=60.0, help="of drawn days, seconds")
     add("--longest-cut", type=float, default=40.0, help="of drawn days")
-    add("--site", choices=SITES, default=default.site)
     add("--seed", type=int, default=1, help="first seed")
     add("--seeds", type=int, default=1, help="number of seeds")
+    add("--logs", type=pathlib.Path, help="folder for logs")
+    add("--events", action="store_true", help="print the cuts")
+
+
+def _add_options(add: Callable, default: CutOptions) -> None:
+    """Adds the arguments that say how a day is played."""
+    add("--site", choices=SITES, default=default.site)
     add("--load", type=float, default=default.load)
     add("--plan-load", type=float, default=default.plan_load)
     add("--stretch", type=float, default=default.stretch)
@@ -54,27 +84,6 @@
     add("--clock-drift", type=float, default=default.clock_drift)
     add("--until", type=float, default=default.until_s)
     add("--no-resends", action="store_true")
-    add("--logs", type=pathlib.Path, help="folder for logs")
-    add("--events", action="store_true", help="print the cuts")
-    parsed = parser.parse_args(arguments)
-    if parsed.random_day == (parsed.day is not None):
-        parser.error("either a day file or --random-day is needed")
-    parsed.options = CutOptions(
-        site=parsed.site,
-        load=parsed.load,
-        plan_load=parsed.plan_load,
-        stretch=parsed.stretch,
-        task_stretch=parsed.task_stretch,
-        tries=1 if parsed.no_resends else parsed.tries,
-        broken_share=parsed.breaks,
-        breaks=tuple(Break(value) for value in parsed.break_kinds),
-        delay_s=parsed.delay,
-        stalls_per_s=parsed.stalls,
-        longest_stall_s=parsed.longest_stall,
-        clock_drift=parsed.clock_drift,
-        until_s=parsed.until,
-    )
-    return parsed
 
 
 def main() -> int:
--- /dev/null
+++ b/testkit/cuts/tests/test_play.py
@@ -0,0 +1,44 @@
+"""Test of a play with real entry processes."""
+
+import asyncio
+
+from testkit import function_tests
+from testkit.cuts import Break
+from testkit.cuts import CutOptions
+from testkit.cuts import EntryCut
+from testkit.cuts import How
+from testkit.cuts import play_day
+from testkit.cuts import Stall
+from testkit.cuts import ZoneCut
+
+load_tests = function_tests(__name__)
+
+DAY = [
+    ZoneCut(0.5, 1.5, "planta-pna", How.DROP),
+    EntryCut(1.0, 1.0, "planta-vc", How.ONE_WAY_OUT, True),
+    Stall(1.5, 0.4, True, 1),
+]
+
+
+def test_play_of_a_day(case):
+    """Guards against a play whose callers or checks see nothing.
+
+    The cuts overlap and are shorter than the product's waits, and callers close
+    or reset their connections, so that no task may run twice.
+    """
+    options = CutOptions(
+        site="trama-norte",
+        load=0.4,
+        tries=3,
+        broken_share=0.3,
+        breaks=(Break.FIN, Break.RESET),
+        delay_s=0.005,
+        clock_drift=0.02,
+    )
+    report = asyncio.run(play_day(DAY, 1, options))
+    case.assertEqual(report.overlaps, [])
+    case.assertGreater(report.answers[200], 20)
+    case.assertEqual(set(report.breaks), {"fin", "reset"})
+    case.assertGreaterEqual(report.terms.raised, 1)
+    case.assertEqual(sum("ends" in text for text in report.events), 2)
+    case.assertEqual(sum("suspended" in text for text in report.events), 1)
