--- a/testkit/cuts/__init__.py
+++ b/testkit/cuts/__init__.py
@@ -1,19 +1,41 @@
 """Real entry processes whose connections to each other are cut."""
 
+from testkit.cuts._callers import Break
 from testkit.cuts._day import Burst
-from testkit.cuts._day import Cut
+from testkit.cuts._day import EntryCut
+from testkit.cuts._day import format_day
+from testkit.cuts._day import LeaderCut
 from testkit.cuts._day import load_day
+from testkit.cuts._day import parse_day
+from testkit.cuts._day import Stall
+from testkit.cuts._day import ZoneCut
 from testkit.cuts._entry import use_cut_loop
+from testkit.cuts._links import How
+from testkit.cuts._links import LinkCut
 from testkit.cuts._links import SiteLinks
+from testkit.cuts._random_day import draw_day
+from testkit.cuts._report import CutReport
 from testkit.cuts._run import CutOptions
-from testkit.cuts._run import CutReport
 from testkit.cuts._run import play_day
+from testkit.cuts._sites import CutSite
+from testkit.cuts._sites import SITES
 
 __all__ = [
+    "Break",
     "Burst",
-    "Cut",
     "CutOptions",
     "CutReport",
+    "CutSite",
+    "EntryCut",
+    "How",
+    "LeaderCut",
+    "Stall",
+    "ZoneCut",
+    "draw_day",
+    "format_day",
+    "parse_day",
+    "LinkCut",
+    "SITES",
     "SiteLinks",
     "load_day",
     "play_day",
--- /dev/null
+++ b/testkit/cuts/tests/test_callers.py
@@ -0,0 +1,87 @@
+"""Tests of callers whose connections break."""
+
+import asyncio
+
+from anvilford.http1 import HttpListener
+from anvilford.http1 import ListenerLimits
+from anvilford.http1 import Request
+from anvilford.http1 import Response
+from testkit import function_tests
+from testkit.cuts._callers import Break
+from testkit.cuts._callers import CallerConnections
+from testkit.cuts._callers import CallResult
+from testkit.cuts._callers import PlannedBreak
+
+load_tests = function_tests(__name__)
+
+REQUEST = b"GET / HTTP/1.1\r\nHost: queue.example\r\nContent-Length: 0\r\n\r\n"
+ANSWER_AFTER_S = 0.4
+BREAK_AFTER_S = 0.05
+SEEN = {
+    Break.FIN: False,
+    Break.RESET: True,
+    Break.SILENT: None,
+    Break.UNCLOSED: None,
+}
+
+
+async def call_server(planned: PlannedBreak | None, timeout_s: float):
+    """Calls a product's server that answers after `ANSWER_AFTER_S`.
+
+    Returns:
+        How the call ended, and what `Request.disconnected` was before the
+        answer; None if it was pending.
+    """
+    seen: list[bool | None] = []
+
+    async def handle(request: Request) -> Response:
+        await asyncio.wait([request.disconnected], timeout=ANSWER_AFTER_S)
+        is_done = request.disconnected.done()
+        seen.append(request.disconnected.result() if is_done else None)
+        return Response(200, b"{}")
+
+    async with HttpListener("127.0.0.1:0", handle, ListenerLimits()) as server:
+        with CallerConnections() as connections:
+            result = await connections.call(
+                server.address, REQUEST, timeout_s, planned
+            )
+            await asyncio.sleep(ANSWER_AFTER_S)
+    return result.how, result.status, seen
+
+
+def test_servers_see_how_a_connection_breaks(case):
+    """Guards against breaks that are not sent, or sent as another kind.
+
+    An earlier trial meant to reset connections, and closed them in order.
+    """
+    for how, disconnected in SEEN.items():
+        planned = PlannedBreak(how, BREAK_AFTER_S)
+        result = asyncio.run(call_server(planned, 5.0))
+        case.assertEqual(result, (how.value, 0, [disconnected]))
+
+
+def test_answers_before_a_break_count(case):
+    """Guards against a job that is sent again after its answer came."""
+    planned = PlannedBreak(Break.RESET, 2.0)
+    result = asyncio.run(call_server(planned, 5.0))
+    case.assertEqual(result, ("answer", 200, [None]))
+
+
+def test_callers_close_at_their_deadline(case):
+    """Guards against a caller that waits on, or whose end counts as a break."""
+    planned = PlannedBreak(Break.RESET, 2.0)
+    result = asyncio.run(call_server(planned, 0.1))
+    case.assertEqual(result, ("deadline", 0, [False]))
+    planned = PlannedBreak(Break.UNCLOSED, 0.1)
+    result = asyncio.run(call_server(planned, 0.1))
+    case.assertEqual(result, ("unclosed", 0, [None]))
+
+
+def test_refused_connections_have_no_answer(case):
+    """Guards against a caller that ends the play if an entry is down."""
+
+    async def call() -> CallResult:
+        with CallerConnections() as connections:
+            return await connections.call("127.0.0.1:1", REQUEST, 1.0)
+
+    case.assertEqual(asyncio.run(call()), CallResult(0, "refused"))
