Stop the jobs of an entry's earlier process once the new one is heard

What callers see: the task of a job whose entry was killed runs on to its end, for as long as it takes, and nobody waits for it.

Cause: the leader knows the jobs of an entry by its name and stops them when it has heard nothing of that name for 0.6 s. An entry that is back sooner keeps the jobs of its earlier process alive by its heartbeats. It knows nothing of them: it does not withdraw them, nor report that they may come again.

Evidence: reading, and the test.

Change: the leader stops the jobs of a member at the first heartbeat or query with the token of another process. Why it works: a new process asks for the leader, or sends it a heartbeat, before it offers jobs. Cost: a look-up for each heartbeat and query.

Test, which failed before: test_restarted_member_keeps_jobs_of_its_earlier_process.

--- a/anvilford/node/_coordination.py
+++ b/anvilford/node/_coordination.py
@@ -145,6 +145,8 @@
         # Jobs that this entry has given up. Each leader that it follows next
         # may still have them.
         self._withdrawn_jobs = UnansweredJobs()
+        # Token of the latest process of each member that this leader has heard.
+        self._process_tokens: dict[str, str] = {}
         self._leader_changed = asyncio.Event()
         self._wake = asyncio.Event()
         self._leader_contact_at = clock.now()
@@ -267,9 +269,22 @@
     def _is_leading(self) -> bool:
         return self.driver is not None
 
+    def _stop_jobs_of_earlier_process(self, member: Member) -> None:
+        """Stops the jobs of a member that has restarted since it was heard.
+
+        It may be back before it counts as silent, and knows nothing of them.
+        """
+        token = self._process_tokens.get(member.name)
+        self._process_tokens[member.name] = member.token
+        if token not in (None, member.token):
+            self.driver.stop_jobs_of(member.name)
+
     def receive_heartbeat(self, message: Heartbeat) -> HeartbeatReply:
         """Records a member's heartbeat and returns the reply."""
         now = clock.now()
+        if self._is_leading:
+            # It may step down if it was suspended.
+            self._stop_jobs_of_earlier_process(message.member)
         if self._is_leading:
             # The heartbeat itself may have been sent long before it was read.
             followed_at = min(message.answered_at, now)
@@ -329,7 +344,9 @@
         Returns:
             Reply that states whether this member leads or reaches its leader.
         """
-        if not self._is_leading:
+        if self._is_leading:
+            self._stop_jobs_of_earlier_process(querying_member)
+        else:
             self.membership.querying_members[querying_member.name] = (
                 querying_member
             )
@@ -628,6 +645,7 @@
         self._close_driver()
         self.membership.term = leader.term
         self.has_written_row = False
+        self._process_tokens.clear()
         self.heartbeats.reset(
             [self.local_member, *self.membership.other_members], now
         )
--- a/anvilford/node/tests/test_coordination.py
+++ b/anvilford/node/tests/test_coordination.py
@@ -596,6 +596,31 @@
     asyncio.run(scenario())
 
 
+def test_restarted_member_keeps_jobs_of_its_earlier_process(case, coordinator):
+    """Guards against a job that runs on although the process with it is gone.
+
+    The member was back within the time after which the jobs of silent ones are
+    stopped. The new process does not know the job, so that it would neither
+    withdraw it nor report that its caller may send it again.
+    """
+    stop_jobs_of = coordinator.create_driver.return_value.stop_jobs_of
+    restarted = attrs.evolve(OTHER_MEMBER, token="t9")
+
+    async def scenario():
+        coordinator.membership.members = (LOCAL_MEMBER, OTHER_MEMBER)
+        coordinator._start_leading(Leader(3, LOCAL_MEMBER))
+        coordinator.receive_heartbeat(Heartbeat(OTHER_MEMBER, 0))
+        await coordinator.receive_query(OTHER_MEMBER)
+        stop_jobs_of.assert_not_called()
+        # It asks for the leader before it offers jobs of its own.
+        await coordinator.receive_query(restarted)
+        stop_jobs_of.assert_called_once_with(OTHER_MEMBER.name)
+        coordinator.receive_heartbeat(Heartbeat(restarted, 0))
+        stop_jobs_of.assert_called_once()
+
+    asyncio.run(scenario())
+
+
 def test_members_learn_which_jobs_may_come_again(case, coordinator):
     """Guards against a second run if the leader that knew of a job is lost.
 
