Let new jobs wait for the claims of a raised token (TWICE, refusals)

Just after a leader had raised its token, a job that a caller sent again by another entry could run twice, and other jobs were refused for lack of targets (503).

Cause: jobs that a leader does not know wait up to 0.25 s for its first claims only. One that raises its token claims all targets again, since another placer may have started runs there; new jobs then started on the first target that answered, and were refused before that one.

Evidence: test_new_job_waits_for_the_claims_of_a_raised_token (a task twice) and test_job_is_not_refused_while_targets_are_claimed_again (refused) fail before the change.

Change: the 0.25 s begin again with a raised token. Why it works: the run is found on its target meanwhile and the job adopts it. A target that does not answer twice is still asked again only after 0.25 s; such jobs rely on the reports of the entries, as before.

Measured: both tests pass, and the 159 tests of placement, its model and the node.

--- a/anvilford/placement/_fleet.py
+++ b/anvilford/placement/_fleet.py
@@ -145,6 +145,7 @@
         show their state.
         """
         self.fence = fence
+        self.claims_began_at = now
         for target in self.targets.values():
             target.ownership = Ownership.CLAIMING
             target.retry_at = now
--- a/anvilford/placement/_placer.py
+++ b/anvilford/placement/_placer.py
@@ -603,7 +603,7 @@
         if not self._waiting:
             return
         # A caller may have sent a job again to another entry, which offers it
-        # as new. The first claims may still reveal its runs.
+        # as new. The claims under way may still reveal its runs.
         is_claiming = self.fleet.is_claiming(now)
         jobs_by_service: dict[str, list[Job]] = {}
         for job in self._waiting.values():
--- a/anvilford/placement/_target_list.py
+++ b/anvilford/placement/_target_list.py
@@ -40,7 +40,8 @@
     """Index of the targets by id and by service.
 
     Attributes:
-        started_at: Time at which the placer started.
+        claims_began_at: Time at which the placer started, or last raised its
+            fencing token.
         options: Parameters of the placer.
         effects: List to which decisions are appended.
         targets: Targets by id.
@@ -60,7 +61,7 @@
         effects: list[Effect],
         crashes: CrashHistory,
     ):
-        self.started_at = now
+        self.claims_began_at = now
         self.options = options
         self.effects = effects
         self.targets: dict[str, Target] = {}
@@ -110,12 +111,12 @@
         return restored
 
     def is_claiming(self, now: float) -> bool:
-        """Returns whether the first claims of this placer may still succeed.
+        """Returns whether claims with the present token may still succeed.
 
-        That is so for `CLAIM_RETRY_S` after its start, while targets have not
-        answered their first poll, or may be missing from the list.
+        That is so for `CLAIM_RETRY_S` after the first one, while targets have
+        not answered a poll with it, or may be missing from the list.
         """
-        return now - self.started_at < CLAIM_RETRY_S and (
+        return now - self.claims_began_at < CLAIM_RETRY_S and (
             not self.list_is_current
             or any(
                 t.ownership is Ownership.CLAIMING for t in self.targets.values()
--- a/anvilford/placement/tests/test_two_placers.py
+++ b/anvilford/placement/tests/test_two_placers.py
@@ -8,6 +8,7 @@
 from anvilford.placement import RunEnd
 from anvilford.placement.tests._shared import job
 from anvilford.placement.tests._shared import make_target
+from anvilford.placement.tests._shared import outcome_kinds
 from testkit import function_tests
 
 load_tests = function_tests(__name__)
@@ -339,6 +340,50 @@
             case.assertEqual(site.find_overlapping_tasks(), [])
 
 
+def test_new_job_waits_for_the_claims_of_a_raised_token(case):
+    """Guards against a second run of a job that another placer started.
+
+    Two placers acted at once, and one of them claims all targets with a higher
+    token. The first poll of the target that runs the job is lost. The caller
+    resubmits at an entry that follows this placer when another target has
+    answered.
+    """
+    site = make_site()
+    other = site.add_placer("other", 2)
+    other.fleet.targets["near"].suspended_until = 0.5
+    site.run(0.15)
+    first = job(seconds=2.0)
+    site.offer("other", first)
+    site.run(0.312)
+    case.assertEqual(len(site.targets["far"].running), 1)
+    site.faults.partitioned_pairs = {("site", "far")}
+    site.placers["site"].raise_fence(3, site.now)
+    site._execute_effects("site")
+    site.faults.partitioned_pairs.clear()
+    site.run(0.334)
+    fleet = site.placers["site"].fleet
+    case.assertTrue(fleet.owns_all(["near"]))
+    case.assertFalse(fleet.owns_all(["far"]))
+    resubmitted = attrs.evolve(first, arrival_time=site.now)
+    site.offer("site", resubmitted, entry="outside")
+    site.run(8.0)
+    case.assertEqual(site.find_overlapping_tasks(), [])
+
+
+def test_job_is_not_refused_while_targets_are_claimed_again(case):
+    """Guards against a refusal for lack of targets just after a raised token.
+
+    No target counts as usable before its first answer, some milliseconds later.
+    """
+    site = make_site()
+    site.run(0.3)
+    work = job(seconds=0.1, at=site.now)
+    site.placers["site"].raise_fence(3, site.now)
+    site.offer("site", work)
+    site.run(1.0)
+    case.assertEqual(outcome_kinds(site), {work.job_id: OutcomeKind.COMPLETED})
+
+
 def test_job_sent_again_after_its_placer_was_cut_off(case):
     """Guards against a second run on a target that the new placer reaches.
 
