Answer an offer that reaches a leader just after its suspension

What callers would see: no answer to jobs of other entries.

Cause: a leader that raises its token passes the target list to its placer first. If the process was suspended meanwhile, reading the clock for that makes it step down, and the next line used the placer that was gone: AttributeError. When an offer or a heartbeat with a higher token was the first event after the suspension, its sender got no reply.

Evidence: test_suspension_is_noticed_while_the_token_is_raised, which fails before.

Change: the placer is used only if there still is one. Why it works: the offer is then answered with not_leading, so that its entry offers the job to the next leader.

--- a/anvilford/node/_coordination.py
+++ b/anvilford/node/_coordination.py
@@ -776,7 +776,8 @@
         self._set_leader(leader)
         self.site.require_current_targets()
         self.update_targets()
-        self.driver.raise_fence(leader.fence)
+        if self.driver is not None:
+            self.driver.raise_fence(leader.fence)
         if not self._is_leading:
             return  # The member has stepped down after a suspension.
         self._send_to_members(LeaderAnnounced(leader))
--- a/anvilford/node/tests/test_coordination.py
+++ b/anvilford/node/tests/test_coordination.py
@@ -434,6 +434,26 @@
     case.assertLessEqual(len(heartbeats), 2)
 
 
+def test_suspension_is_noticed_while_the_token_is_raised(case, coordinator):
+    """A leader that resumes with an offer of a higher token must step down.
+
+    Reading the clock for the new target list shows the suspension. An exception
+    at that point would leave the offer without a reply.
+    """
+
+    async def scenario():
+        coordinator._start_leading(Leader(2, LOCAL_MEMBER))
+        driver = coordinator.driver
+        driver.update_targets.side_effect = lambda *_: (
+            coordinator.on_suspended(driver)
+        )
+        coordinator.raise_fence_above(Leader(3, OTHER_MEMBER).fence)
+
+    asyncio.run(scenario())
+    case.assertIsNone(coordinator.driver)
+    case.assertIsNone(coordinator.leader)
+
+
 def test_small_leader_appoints_a_larger_member(case, coordinator):
     """The first member that starts must not lead a large site for good.
 
