Leader's row: stale only if the store answered all the time

Callers see: after the store was away for about 3 s, an entry on the small side of a cut leads the whole site, beside the leader of the large side.

Cause: the row's age ran on while the store did not answer. The leader could not write its row, and the first answered read showed it unchanged for longer than ROW_STALE_AFTER_S. The same holds after a pause of the member itself.

Why it works: the row is stale only if answered calls showed it unchanged for the whole time, from the first answer to the sending of the last answered call. A failed call, or more than ROW_READ_GAP_S without an answer, begins the measurement anew. A read that the search no longer waits for goes on and the next one joins it, so that a slow answer is not taken for a failure. The age since the last change still decides on "leader_begins" and is logged.

Not covered: an outage that falls between two reads, or that only the leader sees. A write of the leader that hangs then can keep the row unchanged for 3.3 s (1.0 + 2.0 + 0.3, computed, not measured).

test_minority_waits_for_the_row set only the age of the row; it sets the new field now, and also requires that the age alone is not enough.

--- a/anvilford/leadership/_election.py
+++ b/anvilford/leadership/_election.py
@@ -20,8 +20,10 @@
 from anvilford.leadership._model import Member
 from anvilford.leadership._model import Opinion
 
-# The leader writes its row every second. A row that has not changed for this
-# long has no live leader, regardless of which members can be reached.
+# The leader writes its row every second while the store answers. A row that all
+# reads show unchanged for this long has no live leader, regardless of which
+# members can be reached. A write that was under way when the store came back
+# may have to time out first and is then repeated, which takes 2.3 s.
 ROW_STALE_AFTER_S = 2.5
 # A member that has just written the leader's row starts to lead within this
 # time. Until then, the other members wait for it.
@@ -47,6 +49,8 @@
         other_zones_reachable: Whether targets in other zones accept
             connections.
         row_leader: Leader named in the row; None if the row names none.
+        row_unchanged_s: Seconds for which the store answered without a gap and
+            the leader's row was seen unchanged.
     """
 
     local_member: Member
@@ -58,6 +62,7 @@
     row_age_s: float
     other_zones_reachable: bool
     row_leader: Member | None = None
+    row_unchanged_s: float = 0.0
 
 
 @attrs.frozen
@@ -188,7 +193,7 @@
     reached_count = 1 + len(replies)
     has_majority = 2 * reached_count > 1 + len(others)
     row_is_stale = (
-        state.store_reachable and state.row_age_s >= ROW_STALE_AFTER_S
+        state.store_reachable and state.row_unchanged_s >= ROW_STALE_AFTER_S
     )
     if has_majority or row_is_stale:
         if min(candidates, key=candidate_sort_key) == local_member:
--- a/anvilford/leadership/tests/test_election.py
+++ b/anvilford/leadership/tests/test_election.py
@@ -112,7 +112,9 @@
     case.assertEqual(decide_action(minority), Wait("machine_cut_off"))
     isolated_zone = attrs.evolve(minority, other_zones_reachable=False)
     case.assertEqual(decide_action(isolated_zone), Lead(is_partial=True))
-    stale_row = attrs.evolve(minority, row_age_s=3.0)
+    store_was_away = attrs.evolve(minority, row_age_s=3.0, row_unchanged_s=1.0)
+    case.assertEqual(decide_action(store_was_away), Wait("machine_cut_off"))
+    stale_row = attrs.evolve(minority, row_age_s=3.0, row_unchanged_s=3.0)
     case.assertEqual(decide_action(stale_row), Lead(is_partial=False))
 
 
--- a/anvilford/node/_leader_row.py
+++ b/anvilford/node/_leader_row.py
@@ -1,5 +1,6 @@
 """Access to the row of the metadata store that names the leader."""
 
+import asyncio
 import json
 import logging
 import math
@@ -23,6 +24,9 @@
 # A slow store takes up to half a second to answer. The timeout may be long
 # because no caller's request waits for the store.
 STORE_TIMEOUT_S = 2.0
+# A longer time without an answered call is a gap in what is known of the store.
+# A member without a leader and a majority reads the row at least this often.
+ROW_READ_GAP_S = 1.0
 
 # Run numbers under the fencing tokens of higher terms do not fit into messages.
 MAX_TERM = (1 << 58) // FENCING_TOKENS_PER_TERM
@@ -76,6 +80,10 @@
         changed_at: Time of `clock.now` at which the current version of the
             row was first seen; 0 before that.
         store_reachable: Whether the store answered the last call.
+        unchanged_since: Time of the answer since which calls showed the current
+            version without a gap. A leader cannot write the row while the
+            store is away, so a failed call also is a gap.
+        seen_at: Time at which the last answered call was sent.
     """
 
     def __init__(self, store: StoreClient, counters: Counters):
@@ -87,19 +95,44 @@
         self.version = 0
         self.changed_at = 0.0
         self.store_reachable = False
+        self.unchanged_since = 0.0
+        self.seen_at = 0.0
+        self._answered_at = 0.0
+        self._has_failed = False
+        self._read_task: asyncio.Task[bool] | None = None
+
+    @property
+    def unchanged_s(self) -> float:
+        """Seconds for which answered calls showed the row unchanged."""
+        return self.seen_at - self.unchanged_since
 
     async def read(self, timeout: float = STORE_TIMEOUT_S) -> bool:
         """Reads the row.
 
+        A read that takes longer than `timeout` goes on, and the next call joins
+        it: a slow answer still shows that the store was not away.
+
         Args:
-            timeout: Time allowed for the answer, in seconds.
+            timeout: Longest time to wait for the answer, in seconds.
 
         Returns:
-            True if the store answered.
+            True if the store answered in time.
         """
+        if self._read_task is None or self._read_task.done():
+            self._read_task = asyncio.ensure_future(self._read())
+        try:
+            return await asyncio.wait_for(
+                asyncio.shield(self._read_task), timeout
+            )
+        except TimeoutError:
+            self.store_reachable = False
+            return False
+
+    async def _read(self) -> bool:
+        sent_at = clock.now()
         self.counters.increment("store_calls", call="read", table=STORE_TABLE)
-        answer = await self.store.read(STORE_TABLE, timeout)
-        self.store_reachable = not isinstance(answer, StoreFailed)
+        answer = await self.store.read(STORE_TABLE, STORE_TIMEOUT_S)
+        self._record_answer(not isinstance(answer, StoreFailed), sent_at)
         if isinstance(answer, StoreFailed):
             return False
         self._update_from_rows(answer.rows)
@@ -124,16 +157,16 @@
             }
         ).encode()
         self.counters.increment("store_calls", call="write", table=STORE_TABLE)
+        sent_at = clock.now()
         answer = await self.store.write(
             STORE_TABLE, LEADER_KEY, value, self.version, STORE_TIMEOUT_S
         )
-        self.store_reachable = not isinstance(answer, StoreFailed)
+        self._record_answer(not isinstance(answer, StoreFailed), sent_at)
         match answer:
             case Written(version):
                 if version > self.version:
                     self.leader, self.members = leader, members
-                    self.version = version
-                    self.changed_at = clock.now()
+                    self._set_version(version)
                 return True
             case Conflict(rows):
                 self._update_from_rows(rows)
@@ -147,6 +180,17 @@
                 )
         return False
 
+    def _record_answer(self, is_answered: bool, sent_at: float) -> None:
+        """Records whether the store answered a call sent at a time."""
+        now = clock.now()
+        if is_answered:
+            if self._has_failed or now - self._answered_at > ROW_READ_GAP_S:
+                self.unchanged_since = now
+            self._answered_at = now
+            self.seen_at = sent_at
+        self._has_failed = not is_answered
+        self.store_reachable = is_answered
+
     def _update_from_rows(self, rows: tuple[StoreRow, ...]) -> None:
         self.has_been_read = True
         row = next((row for row in rows if row.key == LEADER_KEY), None)
@@ -160,5 +204,8 @@
                 extra={"error": f"{type(error).__name__}: {error!s:.200}"},
             )
             self.leader, self.members = None, ()
-        self.version = row.version
-        self.changed_at = clock.now()
+        self._set_version(row.version)
+
+    def _set_version(self, version: int) -> None:
+        self.version = version
+        self.changed_at = self.unchanged_since = clock.now()
--- a/anvilford/node/_search.py
+++ b/anvilford/node/_search.py
@@ -207,6 +207,7 @@
             clock.now() - row.changed_at,
             result.other_zones_reachable,
             row.leader.member if row.leader else None,
+            row.unchanged_s,
         )
         action = decide_action(state)
         _logger.info(
--- a/anvilford/node/tests/test_coordination.py
+++ b/anvilford/node/tests/test_coordination.py
@@ -76,6 +76,7 @@
     has_been_read = True
     version = 1
     store_reachable = True
+    unchanged_s = 1.0
 
     @property
     def changed_at(self):
