Leader of a zone: search once the cut is over and the row is stale

Callers see: status 503 for good at an entry outside a zone that was cut off, if most other entries ended during the cut.

Cause: the leader of the zone stepped down only for a leader of the whole site or with a majority of its members, of which those that are gone still count. The entry outside waited for it as the better candidate, also without a majority.

Evidence: test_leader_of_a_zone_waits_for_members_that_are_gone fails without the change, as does the test with five real entries, test_member_waits_for_the_leader_of_a_zone_after_losses: eight answers, all 503, in the 8 s after the cut.

Why it works: the leader of a zone also steps down if targets of other zones accept connections and the row was seen unchanged for ROW_STALE_AFTER_S without a gap. Then no leader serves the site, and the ordinary election decides. It keeps its zone while it is cut off, the row changes or the store does not answer: test_leader_of_a_zone_gives_it_up_in_the_cut fails without any one of the three conditions. The check does not raise the term, which would make it lose its zone, and runs beside the main loop, which stops jobs of silent members.

--- a/anvilford/leadership/__init__.py
+++ b/anvilford/leadership/__init__.py
@@ -8,6 +8,7 @@
 from anvilford.leadership._election import find_leader
 from anvilford.leadership._election import Follow
 from anvilford.leadership._election import Lead
+from anvilford.leadership._election import ROW_STALE_AFTER_S
 from anvilford.leadership._election import Wait
 from anvilford.leadership._model import digest_members
 from anvilford.leadership._model import FENCING_TOKENS_PER_TERM
@@ -24,6 +25,7 @@
     "Member",
     "ElectionAction",
     "Opinion",
+    "ROW_STALE_AFTER_S",
     "ElectionState",
     "Wait",
     "decide_action",
--- a/anvilford/node/_coordination.py
+++ b/anvilford/node/_coordination.py
@@ -166,6 +166,8 @@
         self._last_appointment: tuple[Member | None, float] = (None, 0.0)
         self._speeds_write_due_at = 0.0
         self._row_write_task: asyncio.Task | None = None
+        # Check whether this leader of a zone should search for one of the site.
+        self._site_check_task: asyncio.Task[bool] | None = None
         # Reference to the pending read or write of the speed row, which keeps
         # the task from being garbage-collected.
         self._speed_row_task: asyncio.Task | None = None
@@ -649,6 +651,7 @@
         self._close_driver()
         self.membership.term = leader.term
         self.has_written_row = False
+        self._site_check_task = None
         self._process_tokens.clear()
         self.heartbeats.reset(
             [self.local_member, *self.membership.other_members], now
@@ -892,10 +895,13 @@
 
         Called while this member leads only its zone. If it reaches most of the
         members and none of them leads the site, it steps down and searches:
-        they may be waiting for it, or lead their own zones.
+        they may be waiting for it, or lead their own zones. It also does if it
+        reaches other zones and the row is stale: members that are gone still
+        count, and the others wait for it if it is the best candidate.
         """
+        zone_leader = self.leader
         replies = await self.search.query_members()
-        if self.driver is None:
+        if self.driver is None or self.leader != zone_leader:
             return
         leader = find_leader(self.local_member, 0, replies)
         if leader is not None and not leader.is_partial:
@@ -905,3 +911,19 @@
             return
         if 2 * (1 + len(replies)) > 1 + len(self.membership.other_members):
             self._step_down("zone_reached_others")
+        elif self._reaches_site_without_leader():
+            self._step_down("zone_reached_site_without_leader")
+
+    def _reaches_site_without_leader(self) -> bool:
+        """Returns the result of the last check of the site; starts another.
+
+        The checks run concurrently with the main loop, which must stop the jobs
+        of members without heartbeats in time.
+        """
+        task = self._site_check_task
+        if task is not None and not task.done():
+            return False
+        self._site_check_task = asyncio.ensure_future(
+            self.search.is_site_reached_without_leader()
+        )
+        return task is not None and task.result()
--- a/anvilford/node/_search.py
+++ b/anvilford/node/_search.py
@@ -15,6 +15,7 @@
 from anvilford.leadership import Leader
 from anvilford.leadership import Member
 from anvilford.leadership import Opinion
+from anvilford.leadership import ROW_STALE_AFTER_S
 from anvilford.node import _clock as clock
 from anvilford.node._leader_row import LeaderRow
 from anvilford.peers import PeerLinks
@@ -259,6 +260,23 @@
             key=lambda leader: -leader.fence,
         )
 
+    async def is_site_reached_without_leader(self) -> bool:
+        """Returns whether a cut is over and no leader serves the whole site.
+
+        Called by the leader of a zone. Neither the members nor the term are
+        updated: a higher term would make it lose its zone. The row is read at
+        most once in `ROW_READ_INTERVAL_S`.
+        """
+        now = clock.now()
+        if now - self._row_read_at < ROW_READ_INTERVAL_S:
+            return False
+        self._row_read_at = now
+        return (
+            await self.leader_row.read(ROW_READ_TIMEOUT_S)
+            and self.leader_row.unchanged_s >= ROW_STALE_AFTER_S
+            and await self.probe_other_zones()
+        )
+
     def update_from_row(self) -> None:
         """Updates members and term from the row, as it was last read.
 
--- a/anvilford/node/tests/test_coordination.py
+++ b/anvilford/node/tests/test_coordination.py
@@ -709,3 +709,60 @@
     asyncio.run(scenario())
     case.assertEqual(coordinator.leader.member, LOCAL_MEMBER)
     case.assertFalse(coordinator.leader.is_partial)
+
+
+async def lead_zone_of_lost_site(coordinator, unchanged_s, is_cut_off):
+    """Leads a zone for a while; three of the other four members are gone.
+
+    Args:
+        coordinator: Coordinator of the local member.
+        unchanged_s: Seconds for which the leader's row is seen unchanged.
+        is_cut_off: Whether no target of another zone can be reached.
+    """
+    gone = [
+        Member(f"entry-{n}", "c", f"127.0.0.1:{n}", 1.0, f"t{n}")
+        for n in range(4, 6)
+    ]
+    coordinator.leader_row.unchanged_s = unchanged_s
+    coordinator.search.probe_other_zones = mock.AsyncMock(
+        return_value=not is_cut_off
+    )
+    coordinator.membership.members = (
+        LOCAL_MEMBER,
+        OTHER_MEMBER,
+        LOST_LEADER.member,
+        *gone,
+    )
+    coordinator._start_leading(Leader(2, LOCAL_MEMBER, is_partial=True))
+    await run_for(coordinator, 2 * SEARCH_DURATION_S)
+
+
+def test_leader_of_a_zone_waits_for_members_that_are_gone(case, coordinator):
+    """Guards against a site without a leader after a cut and losses.
+
+    Most members are gone for good. One outside the zone waits for the leader of
+    the zone as the best candidate, while it waited for a majority.
+    """
+    asyncio.run(lead_zone_of_lost_site(coordinator, 60.0, is_cut_off=False))
+    case.assertEqual(coordinator.leader, Leader(3, LOCAL_MEMBER))
+
+
+def test_leader_of_a_zone_gives_it_up_in_the_cut(case, coordinator):
+    """It stays while no other zone is reached, or the site has a leader."""
+    zone_leader = Leader(2, LOCAL_MEMBER, is_partial=True)
+    read = coordinator.leader_row.read = mock.AsyncMock()
+
+    async def scenario():
+        for answers, unchanged_s, is_cut_off in (
+            (True, 60.0, True),
+            (True, 1.0, False),
+            (False, 60.0, False),
+        ):
+            read.reset_mock()
+            read.return_value = answers
+            await lead_zone_of_lost_site(coordinator, unchanged_s, is_cut_off)
+            case.assertGreater(read.call_count, 1)
+            case.assertEqual(coordinator.leader, zone_leader)
+
+    with case.assertNoLogs("anvilford.node._coordination", "WARNING"):
+        asyncio.run(scenario())
--- a/testkit/cuts/tests/test_cuts.py
+++ b/testkit/cuts/tests/test_cuts.py
@@ -224,3 +224,48 @@
     """
     leaders = asyncio.run(end_a_long_cut())
     case.assertEqual(len(leaders), 1, leaders)
+
+
+async def lose_members_behind_a_cut() -> list[int]:
+    """Ends three of five entries while the zone of the first is cut off.
+
+    Returns:
+        Status of each answer of the entry left outside the zone after the cut;
+        the last one is that of the first answered job or the one after
+        `RECOVERY_S`.
+    """
+    site = LoopbackSite(entries=5, targets=5)
+    site.entry_zones = site.target_zones = list("abcde")
+    links = SiteLinks(site)
+    async with site:
+        await asyncio.sleep(1.0)
+        while (leader := site.leader_name()) == "entry-0":
+            site.entries[leader].stop()
+            await asyncio.sleep(1.0)
+            site.entries[leader].start()
+            await site.wait_ready(leader)
+        left = "entry-4" if leader != "entry-4" else "entry-3"
+        links.cut_zone("a")
+        await asyncio.sleep(1.5)
+        for name, entry in site.entries.items():
+            if name not in ("entry-0", left):
+                entry.stop()
+        links.heal()
+        statuses: list[int] = []
+        end = asyncio.get_running_loop().time() + RECOVERY_S
+        while asyncio.get_running_loop().time() < end and 200 not in statuses:
+            answer = await site.submit(left, site.new_job_id())
+            is_answered = isinstance(answer, ClientResponse)
+            statuses.append(answer.status if is_answered else 0)
+            await asyncio.sleep(0.2)
+        return statuses
+
+
+def test_member_waits_for_the_leader_of_a_zone_after_losses(case):
+    """Guards against a site without a leader after a cut and losses.
+
+    Neither the leader of the zone, which is the best candidate, nor the member
+    that waits for it reached a majority, as most members were gone for good.
+    """
+    statuses = asyncio.run(lose_members_behind_a_cut())
+    case.assertEqual(statuses[-1], 200, statuses)
