--- a/testkit/cuts/tests/test_cuts.py
+++ b/testkit/cuts/tests/test_cuts.py
@@ -304,6 +304,7 @@
     waits must go on until it is sent again.
     """
     statuses = asyncio.run(resend_after_a_zone_is_gone())
+    case.assertEqual(statuses[-1], 200, statuses)
 
 
 async def lose_members_behind_a_cut() -> list[int]:
