--- a/anvilford/placement/tests/test_crashes.py
+++ b/anvilford/placement/tests/test_crashes.py
@@ -321,3 +321,24 @@
     site.offer("p", other)
     site.run(1.5)
     case.assertEqual(outcomes_of(site, other), [OutcomeKind.COMPLETED])
+
+
+def test_target_that_restarts_twice_counts_as_two_crashes_of_a_run(case, site):
+    """Guards against a job that is failed after one crash of a target.
+
+    The target restarted again before it had reported, so that its second
+    incarnation never ran the task.
+    """
+    work = job(seconds=1.0)
+    site.offer("p", work)
+    site.run(0.3)
+    name = next(n for n, target in site.targets.items() if target.running)
+    fleet = site.placers["p"].fleet
+    for incarnation in (9000, 9001):
+        site.targets[name].restart(incarnation, site.now)
+        record = attrs.evolve(
+            fleet.targets[name].record, incarnation=incarnation
+        )
+        fleet.replace_incarnation(fleet.targets[name], record, site.now)
+    site.run(6.0)
+    case.assertEqual(outcomes_of(site, work), [OutcomeKind.COMPLETED])
