--- a/anvilford/placement/_target_list.py
+++ b/anvilford/placement/_target_list.py
@@ -275,10 +275,6 @@
             if run.phase is RunPhase.ORDERED:
                 run.phase = RunPhase.DOUBTFUL
                 run.doubtful_at = now
-            # What is known of the run is true of the earlier incarnation. If the
-            # new one is lost before it reports, the run is not the cause.
-            run.confirmed_at = 0.0
-            run.was_sent_to_live = run.start_was_lost = False
             replacement.reserve(run)
             self.target_by_task[run.task_name] = replacement
         self.targets[record.target_id] = replacement
