--- a/standins/runner.py
+++ b/standins/runner.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import random
 import time
 
 from anvilford.http1 import HttpListener
@@ -32,6 +33,8 @@
 CRASH_TIME_S = 1.5
 # An answer is withheld for this long, which is beyond the timeouts of entries.
 WITHHELD_S = 30.0
+# Range of the times after which a late order is carried out.
+LATE_S = (2.0, 12.0)
 
 
 class FakeTargetServer:
@@ -52,6 +55,9 @@
             entry.
         address: "IP:port"; set on entry.
         drop_every: If n > 0, every n-th answer is withheld.
+        late_share: Share of the orders that get no answer and are carried out
+            late.
+        rng: Chooses them.
         clock_rate: Rate of the target's clock; above 1 it is fast.
         clock_offset_s: What it is ahead by at the monotonic time 0, in seconds.
     """
@@ -63,6 +69,8 @@
         self.cpu = cpu
         self.name = name
         self.drop_every = 0
+        self.late_share = 0.0
+        self.rng = random.Random(name)
         self.clock_rate = 1.0
         self.clock_offset_s = 0.0
         self._orders = 0
@@ -137,6 +145,9 @@
         if expected not in (None, self.name):
             return Response(421)
         body = json.loads(request.body or b"{}")
+        is_late = self.late_share and self.rng.random() < self.late_share
+        if is_late:
+            await asyncio.sleep(self.rng.uniform(*LATE_S))
         now = self.now()
         if self.target.is_down:
             await asyncio.sleep(WITHHELD_S)
@@ -158,7 +169,7 @@
                 return Response(404)
         self._orders += 1
         is_dropped = self.drop_every and self._orders % self.drop_every == 0
-        if is_dropped or self.target.is_down:
+        if is_late or is_dropped or self.target.is_down:
             await asyncio.sleep(WITHHELD_S)
         return self._respond(answer)
 
--- a/testkit/cuts/__init__.py
+++ b/testkit/cuts/__init__.py
@@ -4,6 +4,7 @@
 from testkit.cuts._day import Burst
 from testkit.cuts._day import EntryCut
 from testkit.cuts._day import format_day
+from testkit.cuts._day import LateOrders
 from testkit.cuts._day import LeaderCut
 from testkit.cuts._day import load_day
 from testkit.cuts._day import parse_day
@@ -28,6 +29,7 @@
     "CutSite",
     "EntryCut",
     "How",
+    "LateOrders",
     "LeaderCut",
     "Stall",
     "ZoneCut",
--- a/testkit/cuts/__main__.py
+++ b/testkit/cuts/__main__.py
@@ -35,6 +35,8 @@
         stretch=parsed.stretch,
         task_stretch=parsed.task_stretch,
         tries=1 if parsed.no_resends else parsed.tries,
+        long_share=parsed.long_share,
+        long_ratio=parsed.long_ratio,
         broken_share=parsed.breaks,
         breaks=tuple(Break(value) for value in parsed.break_kinds),
         delay_s=parsed.delay,
@@ -66,6 +68,8 @@
     add("--stretch", type=float, default=default.stretch)
     add("--task-stretch", type=float, default=default.task_stretch)
     add("--tries", type=int, default=default.tries, help="entries for a job")
+    add("--long-share", type=float, default=default.long_share)
+    add("--long-ratio", type=float, default=default.long_ratio)
     add(
         "--breaks",
         type=float,
--- a/testkit/cuts/_callers.py
+++ b/testkit/cuts/_callers.py
@@ -192,12 +192,16 @@
     Attributes:
         deadline_s: Time for which they wait for an answer, in seconds.
         tries: Largest number of entries that get the same job.
+        long_share: Share of the jobs that are long.
+        long_ratio: How many times as long their tasks take, and callers wait.
         broken_share: Share of the requests whose connections break.
         breaks: Ways in which they do, each as likely as the others.
     """
 
     deadline_s: float
     tries: int = 2
+    long_share: float = 0.0
+    long_ratio: float = 1.0
     broken_share: float = 0.0
     breaks: tuple[Break, ...] = DEFAULT_BREAKS
 
@@ -247,6 +251,13 @@
         job_id = self.site.new_job_id()
         ratio = self.rng.lognormvariate(0.0, RUN_TIME_SIGMA)
         seconds = kind.seconds * min(ratio, MAX_RUN_TIME_RATIO)
+        deadline_s = self.options.deadline_s
+        if self.rng.random() < self.options.long_share:
+            kind = attrs.evolve(
+                kind, seconds=kind.seconds * self.options.long_ratio
+            )
+            seconds *= self.options.long_ratio
+            deadline_s *= self.options.long_ratio
         entries = self.rng.sample(
             list(self.site.entries),
             min(self.options.tries, len(self.site.entries)),
@@ -258,9 +269,9 @@
             sent_at = time.monotonic()
             result = await self.connections.call(
                 self.site.entries[entry].caller_address,
-                self._request(job_id, kind, seconds),
-                self.options.deadline_s,
-                self._plan_break(seconds),
+                self._request(job_id, kind, seconds, deadline_s),
+                deadline_s,
+                self._plan_break(seconds, deadline_s),
             )
             self.report.add_call(
                 CallRecord(
@@ -275,16 +286,20 @@
             if result.status not in (0, 502, 504):
                 return
 
-    def _plan_break(self, seconds: float) -> PlannedBreak | None:
+    def _plan_break(
+        self, seconds: float, deadline_s: float
+    ) -> PlannedBreak | None:
         if self.rng.random() >= self.options.broken_share:
             return None
         how = self.rng.choice(self.options.breaks)
         if how is Break.UNCLOSED:
-            return PlannedBreak(how, self.options.deadline_s)
-        longest = min(seconds * BREAK_TIME_RATIO, self.options.deadline_s)
+            return PlannedBreak(how, deadline_s)
+        longest = min(seconds * BREAK_TIME_RATIO, deadline_s)
         return PlannedBreak(how, self.rng.uniform(0.0, longest))
 
-    def _request(self, job_id: str, kind: JobKind, seconds: float) -> bytes:
+    def _request(
+        self, job_id: str, kind: JobKind, seconds: float, deadline_s: float
+    ) -> bytes:
         document = {
             "spec": json.dumps({"seconds": seconds, "cpu": TASK_CPU}),
             "steps": [
@@ -303,6 +318,6 @@
             f"Host: {HOST}\r\n"
             "Content-Type: application/json\r\n"
             "X-Anvilford-Deadline-Ms:"
-            f" {int(self.options.deadline_s * 1000)}\r\n"
+            f" {int(deadline_s * 1000)}\r\n"
             f"Content-Length: {len(body)}\r\n\r\n{body}"
         ).encode()
--- a/testkit/cuts/_day.py
+++ b/testkit/cuts/_day.py
@@ -9,6 +9,8 @@
                "split" a random half, with how "leader" the leader; with "store" in
                how from the store, too
     node_freeze  "count" entries (1) stand still; how "leader": the leader first
+    applied_late  a share "x" of the orders to targets gets no answer and is carried
+               out 2 to 12 s later
 
 Cuts are silent unless how holds "reset". With "one_way" only the bytes of the side
 that is cut off are lost, with "one_way in" only those to it. Steps of an entry's
@@ -110,8 +112,23 @@
     count: int = 1
 
 
+@attrs.frozen
+class LateOrders:
+    """Orders to targets get no answer and are carried out late for a while.
+
+    Attributes:
+        at: Start in seconds after the start of traffic.
+        length: Duration in seconds.
+        share: Share of the orders.
+    """
+
+    at: float
+    length: float
+    share: float
+
+
 Cut = ZoneCut | LeaderCut | EntryCut
-Disruption = Burst | Cut | Stall
+Disruption = Burst | Cut | LateOrders | Stall
 
 
 def load_day(path: pathlib.Path) -> list[Disruption]:
@@ -148,6 +165,8 @@
             return EntryCut(at, length, None, how, with_store)
         case {"kind": "core_cut"}, others if others == {"leader"}:
             return LeaderCut(at, length, how, with_store)
+        case {"kind": "applied_late", "x": share}, _ if rest <= {"orders"}:
+            return LateOrders(at, length, share)
         case {"kind": "node_freeze"}, _ if rest <= {"leader"}:
             count = fault.get("count", 1)
             return Stall(at, length, "leader" in rest, count)
@@ -192,6 +211,8 @@
             words.append(how.value)
             fields |= {"kind": "core_cut", "how": " ".join(words)}
             fields |= {"zone": zone} if zone else {}
+        case LateOrders(share=share):
+            fields |= {"kind": "applied_late", "x": share, "how": "orders"}
         case Stall(with_leader=with_leader, count=count):
             fields |= {"kind": "node_freeze", "count": count}
             fields |= {"how": "leader"} if with_leader else {}
--- a/testkit/cuts/_disrupt.py
+++ b/testkit/cuts/_disrupt.py
@@ -11,6 +11,7 @@
 from testkit.cuts._day import Cut
 from testkit.cuts._day import Disruption
 from testkit.cuts._day import EntryCut
+from testkit.cuts._day import LateOrders
 from testkit.cuts._day import LeaderCut
 from testkit.cuts._day import Stall
 from testkit.cuts._day import ZoneCut
@@ -65,6 +66,10 @@
                 pass  # The callers read it.
             case Stall():
                 await self._stall(disruption)
+            case LateOrders(share=share):
+                self._set_late_share(share)
+                await asyncio.sleep(disruption.at + disruption.length - now())
+                self._set_late_share(0.0)
             case _:
                 cut, text = self._start_cut(disruption)
                 self.log(
@@ -75,6 +80,11 @@
                 self.links.heal(cut)
                 self.log(f"cut of {text} ends; {self.leader} leads")
 
+    def _set_late_share(self, share: float) -> None:
+        self.log(f"share of late orders: {share}")
+        for server in self.site.targets:
+            server.late_share = share
+
     @property
     def leader(self) -> str:
         """The leader in the store, or the first entry."""
--- a/testkit/cuts/_run.py
+++ b/testkit/cuts/_run.py
@@ -52,6 +52,8 @@
             callers' time before a job is sent again stay as they are.
         task_stretch: Further such factor, without the times of the day.
         tries: Largest number of entries that get the same job.
+        long_share: Share of the jobs that are long.
+        long_ratio: How many times as long their tasks take, and callers wait.
         broken_share: Share of the requests whose connections break.
         breaks: Ways in which they do.
         delay_s: Mean delay of answers from other zones, in seconds.
@@ -69,6 +71,8 @@
     stretch: float = 1.0
     task_stretch: float = 1.0
     tries: int = 2
+    long_share: float = 0.0
+    long_ratio: float = 1.0
     broken_share: float = 0.0
     breaks: tuple[Break, ...] = DEFAULT_BREAKS
     delay_s: float = 0.002
@@ -139,6 +143,8 @@
                 CallerOptions(
                     self.model.deadline_s,
                     self.options.tries,
+                    self.options.long_share,
+                    self.options.long_ratio,
                     self.options.broken_share,
                     self.options.breaks,
                 ),
