Log forgotten targets, unconfirmed stops and what a second start went by

A placer dropped targets without a line; a start of a job that may run elsewhere did not say how many targets the leader went by, nor how long other runs may last; a stop that is not confirmed left no trace.

--- a/anvilford/placement/_fleet.py
+++ b/anvilford/placement/_fleet.py
@@ -767,8 +767,7 @@
             if target.runs:
                 self._check_runs(target, now)
             elif self.is_expired(target, now):
-                del self.targets[target.record.target_id]
-                self.rebuild_index()
+                self.forget(target, now)
         self._send_due_polls(now)
 
     def _check_runs(self, target: Target, now: float) -> None:
@@ -789,6 +788,7 @@
                     self._finish_run(target, run, "stopped", now)
             case RunPhase.STOPPING:
                 if now - run.stopped_at > STOP_RETRY_S:
+                    self._log_runs("stop not confirmed", target, [run], now)
                     self._stop_run(target, run, now)
             case RunPhase.DOUBTFUL:
                 self._send_poll(target, now, is_probe=True)
--- a/anvilford/placement/_placer.py
+++ b/anvilford/placement/_placer.py
@@ -770,9 +770,17 @@
                 "tasks": len(job.tasks),
                 "again": bool(job.unseen_runs_until),
                 "placed_elsewhere": job.placed_elsewhere,
+                **self._describe_unseen_runs(job, now),
             },
         )
 
+    def _describe_unseen_runs(self, job: Job, now: float) -> dict[str, int]:
+        """Returns why a job that may run elsewhere starts, for the log."""
+        if not job.unseen_runs_until:
+            return {}
+        unseen_ms = int(max(job.unseen_runs_until - now, 0) * 1000)
+        return {"unseen_runs_ms": unseen_ms, **self.fleet.count_claims()}
+
     def _log_repeated_start(
         self, task: Task, target: Target, now: float
     ) -> None:
@@ -791,9 +799,7 @@
                 "target": target.record.target_id,
                 "zone": target.record.zone,
                 "entries": sorted(job.entries),
-                "unseen_runs_ms": int(
-                    max(job.unseen_runs_until - now, 0) * 1000
-                ),
+                **self._describe_unseen_runs(job, now),
             },
         )
 
--- a/anvilford/placement/_target_list.py
+++ b/anvilford/placement/_target_list.py
@@ -149,6 +149,13 @@
             )
         )
 
+    def count_claims(self) -> dict[str, int]:
+        """Returns the number of known and of claimed targets, for the log."""
+        owned = sum(
+            t.ownership is Ownership.OWNED for t in self.targets.values()
+        )
+        return {"targets_known": len(self.targets), "targets_owned": owned}
+
     def owns_all(self, target_ids: Iterable[str]) -> bool:
         """Returns whether this placer controls all given targets."""
         targets = [self.targets.get(target_id) for target_id in target_ids]
@@ -338,6 +345,19 @@
             service = target.record.service
             self._by_service.setdefault(service, []).append(target)
 
+    def forget(self, target: Target, now: float) -> None:
+        """Removes an unlisted target."""
+        target_id = target.record.target_id
+        self.log_target_event(
+            "target forgotten",
+            target_id,
+            target.record,
+            unlisted_ms=int((now - target.unlisted_at) * 1000),
+            contact_age_ms=int((now - target.last_contact_at) * 1000),
+        )
+        del self.targets[target_id]
+        self.rebuild_index()
+
     def is_expired(self, target: Target, now: float) -> bool:
         """Returns whether an unlisted target need not be kept any longer."""
         return not target.listed and now - target.unlisted_at > UNLISTED_KEEP_S
