--- a/testkit/cuts/__init__.py
+++ b/testkit/cuts/__init__.py
@@ -16,6 +16,9 @@
 from testkit.cuts._links import SiteLinks
 from testkit.cuts._random_day import draw_day
 from testkit.cuts._report import CutReport
+from testkit.cuts._rows import LAPSE_S
+from testkit.cuts._rows import LONGEST_RETURN_S
+from testkit.cuts._rows import TargetRows
 from testkit.cuts._run import CutOptions
 from testkit.cuts._run import play_day
 from testkit.cuts._sites import CutSite
@@ -29,9 +32,12 @@
     "CutSite",
     "EntryCut",
     "How",
+    "LAPSE_S",
+    "LONGEST_RETURN_S",
     "LateOrders",
     "LeaderCut",
     "Stall",
+    "TargetRows",
     "ZoneCut",
     "draw_day",
     "format_day",
--- a/testkit/cuts/_links.py
+++ b/testkit/cuts/_links.py
@@ -133,6 +133,10 @@
         }
         return self._cut(inside, set(self._addresses()) - inside, how)
 
+    def is_cut_off(self, name: str, other: str) -> bool:
+        """Returns whether a machine does not reach another one."""
+        return any(cut.held_directions(name, other) for cut in self.cuts)
+
     def entries_of(self, zone: str) -> list[str]:
         """Returns the names of the entries of a zone.
 
--- a/testkit/cuts/_run.py
+++ b/testkit/cuts/_run.py
@@ -24,6 +24,8 @@
 from testkit.cuts._report import CutReport
 from testkit.cuts._report import find_overlaps
 from testkit.cuts._report import read_terms
+from testkit.cuts._rows import LONGEST_RETURN_S
+from testkit.cuts._rows import TargetRows
 from testkit.cuts._sites import CutSite
 from testkit.cuts._sites import JobKind
 from testkit.cuts._sites import SITES
@@ -153,6 +155,11 @@
             )
             disruptor = Disruptor(self.site, self.links, self.rng, self.log)
             async with asyncio.TaskGroup() as tasks:
+                rows = TargetRows(
+                    self.links,
+                    lambda: self.rng.uniform(0.0, LONGEST_RETURN_S),
+                )
+                rows_task = tasks.create_task(rows.follow_cuts())
                 stalls = tasks.create_task(
                     disruptor.stall_at_random(
                         self.options.stalls_per_s, self.options.longest_stall_s
@@ -166,6 +173,7 @@
                     ),
                 )
                 stalls.cancel()
+                rows_task.cancel()
         self._check()
 
     def _check(self) -> None:
--- a/testkit/cuts/tests/test_cuts.py
+++ b/testkit/cuts/tests/test_cuts.py
@@ -5,9 +5,13 @@
 
 from anvilford.http1 import ClientResponse
 from anvilford.node._members import MEMBER_RETENTION_S
+from anvilford.placement._target_list import UNLISTED_KEEP_S
 from standins.site import LoopbackSite
 from testkit import function_tests
+from testkit.cuts import LAPSE_S
+from testkit.cuts import LONGEST_RETURN_S
 from testkit.cuts import SiteLinks
+from testkit.cuts import TargetRows
 
 load_tests = function_tests(__name__)
 
@@ -350,3 +354,50 @@
     """
     statuses = asyncio.run(lose_members_behind_a_cut())
     case.assertEqual(statuses[-1], 200, statuses)
+
+
+async def return_from_a_cut(cut_s: float, task_s: float) -> list[str]:
+    """Cuts a zone off while entries there wait for long jobs.
+
+    The rows of its targets lapse meanwhile, and return after its entries. The
+    jobs began before the cut, so that their entries do not know on which
+    targets the leader had started them.
+
+    Args:
+        cut_s: Duration of the cut in seconds.
+        task_s: Run time of the tasks in seconds.
+
+    Returns:
+        Tasks that ran twice at the same time.
+    """
+    site, links = make_site()
+    async with site, asyncio.TaskGroup() as tasks:
+        while site.leader_name() != "entry-0":
+            await asyncio.sleep(0.05)
+        rows = TargetRows(links, lambda: LONGEST_RETURN_S)
+        running = [tasks.create_task(rows.follow_cuts())]
+        for number in range(JOBS):
+            entry = ("entry-2", "entry-3")[number % 2]
+            job_id = site.new_job_id()
+            call = site.submit(entry, job_id, task_s, 1, 2 * task_s)
+            running.append(tasks.create_task(call))
+        await asyncio.sleep(1.0)
+        links.cut_zone("b")
+        await asyncio.sleep(cut_s)
+        links.heal()
+        await asyncio.sleep(2 * LONGEST_RETURN_S)
+        for task in running:
+            task.cancel()
+        return site.find_overlapping_tasks()
+
+
+def test_job_starts_again_since_targets_behind_a_cut_were_forgotten(case):
+    """Guards against a second run of jobs that return from a long cut.
+
+    The leader had forgotten the targets behind the cut, and had claimed all
+    that it knew.
+    """
+    overlapping = asyncio.run(
+        return_from_a_cut(LAPSE_S + UNLISTED_KEEP_S + 1.5, 40.0)
+    )
+    case.assertEqual(overlapping, [])
