--- a/anvilford/node/_coordination.py
+++ b/anvilford/node/_coordination.py
@@ -516,6 +516,8 @@
                 )
                 self.waiting_jobs = reply.pending
                 self.leader_hears_site = reply.hears_site
+                if not reply.hears_site:
+                    self.site.record_missing_members()
                 self.unanswered_jobs.add(reply.unanswered_jobs)
                 self.membership.raise_term(reply.term)
                 if self.leader == leader and reply.term > leader.term:
@@ -606,6 +608,7 @@
         return not self.is_stopping and self.site.is_loaded()
 
     async def _search_step(self) -> None:
+        self.site.record_missing_members()
         if not self.search.can_start:
             await self._wait_for_wake(SEARCH_INTERVAL_S)
             return
@@ -841,6 +844,9 @@
         self.driver.placer.record_contact(self.local_member.name, now)
         self.heartbeats.expire(now)
         self.leader_hears_site = self.heartbeats.hears_site
+        if not self.leader_hears_site:
+            self.site.record_missing_members()
+            self.driver.placer.record_missing_members(now)
         for entry in self.driver.waiting_entries() - self.heartbeats.live_names:
             self.driver.stop_jobs_of(entry)
             if self.driver is None:
--- a/anvilford/node/_main.py
+++ b/anvilford/node/_main.py
@@ -31,7 +31,6 @@
 from anvilford.node._settings import NodeSettings
 from anvilford.node._speed_row import SpeedRow
 from anvilford.node._status import describe_entry
-from anvilford.node._sync import REMOVED_TARGET_RETENTION_S
 from anvilford.node._sync import SiteView
 from anvilford.peers import PeerLimits
 from anvilford.peers import PeerLinks
@@ -93,8 +92,6 @@
         crashes: Targets that were lost while they ran tasks, as this entry or
             the leaders that it followed have seen.
         is_stopping: True once a planned stop has begun.
-        list_complete_at: Time of `clock.now` from which all targets removed
-            from the list in the last `REMOVED_TARGET_RETENTION_S` are known.
     """
 
     def __init__(self, settings: NodeSettings, settings_path: str):
@@ -103,9 +100,6 @@
         self.counters = Counters()
         self.crashes = CrashHistory()
         self.is_stopping = False
-        # Targets removed from the list before the start of this process are
-        # unknown, so their retention time has to pass first.
-        self.list_complete_at = clock.now() + REMOVED_TARGET_RETENTION_S
         self._stopped = asyncio.Event()
 
     async def run(self) -> None:
@@ -226,7 +220,9 @@
             max_lease=settings.max_lease_ms / 1000,
             stop_time=settings.stop_time_ms / 1000,
             remote_penalty=float(settings.remote_penalty),
-            list_complete_at=math.inf if is_partial else self.list_complete_at,
+            list_complete_at=(
+                math.inf if is_partial else self.site.removals_known_at
+            ),
         )
         return PlacerDriver(
             fence,
--- a/anvilford/node/_sync.py
+++ b/anvilford/node/_sync.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import logging
+import math
 from collections.abc import Callable
 
 import attrs
@@ -44,8 +45,8 @@
 # Delay before a failed store call is repeated: the amount added for each
 # consecutive failure, and the maximum.
 RETRY_DELAYS_S = (0.2, 1.0)
-# Targets removed from the list are remembered for this long. The longest
-# partitions of the users' sites last 12 s.
+# Targets removed from the list are remembered for this long, or for as long after
+# members were missing, as by a placer (`UNLISTED_KEEP_S`).
 REMOVED_TARGET_RETENTION_S = 20.0
 # Pause between two watches of the target list. Each target writes its row every
 # 1.5 s, so without a pause the watches would return immediately, one after
@@ -362,11 +363,16 @@
         target_listeners: Called after each change of the target list.
         changed_version: Version of the list with the last change of a target
             other than that of its row's version.
+        removals_known_at: Time of `clock.now` from which all removed targets
+            are known that another leader may have. Those that were removed
+            before the start of this process are not.
     """
 
     def __init__(self, store: StoreClient, counters: Counters):
         self.routing_table: RoutingTable | None = None
+        self.removals_known_at = clock.now() + REMOVED_TARGET_RETENTION_S
         self._removed_targets: dict[str, tuple[TargetRecord, float]] = {}
+        self._members_missing_at = -math.inf
         self.target_listeners: list[Callable[[], None]] = []
         self.changed_version = 0
         # Time at which another entry was first known to use a newer version of
@@ -442,20 +448,34 @@
         if version > self.target_list.version:
             self.target_list.wake()
 
+    def record_missing_members(self) -> None:
+        """Records that members are missing, one of which may lead elsewhere."""
+        self._forget_removed_targets()
+        self._members_missing_at = now = clock.now()
+        if now < self.removals_known_at:
+            self.removals_known_at = now + REMOVED_TARGET_RETENTION_S
+
+    def _forget_removed_targets(self) -> None:
+        """Forgets targets that no other leader can have any more.
+
+        One that left as planned has reported that it is draining. Otherwise,
+        all members must have been heard for the retention time since.
+        """
+        earliest = clock.now() - REMOVED_TARGET_RETENTION_S
+        are_all_heard = self._members_missing_at < earliest
+        for target_id, (record, at) in list(self._removed_targets.items()):
+            if at < earliest and (are_all_heard or record.draining):
+                del self._removed_targets[target_id]
+
     def recently_removed_targets(self) -> list[TargetRecord]:
-        """Returns targets removed from the list in the retention time.
+        """Returns removed targets that another leader may have.
 
-        They may be cut off by a partition and still run tasks that another
-        leader started.
+        They may be cut off by a partition and still run tasks that it started.
         """
         if self._targets is None:
             self._targets = self._decode_targets()
-        earliest = clock.now() - REMOVED_TARGET_RETENTION_S
-        return [
-            record
-            for record, removed_at in self._removed_targets.values()
-            if removed_at >= earliest
-        ]
+        self._forget_removed_targets()
+        return [record for record, _ in self._removed_targets.values()]
 
     def expect_version(self, version: int) -> None:
         """Makes sure that the configuration of another entry is read soon.
--- a/anvilford/node/tests/test_sync.py
+++ b/anvilford/node/tests/test_sync.py
@@ -284,6 +284,34 @@
     case.assertEqual([record.version for record in removed], [3])
 
 
+def test_target_behind_a_long_cut_is_hidden_from_a_new_leader(case):
+    """Guards against a second run of a task by a leader that begins to lead.
+
+    It did not know targets that had been off the list for 20 s, though members
+    were missing, one of which may lead there. One that left as planned had
+    drained.
+    """
+    row = StoreRow(TARGET_TABLE, "r1", json.dumps(TARGET).encode(), 1)
+    drained = json.dumps({**TARGET, "state": "draining"}).encode()
+    rows = {"r1": row, "r2": attrs.evolve(row, key="r2", value=drained)}
+    with mock.patch("anvilford.node._sync.clock.now") as now:
+        now.return_value = 0.0
+        site = SiteView(mock.Mock(), Counters())
+        site.target_list.on_change(rows)
+        case.assertEqual(len(site.targets), 2)
+        site.target_list.on_change({})
+        kept = []
+        for second in range(0, 60, 5):
+            now.return_value = float(second)
+            if second <= 30:
+                site.record_missing_members()
+            removed = site.recently_removed_targets()
+            kept.append(sorted(record.target_id for record in removed))
+        case.assertEqual(site.removals_known_at, 50.0)
+    both, one = [["r1", "r2"]] * 5, [["r1"]] * 6
+    case.assertEqual(kept, [*both, *one, []])
+
+
 # The users' small links carry 9.5 Mbit/s; callers' requests use a part of it.
 SMALL_LINK_BYTES_PER_S = 950_000
 # Number of routes whose row, of 1.1 MB, such a link carries in 1.2 s.
--- a/anvilford/placement/_placer.py
+++ b/anvilford/placement/_placer.py
@@ -288,6 +288,10 @@
         """Records that an entry followed this placer at a time in seconds."""
         self._entry_contacts[entry] = followed_at
 
+    def record_missing_members(self, now: float) -> None:
+        """Records that entries are missing; they may follow another placer."""
+        self.fleet.record_missing_members(now)
+
     def withdraw(
         self, job_id: str, entry: str, reason: str, now: float
     ) -> None:
--- a/anvilford/placement/_target_list.py
+++ b/anvilford/placement/_target_list.py
@@ -1,5 +1,6 @@
 """Targets known to a placer, kept in sync with the platform's list."""
 
+import math
 from collections.abc import Iterable
 from collections.abc import Mapping
 
@@ -17,9 +18,10 @@
 # Retry delay of a target without runs that did not answer, and of one to which
 # a start could not be sent. Also the time that the first claims may take.
 CLAIM_RETRY_S = 0.25
-# How long a target is kept after the platform's list has dropped it, since it
-# may run tasks of another placer behind a network partition. The longest
-# partitions last 12 s.
+# How long a target is kept after the platform's list has dropped it and all
+# members were heard again. Until then, another placer may have it behind a
+# network partition, of any length. Its row is back 2 s after that, and the runs
+# of the other placer have ended.
 UNLISTED_KEEP_S = 20.0
 
 # Minimum number of runs behind a speed that is passed to the next placer. With
@@ -49,6 +51,9 @@
         list_version: Highest row version seen in the platform's list.
         list_is_current: Whether the list has all targets that other placers
             may have used.
+        list_complete_at: Time from which no target is missing that was removed
+            from the list before this process read it.
+        members_missing_at: Time at which a member was last missing.
         crashes: Targets that were lost while they ran tasks.
         index_version: Increases whenever a target is added, replaced or
             removed.
@@ -68,6 +73,8 @@
         self.target_by_task: dict[str, Target] = {}
         self.list_version = 0
         self.list_is_current = True
+        self.list_complete_at = options.list_complete_at
+        self.members_missing_at = -math.inf
         self.crashes = crashes
         self.index_version = 0
         self._by_service: dict[str, list[Target]] = {}
@@ -142,7 +149,7 @@
         """
         return (
             not self.list_is_current
-            or now < self.options.list_complete_at
+            or now < self.list_complete_at
             or any(
                 target.ownership is not Ownership.OWNED
                 for target in self.targets.values()
@@ -358,6 +365,23 @@
         del self.targets[target_id]
         self.rebuild_index()
 
+    def record_missing_members(self, now: float) -> None:
+        """Records that members are missing; one may lead behind a partition."""
+        self.members_missing_at = now
+        if now < self.list_complete_at:
+            self.list_complete_at = max(
+                self.list_complete_at, now + UNLISTED_KEEP_S
+            )
+
     def is_expired(self, target: Target, now: float) -> bool:
-        """Returns whether an unlisted target need not be kept any longer."""
-        return not target.listed and now - target.unlisted_at > UNLISTED_KEEP_S
+        """Returns whether an unlisted target need not be kept any longer.
+
+        Silence alone does not show that it is gone. One that left as planned
+        has reported that it is draining.
+        """
+        if target.listed:
+            return False
+        kept_since = target.unlisted_at
+        if not target.record.draining:
+            kept_since = max(kept_since, self.members_missing_at)
+        return now - kept_since > UNLISTED_KEEP_S
--- a/anvilford/placement/tests/test_two_placers.py
+++ b/anvilford/placement/tests/test_two_placers.py
@@ -5,6 +5,7 @@
 from anvilford.order_model import PlacementSimulation
 from anvilford.placement import Offer
 from anvilford.placement import OutcomeKind
+from anvilford.placement import PlacementOptions
 from anvilford.placement import RunEnd
 from anvilford.placement.tests._shared import job
 from anvilford.placement.tests._shared import make_target
@@ -497,3 +498,59 @@
             site.run(8.0)
             case.assertTrue(zone.outcomes)
             case.assertEqual(site.find_overlapping_tasks(), [])
+
+
+def test_target_behind_a_long_cut_is_forgotten(case):
+    """Guards against a second run of a job that returns from a long cut.
+
+    The target that runs it is off the list, and the entry that offers it does
+    not know where it runs. The placer had dropped the target after 20 s of
+    silence, and all targets that it knew were claimed.
+    """
+    site = make_site()
+    site.job_deadline_s = 60.0
+    placer = site.placers["site"]
+    cut_zone(site)
+    placer.apply_target_list([site.targets["near"].record], [], site.now)
+    long_job = job(seconds=50.0)
+    site.add_placer("zone", 2)
+    site.run(0.8)
+    site.offer("zone", long_job)
+    while site.now < 30.0:
+        placer.record_missing_members(site.now)
+        site.run(site.now + 1.0)
+    case.assertTrue(site.targets["far"].running)
+    site.remove_placer("zone")
+    placer.raise_fence(3, site.now)
+    site.offer("site", long_job, again=True, placed_is_known=False)
+    site.run(40.0)
+    case.assertEqual(site.find_overlapping_tasks(), [])
+
+
+def test_target_that_is_gone_is_kept_for_good(case):
+    """Guards against targets that pile up once all members are heard."""
+    site = make_site()
+    placer = site.placers["site"]
+    cut_zone(site)
+    placer.apply_target_list([site.targets["near"].record], [], site.now)
+    site.run(10.0)
+    placer.record_missing_members(site.now)
+    site.run(29.0)
+    case.assertIn("far", placer.fleet.targets)
+    site.run(31.0)
+    case.assertNotIn("far", placer.fleet.targets)
+
+
+def test_new_process_counts_its_list_as_complete_during_a_cut(case):
+    """Guards against a list without targets that lapsed before the start.
+
+    They are listed again after the cut, however long it lasts.
+    """
+    site = PlacementSimulation([make_target("near")])
+    options = PlacementOptions(list_complete_at=20.0)
+    placer = site.add_placer("new", 1, options)
+    while site.now < 30.0:
+        placer.record_missing_members(site.now)
+        site.run(site.now + 1.0)
+    case.assertTrue(placer.fleet.has_unclaimed_targets(48.0))
+    case.assertFalse(placer.fleet.has_unclaimed_targets(51.0))
