Extend no lease while the stop of a run is unconfirmed

A run of a job that has ended may go on for seconds, and another placer starts its task after 1.8 s.

Cause: a placer sends a stop and goes on extending the lease of the target for its other runs, by polls and by starts. If the stop is lost or carried out late, the run outlives the 1.02 s that others count on. Stops were repeated after 0.4 s.

Change: polls and starts extend the lease only while no run is unclaimed and no stop unconfirmed. A start meanwhile names the present end of the lease, and needs 0.7 s of it, so that targets stay in use while a stop is under way. Stops are repeated after 0.1 s (0.4 s at a target that does not answer polls either), and their call ends after as long.

Evidence: test_stopped_run_keeps_the_lease_of_other_runs fails on in both cases: the run still runs at the end of the test, 3.8 s after its job was withdrawn; the bound is 1.1 s. test_run_ends_since_the_stop_of_another_was_lost guards the price and holds before and after.

Why it works: a stop ends the extension at once, so that the run ends with the lease that was given before it: 0.7 s of proof, 0.05 s until the check and 1.02 s of lease, within 1.8 s. A stop is normally confirmed in some milliseconds, and 0.85 s of the lease are left when it is sent, enough for seven of them.

--- a/anvilford/node/_driver.py
+++ b/anvilford/node/_driver.py
@@ -32,7 +32,8 @@
 # placer polls the target for the run and stops it; the remaining time must
 # suffice to start the task again.
 START_ORDER_TIMEOUT_S = 0.1
-STOP_ORDER_TIMEOUT_S = 0.3
+# As long as the placer waits before it repeats a stop (`STOP_RETRY_S`).
+STOP_ORDER_TIMEOUT_S = 0.1
 # Time allowed for the answer to a poll, in addition to the poll's wait time.
 POLL_TIMEOUT_MARGIN_S = 0.1
 TICK_INTERVAL_S = 0.02
--- a/anvilford/placement/_choice.py
+++ b/anvilford/placement/_choice.py
@@ -42,7 +42,7 @@
         and target.suspended_until <= now
         and target.retry_at <= now
         and target.record.cold_ms == 0
-        and not target.has_unclaimed_runs
+        and (target.may_extend_lease or target.accepts_starts_within_lease(now))
     )
 
 
--- a/anvilford/placement/_fleet.py
+++ b/anvilford/placement/_fleet.py
@@ -58,8 +58,12 @@
 SHARED_CLAIM_WINDOW_S = 0.15
 # Interval between polls of an unreachable target that has runs.
 UNREACHABLE_RETRY_S = 0.1
-# Time after which a stop without a confirmation is sent again.
-STOP_RETRY_S = 0.4
+# Time after which a stop without a confirmation is sent again. Targets answer
+# within a few milliseconds. The lease of the target is not extended meanwhile and
+# lasts 0.85 s or more: its other runs end only if seven stops in a row are lost.
+STOP_RETRY_S = 0.1
+# The same for a target that does not answer polls either.
+UNREACHABLE_STOP_RETRY_S = 0.4
 # Delay before a target without runs is polled only to acknowledge ended runs.
 # Otherwise, the next regular poll acknowledges them.
 ACKNOWLEDGE_AFTER_S = 0.1
@@ -274,6 +278,12 @@
         return adopted
 
     def _extend_lease(self, target: Target, now: float) -> int:
+        """Returns the deadline of a new lease, or of the present one.
+
+        The present one is used if the target's lease must not be extended.
+        """
+        if not target.may_extend_lease:
+            return target.lease_deadline_ms
         options = self.options
         deadline = target.extend_lease(
             now, options.max_lease, options.clock_drift
@@ -310,12 +320,10 @@
             return
         deadline = None
         # While a target does not answer, polls leave its lease unchanged.
-        # Otherwise, its runs would never count as ended. Unclaimed runs may
-        # belong to a placer that cannot reach the target and counts on the end
-        # of the lease.
+        # Otherwise, its runs would never count as ended.
         if (
             target.needs_lease
-            and not target.has_unclaimed_runs
+            and target.may_extend_lease
             and target.ownership is Ownership.OWNED
             and not target.missed_polls
         ):
@@ -787,7 +795,12 @@
                 if now - run.stopped_at > 2 * self.options.stop_time:
                     self._finish_run(target, run, "stopped", now)
             case RunPhase.STOPPING:
-                if now - run.stopped_at > STOP_RETRY_S:
+                retry_s = (
+                    STOP_RETRY_S
+                    if target.reachable
+                    else UNREACHABLE_STOP_RETRY_S
+                )
+                if now - run.stopped_at > retry_s:
                     self._log_runs("stop not confirmed", target, [run], now)
                     self._stop_run(target, run, now)
             case RunPhase.DOUBTFUL:
--- a/anvilford/placement/_state.py
+++ b/anvilford/placement/_state.py
@@ -15,6 +15,11 @@
 # Time since the last answer of a target within which a start without an answer
 # counts as received. An answer within a region takes some milliseconds.
 RECENT_CONTACT_S = 0.02
+# Shortest rest of a lease within which a task starts on a target with an
+# unconfirmed stop. Polls extend a lease each 0.15 s, so that 0.85 s are left when
+# a stop is sent, and a start that follows does not wait for its confirmation.
+# Before the rest ends, a stop that was lost is sent five times more.
+MIN_START_LEASE_S = 0.7
 # An answer after its job's objective, but within this multiple of it, counts as
 # late and keeps part of its value. A later answer has no value. The factor is
 # defined by the platform.
@@ -308,6 +313,8 @@
         clock_read_at: Time at which the answer with `clock_ms` arrived.
         lease_end: Time by which all runs on the target have ended unless a
             later command extends the lease.
+        lease_deadline_ms: Latest end of the lease that a command has named, in
+            milliseconds on the target's clock.
         processed_end: Highest sequence number of an ended run that this placer
             has processed.
         confirmed_end: Highest sequence number whose processing was
@@ -346,6 +353,7 @@
     clock_ms: int | None = None
     clock_read_at: float = 0.0
     lease_end: float = 0.0
+    lease_deadline_ms: int = 0
     processed_end: int = 0
     confirmed_end: int = 0
     poll_pending: bool = False
@@ -389,6 +397,25 @@
                 return True
         return False
 
+    @property
+    def may_extend_lease(self) -> bool:
+        """Whether all runs on the target are to go on, or have been stopped.
+
+        Not while a run is unclaimed or its stop is unconfirmed: another placer
+        may count on the end of the lease.
+        """
+        for run in self.runs.values():  # noqa: SIM110, as above.
+            if run.task is None or run.phase is RunPhase.STOPPING:
+                return False
+        return True
+
+    def accepts_starts_within_lease(self, now: float) -> bool:
+        """Returns whether tasks may start although a stop is unconfirmed."""
+        if self.clock_ms is None or self.has_unclaimed_runs:
+            return False
+        clock_ms = self.clock_ms + (now - self.clock_read_at) * 1000
+        return self.lease_deadline_ms - clock_ms >= MIN_START_LEASE_S * 1000
+
     def was_heard_recently(self, now: float) -> bool:
         """Returns whether the target was alive within `RECENT_CONTACT_S`."""
         return (
@@ -441,4 +468,6 @@
         # If the target's clock runs slow, the lease lasts longer on this clock.
         end = self.clock_read_at + length / (1.0 - drift)
         self.lease_end = max(self.lease_end, end)
-        return self.clock_ms + int(length * 1000)
+        deadline_ms = self.clock_ms + int(length * 1000)
+        self.lease_deadline_ms = max(self.lease_deadline_ms, deadline_ms)
+        return deadline_ms
--- a/anvilford/placement/tests/test_two_placers.py
+++ b/anvilford/placement/tests/test_two_placers.py
@@ -228,6 +228,69 @@
     case.assertLess(target.ends[0][0], withdrawn_at + 1.1)
 
 
+def test_stopped_run_keeps_the_lease_of_other_runs(case):
+    """Guards against a run that goes on after its job was withdrawn.
+
+    Its stop was lost, and polls and starts extended the lease of the target for
+    other runs. Another placer waits only 1.8 s before it starts the job.
+    """
+    for starts_another in (False, True):
+        with case.subTest(starts_another=starts_another):
+            site = make_site()
+            site.placers["site"].fleet.targets["near"].suspended_until = 9.0
+            site.job_deadline_s = 9.0
+            first = job(seconds=6.0)
+            site.offer("site", first)
+            if not starts_another:
+                site.offer("site", job(seconds=6.0))
+            site.run(0.2)
+            target = site.targets["far"]
+            target.ignores_stops = True
+            site.placers["site"].withdraw(
+                first.job_id, "entry", "caller_left", site.now
+            )
+            site._execute_effects("site")
+            withdrawn_at = site.now
+            if starts_another:
+                site.offer("site", job(seconds=6.0, at=site.now))
+            site.run(0.3)
+            case.assertEqual(len(target.running), 2)
+            site.run(4.0)
+            ended_at = min(
+                (at for at, task, *_ in target.ends if first.job_id in task),
+                default=9.0,
+            )
+            case.assertLess(ended_at, withdrawn_at + 1.1)
+
+
+def test_run_ends_since_the_stop_of_another_was_lost(case):
+    """Guards against a lease that ends with the runs of jobs in progress.
+
+    While the stop of one run is not confirmed, the lease that all runs on the
+    target share is not extended. A lost stop is repeated in time.
+    """
+    site = make_site()
+    site.placers["site"].fleet.targets["near"].suspended_until = 9.0
+    site.job_deadline_s = 9.0
+    stopped, kept = job(seconds=3.0), job(seconds=3.0)
+    site.offer("site", stopped)
+    site.offer("site", kept)
+    site.run(0.2)
+    target = site.targets["far"]
+    target.ignores_stops = True
+    site.placers["site"].withdraw(
+        stopped.job_id, "entry", "caller_left", site.now
+    )
+    site._execute_effects("site")
+    site.run(0.85)
+    target.ignores_stops = False
+    site.run(4.0)
+    case.assertEqual(
+        {how: kept.job_id in task for _, task, _, how in target.ends},
+        {RunEnd.STOPPED: False, RunEnd.DONE: True},
+    )
+
+
 def test_released_job_names_only_its_own_targets(case):
     """Guards against a second run of a job that is handed on twice.
 
