--- a/anvilford/node/tests/test_members.py
+++ b/anvilford/node/tests/test_members.py
@@ -9,8 +9,10 @@
 from anvilford.node._members import MEMBER_PROOF_TIMEOUT_S
 from anvilford.node._members import MEMBER_RETENTION_S
 from anvilford.node._members import MEMBER_SILENT_AFTER_S
+from anvilford.order_model import PlacementSimulation
 from anvilford.placement import PlacementOptions
 from anvilford.placement._placer import UNSEEN_RUNS_WINDOW_S
+from anvilford.placement.tests._shared import make_target
 from testkit import fixture
 from testkit import function_tests
 
@@ -200,3 +202,35 @@
         case.assertEqual(len(names), 9 - len(lost))
         case.assertFalse(names.intersection(lost))
         case.assertTrue(heartbeats.hears_site)
+
+
+def test_member_and_target_that_are_gone_keep_each_other_for_ever(case):
+    """Guards against a site that never hears all members again.
+
+    A target that is off the list was kept while a member was missing, and the
+    member while not all targets of its zone obeyed the leader.
+    """
+    zone = make_target("kept").record.zone
+    lost = attrs.evolve(OTHER, zone=zone)
+    heard = [
+        attrs.evolve(OTHER, name=f"entry-{n}", zone=zone) for n in (2, 3, 4)
+    ]
+    heartbeats = HeartbeatTracker(LEADER)
+    heartbeats.reset([LEADER, lost, *heard], 0.0)
+    site = PlacementSimulation([make_target("kept"), make_target("gone")])
+    placer = site.add_placer("p", 1)
+    site.run(0.1)
+    site.faults.partitioned_pairs.add(("p", "gone"))
+    placer.apply_target_list([site.targets["kept"].record], [], 0.1)
+    while site.now < 90.0:
+        site.run(site.now + MEMBER_CHECK_INTERVAL_S)
+        for member in heard:
+            heartbeats.record_heartbeat(member, site.now, site.now)
+        heartbeats.expire(site.now)
+        if not heartbeats.hears_site:
+            placer.record_missing_members(site.now)
+        heartbeats.forget_lost_members(
+            site.now, lambda zone: placer.fleet.controls_zone(zone, site.now)
+        )
+    case.assertTrue(heartbeats.hears_site)
+    case.assertNotIn("gone", placer.fleet.targets)
