Forget lost members only when their zone was controlled for 5 s

What callers saw: nothing yet. For a second after a cut, entries took their leader for one that hears the whole site, and kept jobs of callers who may have gone to the other side.

Cause: members that were silent for 15 s were forgotten as soon as all targets of their zone obeyed the leader. After a cut of 15 to 24.5 s (on of any longer time, as the targets are kept) the targets answer at once, and the members only when their own leader has stepped down.

Why it works: control that has lasted for as long as a member needs to return is a proof that no cut is ending. Members that are gone are forgotten 5 s later than before.

--- a/anvilford/node/_members.py
+++ b/anvilford/node/_members.py
@@ -27,6 +27,13 @@
 # loss of its machine. Silence alone does not show it, since a cut may last longer:
 # see `HeartbeatTracker.forget_lost_members`.
 MEMBER_RETENTION_S = 15.0
+# Time for which this leader must have controlled the zone of such a member. After
+# a cut, targets answer at once, and a member that followed another leader a
+# second later; with a slow store, after two calls (`STORE_TIMEOUT_S`).
+MEMBER_RETURN_S = 5.0
+# Longest time between two checks that show control of a zone without a gap. A
+# check probes the targets whose last answer is too old.
+CONTROL_GAP_S = 1.0
 
 _logger = logging.getLogger(__name__)
 
@@ -69,6 +76,9 @@
         self.hears_site = True
         self.contested_at = -math.inf
         self._last_heartbeats: dict[str, _Heartbeat] = {}
+        # Times of the first and the last check that showed control of a zone
+        # without a gap.
+        self._controlled: dict[str, tuple[float, float]] = {}
         # Result of `known_members`; None after a change.
         self._known_members: tuple[Member, ...] | None = None
 
@@ -79,6 +89,7 @@
         }
         self.live_names = set(self._last_heartbeats)
         self.hears_site = True
+        self._controlled.clear()
         self._known_members = None
 
     def record_heartbeat(
@@ -135,9 +146,10 @@
         """Removes members that have been silent since they were lost for good.
 
         A cut makes members silent as well, for any time. They are forgotten only
-        by a leader that hears most of the known members, and while no other
-        leader can place jobs on the targets of their zone. Otherwise both sides
-        of a cut would become the majority of what they still know.
+        by a leader that hears most of the known members, and when no other
+        leader could place jobs on the targets of their zone for
+        `MEMBER_RETURN_S`. Otherwise both sides of a cut would become the majority
+        of what they still know.
 
         Args:
             now: Current time in seconds.
@@ -157,14 +169,28 @@
         ]
         heard_zones = {member.zone for member in self.live_members()}
         controlled = {
-            zone: controls_zone(zone) for zone in {m.member.zone for m in lost}
+            zone
+            for zone in {last.member.zone for last in lost}
+            if self._has_controlled(
+                zone, controls_zone(zone), zone in heard_zones, now
+            )
         }
         for last in lost:
-            zone = last.member.zone
-            is_controlled = controlled[zone]
-            if is_controlled or (is_controlled is None and zone in heard_zones):
+            if last.member.zone in controlled:
                 self._forget(last, now)
 
+    def _has_controlled(
+        self, zone: str, controls: bool | None, is_heard: bool, now: float
+    ) -> bool:
+        """Returns whether this leader has controlled a zone for long enough."""
+        if not (controls or (controls is None and is_heard)):
+            return False
+        since, last = self._controlled.get(zone, (now, now))
+        if now - last > CONTROL_GAP_S:
+            since = now
+        self._controlled[zone] = (since, now)
+        return now - since >= MEMBER_RETURN_S
+
     def _forget(self, last: _Heartbeat, now: float) -> None:
         del self._last_heartbeats[last.member.name]
         self._known_members = None
--- a/anvilford/node/tests/test_members.py
+++ b/anvilford/node/tests/test_members.py
@@ -234,3 +234,37 @@
         )
     case.assertTrue(heartbeats.hears_site)
     case.assertNotIn("gone", placer.fleet.targets)
+
+
+def test_members_are_forgotten_as_soon_as_their_targets_are_back(case):
+    """Guards against a leader that forgets members at the end of a cut.
+
+    The targets of their zone answer at once, and they follow a second later.
+    """
+    zone = make_target("t").record.zone
+    lost = attrs.evolve(OTHER, zone=zone)
+    heard = [attrs.evolve(OTHER, name=f"entry-{n}") for n in (2, 3, 4)]
+    heartbeats = HeartbeatTracker(LEADER)
+    heartbeats.reset([LEADER, lost, *heard], 0.0)
+    site = PlacementSimulation([make_target("t")])
+    placer = site.add_placer("p", 1)
+    site.run(0.1)
+    site.faults.partitioned_pairs.add(("p", "t"))
+    placer.apply_target_list([], [], 4.5)
+    known = {}
+    while site.now < 30.0:
+        site.run(site.now + MEMBER_CHECK_INTERVAL_S)
+        if site.now > 18.0:
+            site.faults.partitioned_pairs.clear()
+            site.list_targets("p")
+        for member in heard:
+            heartbeats.record_heartbeat(member, site.now, site.now)
+        heartbeats.expire(site.now)
+        if not heartbeats.hears_site:
+            placer.record_missing_members(site.now)
+        heartbeats.forget_lost_members(
+            site.now, lambda zone: placer.fleet.controls_zone(zone, site.now)
+        )
+        known[int(site.now)] = lost in heartbeats.known_members()
+    case.assertTrue(known[20])
+    case.assertFalse(known[29])
