Count removals as known from the first read of the list, not the start

What callers could see: two runs of a task at once.

Cause: a process counted its list as complete 20 s after its start, since targets that were removed before are unknown to it. If it did not reach the store at first, it first read the list later, and rows may have lapsed until then of targets that the last leader still reached.

Evidence: test_removals_count_as_known_since_the_start_of_a_process fails without the change (20.0 where at least 45.0 is due).

Why it works: the time is counted from the first complete read. A member cannot lead before.

--- a/anvilford/node/_sync.py
+++ b/anvilford/node/_sync.py
@@ -365,7 +365,7 @@
             other than that of its row's version.
         removals_known_at: Time of `clock.now` from which all removed targets
             are known that another leader may have. Those that were removed
-            before the start of this process are not.
+            before this process first read the list are not.
     """
 
     def __init__(self, store: StoreClient, counters: Counters):
@@ -373,6 +373,7 @@
         self.removals_known_at = clock.now() + REMOVED_TARGET_RETENTION_S
         self._removed_targets: dict[str, tuple[TargetRecord, float]] = {}
         self._members_missing_at = -math.inf
+        self._has_read_targets = False
         self.target_listeners: list[Callable[[], None]] = []
         self.changed_version = 0
         # Time at which another entry was first known to use a newer version of
@@ -529,6 +530,9 @@
 
     def _apply_target_rows(self, rows: dict[str, StoreRow]) -> None:
         now = clock.now()
+        if not self._has_read_targets:
+            self._has_read_targets = True
+            self.removals_known_at = now + REMOVED_TARGET_RETENTION_S
         for target_id in self._target_rows.keys() - rows.keys():
             record = self._decode_row(self._target_rows[target_id])
             if record is not None:
--- a/anvilford/node/tests/test_sync.py
+++ b/anvilford/node/tests/test_sync.py
@@ -312,6 +312,24 @@
     case.assertEqual(kept, [*both, *one, []])
 
 
+def test_removals_count_as_known_since_the_start_of_a_process(case):
+    """Guards against a second run by a leader that first read the list late.
+
+    The store was out of its reach at first, and rows lapsed meanwhile of
+    targets that the last leader reached.
+    """
+    row = StoreRow(TARGET_TABLE, "r1", json.dumps(TARGET).encode(), 1)
+    with mock.patch("anvilford.node._sync.clock.now") as now:
+        now.return_value = 0.0
+        site = SiteView(mock.Mock(), Counters())
+        now.return_value = 25.0
+        site.target_list.on_change({"r1": row})
+        case.assertGreaterEqual(site.removals_known_at, 45.0)
+        now.return_value = 26.0
+        site.target_list.on_change({})
+        case.assertEqual(site.removals_known_at, 45.0)
+
+
 # The users' small links carry 9.5 Mbit/s; callers' requests use a part of it.
 SMALL_LINK_BYTES_PER_S = 950_000
 # Number of routes whose row, of 1.1 MB, such a link carries in 1.2 s.
