Bound by ten minutes, not by 20 s, for how long a silent target keeps its members known

What callers could see: two runs of a task after a cut of a part of a zone, an entry with some of its targets, of more than 30 s.

The limit is there since a machine and a target of one zone that are gone for good kept each other known for ever.

--- a/anvilford/placement/_fleet.py
+++ b/anvilford/placement/_fleet.py
@@ -43,8 +43,8 @@
 from anvilford.placement._state import Task
 from anvilford.placement._state import TaskPhase
 from anvilford.placement._target_list import CLAIM_RETRY_S
+from anvilford.placement._target_list import GONE_FOR_GOOD_S
 from anvilford.placement._target_list import TargetList
-from anvilford.placement._target_list import UNLISTED_KEEP_S
 
 # How long a target may delay its answer to a poll until a run ends. Two polls
 # may fail before a lease of at most one second expires. The end of a run is
@@ -167,7 +167,7 @@
 
         Then no other placer can have runs there. Probes those that have not
         been heard lately. Leaves out targets that have been off the list for
-        `UNLISTED_KEEP_S`: one that is gone for good never obeys.
+        `GONE_FOR_GOOD_S`, since one that is gone never obeys.
 
         Returns:
             None if no target of the zone is known.
@@ -176,7 +176,7 @@
             target
             for target in self.targets.values()
             if target.record.zone == zone
-            and (target.listed or now - target.unlisted_at <= UNLISTED_KEEP_S)
+            and (target.listed or now - target.unlisted_at <= GONE_FOR_GOOD_S)
         ]
         if not targets:
             return None
--- a/anvilford/placement/_target_list.py
+++ b/anvilford/placement/_target_list.py
@@ -23,6 +23,11 @@
 # network partition, of any length. Its row is back 2 s after that, and the runs
 # of the other placer have ended.
 UNLISTED_KEEP_S = 20.0
+# Time off the list after which a target counts as gone in the check of lost
+# members (`Fleet.controls_zone`). Silence does not tell a machine and a target
+# that are gone from a part of their zone that is cut off, and neither is
+# forgotten while the other is missing. This limit ends that; cuts last minutes.
+GONE_FOR_GOOD_S = 600.0
 
 # Minimum number of runs behind a speed that is passed to the next placer. With
 # fewer, the speed depends more on the tasks than on the target.
