Forget members that are gone after 15 s again, not after 20 s

Cause: began to watch the control of a zone only when its members had been silent for 15 s. Change: from 10 s on, so that it has lasted for the 5 s when they are due. After a long cut it still begins with the cut's end.

--- a/anvilford/node/_members.py
+++ b/anvilford/node/_members.py
@@ -162,21 +162,22 @@
             or now - self.contested_at <= MEMBER_RETENTION_S
         ):
             return
-        lost = [
+        silent = [
             last
             for last in self._last_heartbeats.values()
-            if now - last.received_at > MEMBER_RETENTION_S
+            if now - last.received_at > MEMBER_RETENTION_S - MEMBER_RETURN_S
         ]
         heard_zones = {member.zone for member in self.live_members()}
         controlled = {
             zone
-            for zone in {last.member.zone for last in lost}
+            for zone in {last.member.zone for last in silent}
             if self._has_controlled(
                 zone, controls_zone(zone), zone in heard_zones, now
             )
         }
-        for last in lost:
-            if last.member.zone in controlled:
+        for last in silent:
+            is_lost = now - last.received_at > MEMBER_RETENTION_S
+            if is_lost and last.member.zone in controlled:
                 self._forget(last, now)
 
     def _has_controlled(
