Rig: runs and late orders end with the process of the target that had them

What plays would show: two runs of a task at once that never were. And an order that the double held back was carried out by the process that replaced the one which had received it.

The check pairs each start with the next end of its number. A held order is refused with 421 once the incarnation has changed.

--- a/standins/runner.py
+++ b/standins/runner.py
@@ -145,12 +145,15 @@
         if expected not in (None, self.name):
             return Response(421)
         body = json.loads(request.body or b"{}")
+        incarnation = self.incarnation
         is_late = self.late_share and self.rng.random() < self.late_share
         if is_late:
             await asyncio.sleep(self.rng.uniform(*LATE_S))
         now = self.now()
         if self.target.is_down:
             await asyncio.sleep(WITHHELD_S)
+        if self.incarnation != incarnation:
+            return Response(421)  # The process that received it is gone.
         match request.target:
             case "/v1/run-start":
                 answer = self._start(body, now)
--- a/testkit/cuts/_report.py
+++ b/testkit/cuts/_report.py
@@ -162,9 +162,13 @@
         target = server.target
         target.advance(server.now())
         place = f"{server.name} ({server.zone})"
-        ends = {(task, run): at for at, task, run, _ in target.ends}
+        ends = collections.defaultdict(list)
+        for at, task, run, _ in target.ends:
+            ends[task, run].append(at)
         for at, task, run in target.starts:
-            end = ends.get((task, run), math.inf)
+            # After a restart, a target accepts the number of an earlier run.
+            later_ends = (end for end in ends[task, run] if end >= at)
+            end = min(later_ends, default=math.inf)
             start, end = map(server.monotonic_time, (at, end))
             spans[task].append(
                 _Span(start - started, end - started, run, place)
--- a/testkit/cuts/tests/test_report.py
+++ b/testkit/cuts/tests/test_report.py
@@ -57,6 +57,43 @@
     )
 
 
+async def restart_between_runs(second_at: float) -> list[str]:
+    """Starts a task at a target that restarts, twice under one run number.
+
+    Args:
+        second_at: Time of the second start; the first is at 10 s, the crash at
+            10.5 s, and a run of the same task elsewhere starts at 10.6 s.
+    """
+    first, other = (FakeTargetServer(n, "a", "line") for n in ("t0", "t1"))
+    async with first, other:
+        for server, at, run in (
+            (first, 10.0, 1),
+            (other, 10.6, 2),
+            (first, second_at, 1),
+        ):
+            if at == second_at:
+                first.target.restart(first.incarnation + 1, 10.5)
+            order = StartRun(
+                server.name,
+                server.target.record.incarnation,
+                "7.0",
+                run,
+                "",
+                server.target.clock_ms(at) + 900,
+                1,
+            )
+            answer = server.target.start(order, Resources(1), RUN_S, at)
+            assert isinstance(answer, Accepted), answer
+        return find_overlaps([first, other], 0.0)
+
+
+def test_run_numbers_are_used_again_after_a_restart(case):
+    """Guards against a run that seems to go on after its target crashed."""
+    case.assertEqual(asyncio.run(restart_between_runs(11.6)), [])
+    texts = asyncio.run(restart_between_runs(11.4))
+    case.assertEqual(len(texts), 1, texts)
+
+
 async def start_twice(first_at: float, second_at: float) -> list[str]:
     """Starts a task at two targets whose clocks differ.
 
