--- a/testkit/cuts/tests/test_options.py
+++ b/testkit/cuts/tests/test_options.py
@@ -12,8 +12,8 @@
 
 COMMAND = (
     "day.toml --site trama-norte --load 0.5 --plan-load 2 --stretch 3"
-    " --task-stretch 4 --tries 5 --breaks 0.6 --delay 0.007 --stalls 8"
-    " --longest-stall 0.9 --clock-drift 0.02 --until 10 --break-kinds silent fin"
+    " --task-stretch 4 --tries 5 --long-share 0.06 --long-ratio 20 --breaks 0.6"
+    " --delay 0.007 --stalls 8 --longest-stall 0.9 --clock-drift 0.02 --until 10 --break-kinds silent fin"
 )
 
 
@@ -63,6 +63,8 @@
             3.0,
             4.0,
             5,
+            0.06,
+            20.0,
             0.6,
             (Break.SILENT, Break.FIN),
             0.007,
