Rig: killed entries, crashes of targets and targets that some entries do not reach

They come during cuts, too. Rows of targets that restart are written anew once they reach the store, and late orders may overlap.

srv_crash was in the list of faults that cannot be played; the list has five more in its place.

--- a/testkit/cuts/__init__.py
+++ b/testkit/cuts/__init__.py
@@ -3,12 +3,15 @@
 from testkit.cuts._callers import Break
 from testkit.cuts._day import Burst
 from testkit.cuts._day import EntryCut
+from testkit.cuts._day import EntryKill
 from testkit.cuts._day import format_day
 from testkit.cuts._day import LateOrders
 from testkit.cuts._day import LeaderCut
 from testkit.cuts._day import load_day
 from testkit.cuts._day import parse_day
 from testkit.cuts._day import Stall
+from testkit.cuts._day import TargetCrash
+from testkit.cuts._day import TargetCut
 from testkit.cuts._day import ZoneCut
 from testkit.cuts._entry import use_cut_loop
 from testkit.cuts._links import How
@@ -31,12 +34,15 @@
     "CutReport",
     "CutSite",
     "EntryCut",
+    "EntryKill",
     "How",
     "LAPSE_S",
     "LONGEST_RETURN_S",
     "LateOrders",
     "LeaderCut",
     "Stall",
+    "TargetCrash",
+    "TargetCut",
     "TargetRows",
     "ZoneCut",
     "draw_day",
--- a/testkit/cuts/__main__.py
+++ b/testkit/cuts/__main__.py
@@ -52,6 +52,7 @@
     """Adds the arguments that say which days are played and what is kept."""
     add("day", type=pathlib.Path, nargs="?", help="day file")
     add("--random-day", action="store_true", help="draw a day for each seed")
+    add("--all-kinds", action="store_true", help="in drawn days: crashes, too")
     add("--length", type=float, default=60.0, help="of drawn days, seconds")
     add("--longest-cut", type=float, default=40.0, help="of drawn days")
     add("--seed", type=int, default=1, help="first seed")
@@ -98,7 +99,9 @@
         logs = parsed.logs and parsed.logs / str(seed)
         if parsed.random_day:
             site = SITES[parsed.site]
-            day = draw_day(site, seed, parsed.length, parsed.longest_cut)
+            day = draw_day(
+                site, seed, parsed.length, parsed.longest_cut, parsed.all_kinds
+            )
             print(format_day(f"seed-{seed}", day), flush=True)
         else:
             day = load_day(parsed.day)
--- a/testkit/cuts/_day.py
+++ b/testkit/cuts/_day.py
@@ -9,6 +9,13 @@
                "split" a random half, with how "leader" the leader; with "store" in
                how from the store, too
     node_freeze  "count" entries (1) stand still; how "leader": the leader first
+    node_kill  "count" entries (1) are killed and start again at once, with how "power"
+               after for_s, and nobody reaches them meanwhile; how "leader" as above
+    srv_crash  a "share" (0.15) of the targets are down for for_s and then start as new
+               incarnations; connections are reset, with how "dark" they are silent
+    srv_cut    a "share" (0.2) of the targets are cut off from all entries and the
+               store, with how "some" only from a share "x" (0.3) of the entries; with
+               "reborn" in how they restart as new incarnations in the middle of it
     applied_late  a share "x" of the orders to targets gets no answer and is carried
                out 2 to 12 s later
 
@@ -127,8 +134,69 @@
     share: float
 
 
+@attrs.frozen
+class EntryKill:
+    """Entries are killed and started again, at once or after a while.
+
+    Attributes:
+        at: Start in seconds after the start of traffic.
+        length: Time until they are started, in seconds.
+        with_leader: Whether the leader is one of them.
+        count: Number of entries.
+        is_dark: Whether their connections hang meanwhile, instead of being
+            closed.
+    """
+
+    at: float
+    length: float
+    with_leader: bool = False
+    count: int = 1
+    is_dark: bool = False
+
+
+@attrs.frozen
+class TargetCrash:
+    """Targets crash and start again as new incarnations after a while.
+
+    Attributes:
+        at: Start in seconds after the start of traffic.
+        length: Time until they are started, in seconds.
+        share: Share of the targets.
+        how: What happens to connections.
+    """
+
+    at: float
+    length: float
+    share: float = 0.15
+    how: How = How.RESET
+
+
+@attrs.frozen
+class TargetCut:
+    """Targets are cut off from entries for a while.
+
+    Attributes:
+        at: Start in seconds after the start of traffic.
+        length: Duration in seconds.
+        share: Share of the targets.
+        how: What happens to connections.
+        from_share: Share of the entries from which they are cut off; None for
+            all entries and the store.
+        is_reborn: Whether they restart as new incarnations in the middle.
+    """
+
+    at: float
+    length: float
+    share: float = 0.2
+    how: How = How.DROP
+    from_share: float | None = None
+    is_reborn: bool = False
+
+
 Cut = ZoneCut | LeaderCut | EntryCut
-Disruption = Burst | Cut | LateOrders | Stall
+Disruption = (
+    Burst | Cut | LateOrders | Stall | EntryKill | TargetCrash | TargetCut
+)
 
 
 def load_day(path: pathlib.Path) -> list[Disruption]:
@@ -170,6 +238,18 @@
         case {"kind": "node_freeze"}, _ if rest <= {"leader"}:
             count = fault.get("count", 1)
             return Stall(at, length, "leader" in rest, count)
+        case {"kind": "node_kill"}, _ if rest <= {"leader", "power"}:
+            is_dark = "power" in rest
+            length = length if is_dark else 0.0
+            count = fault.get("count", 1)
+            return EntryKill(at, length, "leader" in rest, count, is_dark)
+        case {"kind": "srv_crash"}, _ if set(words) <= {"dark"}:
+            how = How.DROP if "dark" in rest else How.RESET
+            return TargetCrash(at, length, fault.get("share", 0.15), how)
+        case {"kind": "srv_cut"}, _ if rest <= {"some", "reborn"}:
+            from_share = fault.get("x", 0.3) if "some" in rest else None
+            share, is_reborn = fault.get("share", 0.2), "reborn" in rest
+            return TargetCut(at, length, share, how, from_share, is_reborn)
     raise ValueError(f"cannot be given to processes: {fault}")
 
 
@@ -216,6 +296,20 @@
         case Stall(with_leader=with_leader, count=count):
             fields |= {"kind": "node_freeze", "count": count}
             fields |= {"how": "leader"} if with_leader else {}
+        case EntryKill(with_leader=with_leader, is_dark=is_dark):
+            words = ["leader"] * with_leader + ["power"] * is_dark
+            fields |= {"kind": "node_kill", "count": disruption.count}
+            fields |= {"how": " ".join(words)}
+        case TargetCrash(share=share, how=how):
+            fields |= {"kind": "srv_crash", "share": share}
+            fields |= {"how": "dark"} if how is How.DROP else {}
+        case TargetCut(share=share, how=how, from_share=from_share):
+            some = from_share is not None
+            words = ["some"] * some + ["reborn"] * disruption.is_reborn
+            words.append(how.value)
+            fields |= {"kind": "srv_cut", "share": share}
+            fields |= {"how": " ".join(words)}
+            fields |= {"x": from_share} if some else {}
     return (
         "{ " + ", ".join(f"{k} = {_toml(v)}" for k, v in fields.items()) + " }"
     )
--- a/testkit/cuts/_disrupt.py
+++ b/testkit/cuts/_disrupt.py
@@ -2,27 +2,37 @@
 
 import asyncio
 import collections
+import math
 import random
 import signal
 from collections.abc import Callable
+from collections.abc import Iterable
 
+from standins.runner import FakeTargetServer
 from standins.site import LoopbackSite
 from testkit.cuts._day import Burst
 from testkit.cuts._day import Cut
 from testkit.cuts._day import Disruption
 from testkit.cuts._day import EntryCut
+from testkit.cuts._day import EntryKill
 from testkit.cuts._day import LateOrders
 from testkit.cuts._day import LeaderCut
 from testkit.cuts._day import Stall
+from testkit.cuts._day import TargetCrash
+from testkit.cuts._day import TargetCut
 from testkit.cuts._day import ZoneCut
+from testkit.cuts._links import How
 from testkit.cuts._links import LinkCut
 from testkit.cuts._links import SiteLinks
+from testkit.cuts._links import STORE
 
 SHORTEST_STALL_S = 0.02
+# Time after which all entries have read a cut; they read the links every 10 ms.
+CUT_READ_S = 0.05
 
 
 class Disruptor:
-    """Cuts links and suspends entries.
+    """Cuts links, and suspends and kills entries and targets.
 
     Attributes:
         site: The site.
@@ -43,6 +53,10 @@
         self.rng = rng
         self.log = log
         self._suspended: collections.Counter = collections.Counter()
+        # Entries that are killed and not started yet.
+        self._killed: set[str] = set()
+        # Shares of late orders of the disruptions in force.
+        self._late_shares: list[float] = []
 
     async def carry_out(
         self, disruptions: list[Disruption], now: Callable[[], float]
@@ -61,26 +75,37 @@
         self, disruption: Disruption, now: Callable[[], float]
     ) -> None:
         await asyncio.sleep(disruption.at - now())
+        end = disruption.at + disruption.length
         match disruption:
             case Burst():
                 pass  # The callers read it.
             case Stall():
                 await self._stall(disruption)
             case LateOrders(share=share):
-                self._set_late_share(share)
-                await asyncio.sleep(disruption.at + disruption.length - now())
-                self._set_late_share(0.0)
+                self._late_shares.append(share)
+                self._set_late_share()
+                await asyncio.sleep(end - now())
+                self._late_shares.remove(share)
+                self._set_late_share()
+            case EntryKill():
+                await self._kill(disruption)
+            case TargetCrash():
+                await self._crash(disruption)
             case _:
                 cut, text = self._start_cut(disruption)
                 self.log(
                     f"cut of {text}, {disruption.how.value}, for"
                     f" {disruption.length:.2f} s; {self.leader} leads"
                 )
-                await asyncio.sleep(disruption.at + disruption.length - now())
+                if isinstance(disruption, TargetCut) and disruption.is_reborn:
+                    await asyncio.sleep(disruption.length / 2)
+                    await self._restart(cut.inside)
+                await asyncio.sleep(end - now())
                 self.links.heal(cut)
                 self.log(f"cut of {text} ends; {self.leader} leads")
 
-    def _set_late_share(self, share: float) -> None:
+    def _set_late_share(self) -> None:
+        share = max(self._late_shares, default=0.0)
         self.log(f"share of late orders: {share}")
         for server in self.site.targets:
             server.late_share = share
@@ -90,7 +115,7 @@
         """The leader in the store, or the first entry."""
         return self.site.leader_name() or next(iter(self.site.entries))
 
-    def _start_cut(self, cut: Cut) -> tuple[LinkCut, str]:
+    def _start_cut(self, cut: Cut | TargetCut) -> tuple[LinkCut, str]:
         """Starts a cut; returns it and what is cut off."""
         match cut:
             case ZoneCut(zone=zone):
@@ -102,17 +127,86 @@
                 names = sorted(self.rng.sample(names, len(names) // 2))
             case EntryCut(zone=zone, with_store=with_store):
                 names = self.links.entries_of(zone)
+            case TargetCut():
+                return self._cut_targets(cut)
         text = " ".join([*names, "(with store)" if with_store else ""])
         link_cut = self.links.cut_entries(names, cut.how, with_store)
         return link_cut, text.strip()
 
-    async def _stall(self, stall: Stall) -> None:
+    def _cut_targets(self, cut: TargetCut) -> tuple[LinkCut, str]:
+        names = [s.name for s in self._choose_targets(cut.share)]
+        outside = list(self.site.entries)
+        if cut.from_share is None:
+            outside.append(STORE)
+        else:
+            count = math.ceil(cut.from_share * len(outside))
+            outside = sorted(self.rng.sample(outside, count))
+        text = f"{' '.join(names)} from {' '.join(outside)}"
+        return self.links.cut(names, outside, cut.how), text
+
+    def _choose_targets(self, share: float) -> list[FakeTargetServer]:
+        count = math.ceil(share * len(self.site.targets))
+        return self.rng.sample(self.site.targets, count)
+
+    def _choose_entries(self, with_leader: bool, count: int) -> list[str]:
         names = list(self.site.entries)
         self.rng.shuffle(names)
-        if stall.with_leader:
+        if with_leader:
             names.remove(self.leader)
             names.insert(0, self.leader)
-        names = names[: stall.count]
+        return names[:count]
+
+    async def _kill(self, kill: EntryKill) -> None:
+        """Kills entries, also suspended ones, and starts them again.
+
+        One that is killed already is left to the earlier kill.
+        """
+        names = self._choose_entries(kill.with_leader, kill.count)
+        names = [n for n in names if n not in self._killed]
+        if not names:
+            return
+        self._killed.update(names)
+        self.log(
+            f"{' '.join(names)} killed for {kill.length:.2f} s;"
+            f" {self.leader} leads"
+        )
+        if kill.is_dark:
+            cut = self.links.cut(names, None, How.DROP)
+            await asyncio.sleep(CUT_READ_S)
+        for name in names:
+            self.site.entries[name].stop()
+        await asyncio.sleep(kill.length)
+        if kill.is_dark:
+            self.links.heal(cut)
+        for name in names:
+            self.site.entries[name].start()
+        self._killed.difference_update(names)
+        self.log(f"{' '.join(names)} started; {self.leader} leads")
+
+    async def _crash(self, crash: TargetCrash) -> None:
+        """Crashes targets; `TargetRows` writes the rows of the new ones."""
+        servers = self._choose_targets(crash.share)
+        names = [server.name for server in servers]
+        self.log(f"{' '.join(names)} crash for {crash.length:.2f} s")
+        cut = self.links.cut(names, None, crash.how)
+        for server in servers:
+            server.target.crash(server.now())
+        await asyncio.sleep(crash.length)
+        await self._restart(names)
+        self.links.heal(cut)
+
+    async def _restart(self, names: Iterable[str]) -> None:
+        self.log(f"{' '.join(sorted(names))} restart")
+        # Otherwise orders that a cut held back would reach the new process.
+        cut = self.links.cut(names, None, How.RESET)
+        for server in self.site.targets:
+            if server.name in names:
+                server.restart()
+        await asyncio.sleep(CUT_READ_S)
+        self.links.heal(cut)
+
+    async def _stall(self, stall: Stall) -> None:
+        names = self._choose_entries(stall.with_leader, stall.count)
         self.log(f"{' '.join(names)} suspended for {stall.length:.2f} s")
         await asyncio.gather(*(self._suspend(n, stall.length) for n in names))
 
--- a/testkit/cuts/_links.py
+++ b/testkit/cuts/_links.py
@@ -104,7 +104,7 @@
         """Cuts an entry off from all machines but the targets of its zone."""
         zone = self.zone_of(self.site.entries[name])
         near = {t.name for t in self.site.targets if t.zone == zone}
-        return self._cut({name}, set(self._addresses()) - near - {name}, how)
+        return self.cut({name}, set(self._addresses()) - near - {name}, how)
 
     def cut_entries(
         self, names: Iterable[str], how: How, with_store: bool
@@ -120,7 +120,7 @@
         outside = set(self.site.entries) - inside
         if with_store:
             outside.add(STORE)
-        return self._cut(inside, outside, how)
+        return self.cut(inside, outside, how)
 
     def cut_zone(self, zone: str, how: How = How.RESET) -> LinkCut:
         """Cuts a zone off from the others and from the store.
@@ -131,7 +131,7 @@
             *self.entries_of(zone),
             *(t.name for t in self.site.targets if t.zone == zone),
         }
-        return self._cut(inside, set(self._addresses()) - inside, how)
+        return self.cut(inside, None, how)
 
     def is_cut_off(self, name: str, other: str) -> bool:
         """Returns whether a machine does not reach another one."""
@@ -156,10 +156,14 @@
         """Returns the zone of an entry."""
         return self.site.entry_zones[list(self.site.entries).index(entry.name)]
 
-    def _cut(
-        self, inside: Iterable[str], outside: Iterable[str], how: How
+    def cut(
+        self, inside: Iterable[str], outside: Iterable[str] | None, how: How
     ) -> LinkCut:
-        cut = LinkCut(frozenset(inside), frozenset(outside), how)
+        """Cuts machines off from others, or from all others if None."""
+        inside = frozenset(inside)
+        if outside is None:
+            outside = set(self._addresses()) - inside
+        cut = LinkCut(inside, frozenset(outside), how)
         self.cuts.append(cut)
         self._write()
         return cut
--- a/testkit/cuts/_random_day.py
+++ b/testkit/cuts/_random_day.py
@@ -1,4 +1,4 @@
-"""Draws days of cuts, bursts and suspensions from a seed."""
+"""Draws days of disruptions from a seed."""
 
 import math
 import random
@@ -10,8 +10,12 @@
 from testkit.cuts._day import Cut
 from testkit.cuts._day import Disruption
 from testkit.cuts._day import EntryCut
+from testkit.cuts._day import EntryKill
+from testkit.cuts._day import LateOrders
 from testkit.cuts._day import LeaderCut
 from testkit.cuts._day import Stall
+from testkit.cuts._day import TargetCrash
+from testkit.cuts._day import TargetCut
 from testkit.cuts._day import ZoneCut
 from testkit.cuts._links import How
 from testkit.cuts._sites import CutSite
@@ -29,6 +33,14 @@
 BURST_FACTORS = (1.5, 3.0)
 # Time within which a suspension follows the start or the end of a cut.
 NEAR_S = 1.5
+# Pause between the starts of crashes, cuts of targets and late orders, and their
+# lengths; those of cuts are `CUT_S`.
+CRASH_PAUSE_S = (2.0, 10.0)
+CRASH_S = (0.5, 8.0)
+LATE_S = (2.0, 10.0)
+TARGET_SHARES = (0.05, 0.4)
+FROM_SHARES = (0.1, 0.9)
+LATE_SHARES = (0.1, 0.5)
 
 
 class DayDrawer:
@@ -127,12 +139,49 @@
         self.disruptions.append(Stall(at, seconds, with_leader, count))
         return at + seconds
 
+    def add_crashes(self, length_s: float) -> None:
+        """Adds the kinds that `draw` leaves out, half of them near others."""
+        edges = [t for d in self.disruptions for t in (d.at, d.at + d.length)]
+        at = self.rng.uniform(*CRASH_PAUSE_S)
+        while at < length_s:
+            near = at
+            if edges and self.rng.random() < 0.5:
+                near = self.rng.choice(edges)
+                near += self.rng.uniform(-NEAR_S, NEAR_S)
+            self.disruptions.append(self._draw_crash(max(near, 0.0)))
+            at += self.rng.uniform(*CRASH_PAUSE_S)
+
+    def _draw_crash(self, at: float) -> Disruption:
+        rng = self.rng
+        seconds = rng.uniform(*CRASH_S)
+        share = round(rng.uniform(*TARGET_SHARES), 2)
+        match rng.randrange(10):
+            case 0 | 1 | 2 | 3:
+                is_dark = rng.random() < 0.5
+                seconds = seconds if is_dark else 0.0
+                with_leader = rng.random() < 0.5
+                count = rng.choice((1, 1, 1, 2))
+                return EntryKill(at, seconds, with_leader, count, is_dark)
+            case 4 | 5:
+                how = rng.choice((How.RESET, How.DROP))
+                return TargetCrash(at, seconds, share, how)
+            case 6 | 7 | 8:
+                seconds, how = self._draw_cut_s(), rng.choice(list(How))
+                from_share = rng.choice(
+                    (None, round(rng.uniform(*FROM_SHARES), 2))
+                )
+                is_reborn = rng.random() < 0.3
+                return TargetCut(at, seconds, share, how, from_share, is_reborn)
+        late_share = round(rng.uniform(*LATE_SHARES), 2)
+        return LateOrders(at, rng.uniform(*LATE_S), late_share)
+
 
 def draw_day(
     site: CutSite,
     seed: int,
     length_s: float = 60.0,
     longest_cut_s: float = CUT_S[1],
+    all_kinds: bool = False,
 ) -> list[Disruption]:
     """Returns the disruptions of a day that a seed determines, by time.
 
@@ -141,9 +190,14 @@
         seed: The seed.
         length_s: Time within which they start, in seconds.
         longest_cut_s: Longest cut in seconds.
+        all_kinds: Whether entries and targets crash, too, targets are cut off,
+            and orders are late. The other disruptions stay the same.
     """
     drawer = DayDrawer(site, random.Random(f"day {seed}"), longest_cut_s)
     drawer.draw(length_s)
+    if all_kinds:
+        drawer.rng = random.Random(f"crashes {seed}")
+        drawer.add_crashes(length_s)
     rounded = [
         attrs.evolve(d, at=round(d.at, 2), length=round(d.length, 2))
         for d in drawer.disruptions
--- a/testkit/cuts/_rows.py
+++ b/testkit/cuts/_rows.py
@@ -1,7 +1,9 @@
-"""Rows of the targets in the store, which lapse while a target is cut off."""
+"""Rows of the targets in the store.
+
+They lapse while a target is cut off, and are written anew after its restart.
+"""
 
 import asyncio
-import math
 import time
 from collections.abc import Callable
 
@@ -20,7 +22,10 @@
 
 @attrs.define
 class TargetRows:
-    """Removes and restores the rows of targets that are cut off from the store.
+    """Removes the rows of targets that are cut off from the store.
+
+    Rows that are missing, or are those of an earlier incarnation, return some
+    time after the target reaches the store.
 
     Attributes:
         links: Links of a running site.
@@ -30,30 +35,34 @@
     links: SiteLinks
     draw_return_s: Callable[[], float]
     _cut_since: dict[str, float] = attrs.field(factory=dict)
-    # Time at which a row returns, by target; infinite during the cut.
-    _lapsed: dict[str, float] = attrs.field(factory=dict)
+    # Time at which a row returns, by target.
+    _returns_at: dict[str, float] = attrs.field(factory=dict)
 
     async def follow_cuts(self) -> None:
         """Updates the rows until it is cancelled."""
         while True:
-            for server in self.links.site.targets:
-                self._update(server, time.monotonic())
+            self.update(time.monotonic())
             await asyncio.sleep(CHECK_INTERVAL_S)
 
+    def update(self, now: float) -> None:
+        """Updates the rows at a time in seconds."""
+        for server in self.links.site.targets:
+            self._update(server, now)
+
     def _update(self, server: FakeTargetServer, now: float) -> None:
         name, store = server.name, self.links.site.store
+        row = store.get("servers", name)
         if self.links.is_cut_off(name, STORE):
+            self._returns_at.pop(name, None)
             cut_since = self._cut_since.setdefault(name, now)
-            is_lapsed = self._lapsed.get(name) == math.inf
-            if now - cut_since >= LAPSE_S and not is_lapsed:
-                self._lapsed[name] = math.inf
+            if row and now - cut_since >= LAPSE_S:
                 store.delete("servers", name)
             return
         self._cut_since.pop(name, None)
-        if name not in self._lapsed:
+        if row and row["born"] == server.incarnation:
             return
-        if self._lapsed[name] == math.inf:
-            self._lapsed[name] = now + self.draw_return_s()
-        if now >= self._lapsed[name]:
-            del self._lapsed[name]
+        if name not in self._returns_at:
+            self._returns_at[name] = now + self.draw_return_s()
+        if now >= self._returns_at[name]:
+            del self._returns_at[name]
             server.register(store)
--- a/testkit/cuts/tests/test_day.py
+++ b/testkit/cuts/tests/test_day.py
@@ -5,12 +5,16 @@
 from testkit import function_tests
 from testkit.cuts import Burst
 from testkit.cuts import EntryCut
+from testkit.cuts import EntryKill
 from testkit.cuts import format_day
 from testkit.cuts import How
+from testkit.cuts import LateOrders
 from testkit.cuts import LeaderCut
 from testkit.cuts import load_day
 from testkit.cuts import parse_day
 from testkit.cuts import Stall
+from testkit.cuts import TargetCrash
+from testkit.cuts import TargetCut
 from testkit.cuts import ZoneCut
 
 load_tests = function_tests(__name__)
@@ -60,6 +64,30 @@
             'kind = "node_freeze", how = "leader", count = 2',
             Stall(1.5, 2.5, True, 2),
         ),
+        ('kind = "applied_late", x = 0.25', LateOrders(1.5, 2.5, 0.25)),
+        (
+            'kind = "applied_late", x = 0.5, how = "orders"',
+            LateOrders(1.5, 2.5, 0.5),
+        ),
+        ('kind = "node_kill"', EntryKill(1.5, 0.0, False, 1, False)),
+        (
+            'kind = "node_kill", how = "leader power", count = 2',
+            EntryKill(1.5, 2.5, True, 2, True),
+        ),
+        ('kind = "srv_crash"', TargetCrash(1.5, 2.5, 0.15, How.RESET)),
+        (
+            'kind = "srv_crash", how = "dark", share = 0.5',
+            TargetCrash(1.5, 2.5, 0.5, How.DROP),
+        ),
+        ('kind = "srv_cut"', TargetCut(1.5, 2.5, 0.2, How.DROP, None, False)),
+        (
+            'kind = "srv_cut", how = "some one_way", share = 0.4, x = 0.6',
+            TargetCut(1.5, 2.5, 0.4, How.ONE_WAY_OUT, 0.6, False),
+        ),
+        (
+            'kind = "srv_cut", how = "reborn reset"',
+            TargetCut(1.5, 2.5, 0.2, How.RESET, None, True),
+        ),
     ):
         case.assertEqual(parse_fault(text), disruption, text)
         again = parse_day(format_day('again', [disruption]))
@@ -69,7 +97,12 @@
 def test_faults_that_cannot_be_played(case):
     """Guards against a day that is played without some of its faults."""
     for text in (
-        'kind = "srv_crash"',
+        'kind = "srv_crash", how = "gone"',
+        'kind = "srv_crash", how = "dark one_way"',
+        'kind = "srv_cut", how = "fronts"',
+        'kind = "node_kill", how = "taken"',
+        'kind = "applied_late", x = 0.5, how = "cloud"',
+        'kind = "srv_slow"',
         'kind = "zone_cut", how = "reset"',
         'kind = "zone_cut", how = "leader", zone = "a"',
         'kind = "zone_cut", how = "store", zone = "a"',
--- a/testkit/cuts/tests/test_play.py
+++ b/testkit/cuts/tests/test_play.py
@@ -6,9 +6,13 @@
 from testkit.cuts import Break
 from testkit.cuts import CutOptions
 from testkit.cuts import EntryCut
+from testkit.cuts import EntryKill
 from testkit.cuts import How
+from testkit.cuts import LateOrders
 from testkit.cuts import play_day
 from testkit.cuts import Stall
+from testkit.cuts import TargetCrash
+from testkit.cuts import TargetCut
 from testkit.cuts import ZoneCut
 
 load_tests = function_tests(__name__)
@@ -42,3 +46,23 @@
     case.assertGreaterEqual(report.terms.raised, 1)
     case.assertEqual(sum("ends" in text for text in report.events), 2)
     case.assertEqual(sum("suspended" in text for text in report.events), 1)
+
+
+CRASHES = [
+    ZoneCut(0.5, 2.0, "planta-vc", How.DROP),
+    EntryKill(1.0, 1.0, True, 1, True),
+    EntryKill(1.5, 0.0, False, 2),
+    TargetCrash(1.0, 1.0, 0.2),
+    TargetCut(1.0, 1.5, 0.2, How.RESET, 0.5),
+    LateOrders(0.5, 1.0, 0.2),
+]
+
+
+def test_play_with_crashes(case):
+    """Guards against crashes that end the play, and restarts seen as runs."""
+    options = CutOptions(site="trama-norte", load=0.4, delay_s=0.005)
+    report = asyncio.run(play_day(CRASHES, 1, options))
+    case.assertEqual(report.overlaps, [])
+    case.assertGreater(report.answers[200], 20)
+    case.assertEqual(sum("started" in text for text in report.events), 2)
+    case.assertEqual(sum(" restart" in text for text in report.events), 1)
