Wait for leases after a member returns with targets that were forgotten

What callers could see: two runs of a task at once. By a test with modelled targets, not played: it takes a cut of over 45 s between the machines of one zone.

Cause: a member that is cut off together with some targets of its zone counts as lost while the other targets obey the leader. Once all other members were heard for 20 s, the placer dropped those targets. When the member returns, its jobs started again before their rows were back.

Evidence: test_targets_of_a_member_that_was_forgotten_are_forgotten_as_well fails without the change in raise_fence, with one overlapping task.

Why it works: a member that returns from another leader has followed a higher token, on which this leader raises its own. If it has dropped targets that were off the list while a member was missing, it then counts its list as incomplete for 20 s, so that jobs offered again wait for the end of the leases, 1.8 s at most. A leader that began since does not know that such targets were dropped.

--- a/anvilford/placement/_fleet.py
+++ b/anvilford/placement/_fleet.py
@@ -45,6 +45,7 @@
 from anvilford.placement._target_list import CLAIM_RETRY_S
 from anvilford.placement._target_list import GONE_FOR_GOOD_S
 from anvilford.placement._target_list import TargetList
+from anvilford.placement._target_list import UNLISTED_KEEP_S
 
 # How long a target may delay its answer to a poll until a run ends. Two polls
 # may fail before a lease of at most one second expires. The end of a run is
@@ -155,6 +156,11 @@
         """
         self.fence = fence
         self.claims_began_at = now
+        if self.has_forgotten_targets:
+            # The other placer may have them; their rows are not back yet.
+            self.list_complete_at = max(
+                self.list_complete_at, now + UNLISTED_KEEP_S
+            )
         for target in self.targets.values():
             target.ownership = Ownership.CLAIMING
             target.retry_at = now
--- a/anvilford/placement/_target_list.py
+++ b/anvilford/placement/_target_list.py
@@ -59,6 +59,8 @@
         list_complete_at: Time from which no target is missing that was removed
             from the list before this process read it.
         members_missing_at: Time at which a member was last missing.
+        has_forgotten_targets: Whether targets were removed that were off the
+            list while a member was missing, which may still have them.
         crashes: Targets that were lost while they ran tasks.
         index_version: Increases whenever a target is added, replaced or
             removed.
@@ -80,6 +82,7 @@
         self.list_is_current = True
         self.list_complete_at = options.list_complete_at
         self.members_missing_at = -math.inf
+        self.has_forgotten_targets = False
         self.crashes = crashes
         self.index_version = 0
         self._by_service: dict[str, list[Target]] = {}
@@ -367,6 +370,8 @@
             unlisted_ms=int((now - target.unlisted_at) * 1000),
             contact_age_ms=int((now - target.last_contact_at) * 1000),
         )
+        if target.unlisted_at < self.members_missing_at:
+            self.has_forgotten_targets = True
         del self.targets[target_id]
         self.rebuild_index()
 
--- a/anvilford/placement/tests/test_two_placers.py
+++ b/anvilford/placement/tests/test_two_placers.py
@@ -1,5 +1,7 @@
 """Tests of two placers that reach different parts of the site."""
 
+from unittest import mock
+
 import attrs
 
 from anvilford.order_model import PlacementSimulation
@@ -7,6 +9,7 @@
 from anvilford.placement import OutcomeKind
 from anvilford.placement import PlacementOptions
 from anvilford.placement import RunEnd
+from anvilford.placement import StopRun
 from anvilford.placement.tests._shared import job
 from anvilford.placement.tests._shared import make_target
 from anvilford.placement.tests._shared import outcome_kinds
@@ -617,3 +620,65 @@
         site.run(site.now + 1.0)
     case.assertTrue(placer.fleet.has_unclaimed_targets(48.0))
     case.assertFalse(placer.fleet.has_unclaimed_targets(51.0))
+
+
+def test_run_whose_stops_are_lost_lives_on_with_the_lease_of_another(case):
+    """Guards against a second run of a job whose entry was cut off.
+
+    The stops of its run got lost, and the lease of its target was extended for
+    the run of another job, beyond the time that the zone's placer waits.
+    """
+    site = make_site()
+    site.job_deadline_s = 60.0
+    placer = site.placers["site"]
+    placer.fleet.targets["far"].suspended_until = 0.3
+    jobs = [job(seconds=20.0), job(seconds=20.0)]
+    site.offer("site", jobs[0], entry="zone-entry")
+    site.offer("site", jobs[1])
+    site.run(1.0)
+    case.assertEqual(len(site.targets["near"].running), 2)
+    cut_zone(site)
+    send = site._send_order
+
+    def lose_stops(name, order):
+        if not isinstance(order, StopRun):
+            send(name, order)
+
+    with mock.patch.object(site, "_send_order", lose_stops):
+        site.run(1.7)
+        placer.stop_jobs_of("zone-entry", site.now)
+        site.add_placer("zone", 2)
+        site.run(1.8)
+        site.offer("zone", jobs[0], again=True, placed_is_known=False)
+        site.run(6.0)
+    case.assertTrue(site.targets["far"].running)
+    case.assertEqual(site.find_overlapping_tasks(), [])
+
+
+def test_targets_of_a_member_that_was_forgotten_are_forgotten_as_well(case):
+    """Guards against a second run of a job that returns with such a member.
+
+    It was cut off with some targets of its zone. The others obeyed the leader,
+    which took the member for lost, and dropped those targets 20 s later.
+    """
+    site = make_site()
+    site.job_deadline_s = 120.0
+    placer = site.placers["site"]
+    cut_zone(site)
+    placer.apply_target_list([site.targets["near"].record], [], site.now)
+    long_job = job(seconds=70.0)
+    site.add_placer("zone", 2)
+    site.run(0.8)
+    site.offer("zone", long_job)
+    while site.now < 22.0:
+        placer.record_missing_members(site.now)
+        site.run(site.now + 1.0)
+    site.run(45.0)
+    case.assertTrue(site.targets["far"].running)
+    case.assertNotIn("far", placer.fleet.targets)
+    site.remove_placer("zone")
+    placer.raise_fence(3, site.now)
+    site.offer("site", long_job, again=True, placed_is_known=False)
+    site.run(55.0)
+    case.assertTrue(site.targets["near"].running)
+    case.assertEqual(site.find_overlapping_tasks(), [])
