Count a run's crash once if its target restarts again before it reports

Cause: runs of a restarted target stay with its new incarnation until that reports, and its loss counted them as if it had started them. So did a start that the earlier one had not answered. The first fix cleared confirmed_at, which also tells which polls can show that a run is absent: a start that the new process had accepted before its incarnation was known counted as vanished, and its task ran twice.

Why the fix works: a run that a new incarnation takes over is marked, and a loss does not count it until a report of that incarnation shows it. The time of the confirmation stays. A deadly task that runs on the new incarnation is reported by it and counts.

--- a/anvilford/placement/_fleet.py
+++ b/anvilford/placement/_fleet.py
@@ -553,6 +553,7 @@
             return
         if run.number != reported.run:
             return
+        run.is_carried_over = False
         if run.phase in (RunPhase.ORDERED, RunPhase.DOUBTFUL):
             self._confirm_start(run, now)
         if reported.percent != run.percent:
--- a/anvilford/placement/_state.py
+++ b/anvilford/placement/_state.py
@@ -264,6 +264,9 @@
             sent.
         start_was_lost: Whether the start got no answer from a target that was
             alive: it closed the connection, or was heard just before.
+        is_carried_over: Whether the run is known from an earlier incarnation of
+            the target only. Apart from `confirmed_at`, which also tells which
+            polls can show that the run is absent.
     """
 
     task: Task | None
@@ -279,6 +282,7 @@
     doubtful_at: float = 0.0
     was_sent_to_live: bool = False
     start_was_lost: bool = False
+    is_carried_over: bool = False
 
     @property
     def job_id(self) -> str:
--- a/anvilford/placement/_target_list.py
+++ b/anvilford/placement/_target_list.py
@@ -289,6 +289,7 @@
             if run.phase is RunPhase.ORDERED:
                 run.phase = RunPhase.DOUBTFUL
                 run.doubtful_at = now
+            run.is_carried_over = True
             replacement.reserve(run)
             self.target_by_task[run.task_name] = replacement
         self.targets[record.target_id] = replacement
@@ -299,14 +300,22 @@
         """Records that a target was lost with all runs known to be there.
 
         Starts that got no answer count only if they are of one job: one of
-        several may have crashed the target before the others arrived.
+        several may have crashed the target before the others arrived. Runs that
+        an earlier incarnation had do not count until this one reports them:
+        the loss of the earlier one has counted them.
         """
         runs = target.runs.values()
         unanswered = [run for run in runs if not run.confirmed_at]
-        lost_starts = [run for run in unanswered if run.start_was_lost]
+        lost_starts = [
+            run
+            for run in unanswered
+            if run.start_was_lost and not run.is_carried_over
+        ]
         if len({run.job_id for run in unanswered}) > 1:
             lost_starts = []
-        confirmed = [run for run in runs if run.confirmed_at]
+        confirmed = [
+            run for run in runs if run.confirmed_at and not run.is_carried_over
+        ]
         self.crashes.record_loss(
             target.record.target_id,
             target.record.incarnation,
--- a/anvilford/placement/tests/test_crashes.py
+++ b/anvilford/placement/tests/test_crashes.py
@@ -7,6 +7,8 @@
 from anvilford.placement import JobSpec
 from anvilford.placement import LossState
 from anvilford.placement import OutcomeKind
+from anvilford.placement import Poll
+from anvilford.placement import Report
 from anvilford.placement import Resources
 from anvilford.placement import RunEnd
 from anvilford.placement import TargetLoss
@@ -342,3 +344,92 @@
         fleet.replace_incarnation(fleet.targets[name], record, site.now)
     site.run(6.0)
     case.assertEqual(outcomes_of(site, work), [OutcomeKind.COMPLETED])
+
+
+def test_start_that_crashes_its_target_counts_twice_without_an_answer(case):
+    """Guards against a job that is failed after one crash at its start.
+
+    The start got no answer, and the target restarted again before it reported.
+    """
+    site = PlacementSimulation([make_target("t1"), make_target("t2")])
+    site.job_deadline_s = LONG_DEADLINE_S
+    site.add_placer("p", 1)
+    site.run(0.1)
+    # Orders in flight to a target that has crashed never reach it.
+    site.faults.delayed_order_share = 1.0
+    work = job(seconds=0.05, at=0.1)
+    site.offer("p", work)
+    fleet = site.placers["p"].fleet
+    target = next(t for t in fleet.targets.values() if t.runs)
+    for run in target.runs.values():
+        run.start_was_lost = True
+    for incarnation in (9000, 9001):
+        record = attrs.evolve(target.record, incarnation=incarnation)
+        site.targets[record.target_id].restart(incarnation, site.now)
+        target = fleet.replace_incarnation(target, record, site.now)
+    history = site.placers["p"].crashes
+    case.assertEqual(history.count_crashes(f"{work.job_id}.0.0.0"), 1)
+
+
+def start_on_restarted_target(site, seconds):
+    """Starts a job on a target whose new incarnation is not known yet.
+
+    Returns:
+        The job, and the name of the target.
+    """
+    name = "t00"
+    site.targets[name].accepts_any_incarnation = True
+    site.targets[name].restart(9000, site.now)
+    targets = site.placers["p"].fleet.targets
+    for other in targets.keys() - {name}:
+        targets[other].suspended_until = LONG_DEADLINE_S
+    work = job(seconds=seconds, at=site.now)
+    site.offer("p", work)
+    site.run(site.now + 0.02)
+    for target in targets.values():
+        target.suspended_until = 0.0
+    return work, name
+
+
+def test_run_that_a_new_incarnation_has_reported_is_not_counted(case, site):
+    """Guards against a deadly task whose crash does not count after a restart.
+
+    The target accepted the start after the restart, before its incarnation was
+    known, and has reported the run.
+    """
+    work, name = start_on_restarted_target(site, seconds=2.0)
+    site.run(site.now + 0.5)
+    fleet = site.placers["p"].fleet
+    case.assertEqual(fleet.targets[name].record.incarnation, 9000)
+    case.assertTrue(site.targets[name].running)
+    site.targets[name].restart(9001, site.now)
+    record = attrs.evolve(fleet.targets[name].record, incarnation=9001)
+    fleet.replace_incarnation(fleet.targets[name], record, site.now)
+    losses = site.placers["p"].crashes.pop_changes()
+    case.assertEqual(
+        [loss.started for loss in losses if loss.incarnation == 9000],
+        [(f"{work.job_id}.0.0.0",)],
+    )
+
+
+def test_start_on_a_restarted_target_is_repeated_after_a_late_report(
+    case, site
+):
+    """Guards against a task that runs twice on a target that has restarted.
+
+    The new process accepts the start before its incarnation is known. The
+    report that shows the incarnation answers an earlier poll, and lacks the run.
+    """
+    polled_at = site.now
+    work, name = start_on_restarted_target(site, seconds=1.0)
+    fleet = site.placers["p"].fleet
+    old = fleet.targets[name].record.incarnation
+    case.assertNotEqual(old, 9000)
+    case.assertTrue(fleet.targets[name].runs)
+    poll = Poll(name, old, fleet.fence, None, 0, 0, polled_at)
+    clock_ms = site.targets[name].clock_ms(polled_at)
+    fleet.handle_poll_answer(poll, Report(clock_ms, (), (), 9000), site.now)
+    site.run(site.now + 4.0)
+    case.assertEqual(site.find_overlapping_tasks(), [])
+    case.assertEqual(count_starts(site, work), 1)
+    case.assertEqual(outcomes_of(site, work), [OutcomeKind.COMPLETED])
