Withdraw a job that a leader without an answer may still have

What callers saw: none; found by reading. An entry that knew no leader at the deadline answered 504 and did not withdraw the job. A leader that still had it kept running it without a caller until its tasks ended, since the heartbeats of the entry keep its jobs alive. The same held for the other ends of a request after a leader had not answered an offer: an answer from a later leader (200, or 504 after a refusal), a wait for a lost caller that ended so, and status 500 after an exception.

Choice: after 504 the job is withdrawn 1.6 s later (DISCONNECT_GRACE_S, as after a reset), since callers send it again 1.3 s after 504 and should find their work; at once while the leader serves only its zone or misses a member, since the caller may then reach another leader that does not know the job, and at once after 200 and 500, which callers do not repeat. A withdrawal names job and entry, so that it leaves a request through another entry alone; one through the same entry holds it back until that request has ended. A refusal (429, 503) needs none: a leader that may have the job already turns it into 504.

Not shown with real processes.

--- a/anvilford/node/_callers.py
+++ b/anvilford/node/_callers.py
@@ -17,6 +17,8 @@
 from anvilford.node import _clock as clock
 from anvilford.node._coordination import LeadershipCoordinator
 from anvilford.node._sync import SiteView
+from anvilford.node._withdrawals import JobWithdrawals
+from anvilford.node._withdrawals import LEADER_CHECK_INTERVAL_S
 from anvilford.peers import PeerLinks
 from anvilford.peers import PeerRefused
 from anvilford.placement import JobSpec
@@ -39,12 +41,10 @@
 # Longest time that a request waits for a leader before its first offer. A new
 # leader is found about half a second after the old one stopped answering.
 LEADER_WAIT_S = 0.9
-# Time for which a job goes on after its caller's connection was reset. The
-# cause may be a network failure; the caller then resubmits the job 1.3 s later
-# and must find it still running.
+# Time for which a job goes on after its caller's connection was reset, or after
+# status 504 if a leader may still have it. The caller resubmits the job 1.3 s
+# later and must find it still running.
 DISCONNECT_GRACE_S = 1.6
-# Interval at which a job without its caller checks which leader it has.
-LEADER_CHECK_INTERVAL_S = 0.1
 # Callers that close their connection this close to their deadline are expected
 # to resubmit the job.
 DEADLINE_TOLERANCE_S = 0.1
@@ -68,7 +68,8 @@
         finished_tasks: Tasks that are known to be finished, as "step.index".
         possible_run_targets: Targets that may have runs of the job.
         run_targets_known: False once a leader stopped answering without
-            reporting the targets on which it started the job.
+            reporting the targets on which it started the job. It may still
+            have the job.
         offer_count: Number of offers made.
         failed_placer_token: Process token of the leader that last failed to
             place the job; it gets no further offer until the leader changes.
@@ -95,6 +96,7 @@
         rejects_new_jobs: Whether new jobs are refused; set by `EntryNode`
             late in a planned stop.
         requests_in_progress: Number of requests that are being answered.
+        withdrawals: Withdraws jobs whose requests have ended.
     """
 
     def __init__(
@@ -112,6 +114,7 @@
         self.counters = counters
         self.rejects_new_jobs = False
         self.requests_in_progress = 0
+        self.withdrawals = JobWithdrawals(coordinator)
         self._random = random.Random()
 
     async def handle(self, request: Request) -> Response:
@@ -184,7 +187,10 @@
             return self._refuse(job_id, "unsupported advice", 503, 0)
         if self.rejects_new_jobs:
             return self._refuse(job_id, "entry_stopping", 503, 0)
-        return await self._place_until_deadline(request, route, job_id, spec)
+        with self.withdrawals.request_in_progress(job_id):
+            return await self._place_until_deadline(
+                request, route, job_id, spec
+            )
 
     async def _place_until_deadline(
         self, request: Request, route: Route, job_id: str, spec: JobSpec
@@ -221,13 +227,42 @@
                 await self._wait_for_lost_caller(placement)
             if not placement.done():
                 placement.cancel()
-                self._withdraw_job(job_id)
+                self.withdrawals.withdraw(job_id)
+            else:
+                self._withdraw_from_silent_leader(job_id, progress, 0.0)
             self._record_result(job_id, route, 0, cause, arrived_at, progress)
             return Response(504)
-        outcome = placement.result()
-        return self._build_response(
+        try:
+            outcome = placement.result()
+        except Exception:
+            # The caller gets status 500 and does not send the job again.
+            self.withdrawals.withdraw(job_id)
+            raise
+        response = self._build_response(
             job_id, route, outcome, arrived_at, progress
         )
+        self._withdraw_from_silent_leader(
+            job_id,
+            progress,
+            DISCONNECT_GRACE_S if response.status == 504 else 0.0,
+        )
+        return response
+
+    def _withdraw_from_silent_leader(
+        self, job_id: str, progress: _PlacementProgress, grace_s: float
+    ) -> None:
+        """Withdraws a job that a leader without an answer may still have.
+
+        The heartbeats of this entry would keep it there without a caller.
+
+        Args:
+            job_id: Id of the job.
+            progress: State of the job.
+            grace_s: Time for which the caller may send the job again and
+                should find it, in seconds.
+        """
+        if not progress.run_targets_known:
+            self.withdrawals.withdraw_later(job_id, clock.now() + grace_s)
 
     async def _wait_for_outcome(
         self,
@@ -255,17 +290,9 @@
                 return_when=asyncio.FIRST_COMPLETED,
             )
             timeout = LEADER_CHECK_INTERVAL_S
-            if self._may_have_other_leader:
+            if self.withdrawals.may_have_other_leader:
                 return
 
-    @property
-    def _may_have_other_leader(self) -> bool:
-        """Whether other entries may follow a leader that does not know jobs."""
-        leader = self.coordinator.leader
-        return leader is not None and (
-            leader.is_partial or not self.coordinator.leader_hears_site
-        )
-
     async def _wait_for_lost_caller(self, placement: asyncio.Future) -> None:
         """Waits until a job without its caller ends, for a limited time.
 
@@ -275,7 +302,7 @@
         """
         give_up_at = clock.now() + DISCONNECT_GRACE_S
         while not placement.done() and clock.now() < give_up_at:
-            if self._may_have_other_leader:
+            if self.withdrawals.may_have_other_leader:
                 return
             await asyncio.wait((placement,), timeout=LEADER_CHECK_INTERVAL_S)
 
@@ -408,13 +435,6 @@
             return Outcome(OutcomeKind.LOST, "no_placer")
         return Outcome(OutcomeKind.REFUSED, "no_placer", 1000)
 
-    def _withdraw_job(self, job_id: str) -> None:
-        """Tells the leader that the caller no longer waits for a job."""
-        driver = self.coordinator.driver
-        if driver is not None:
-            driver.withdraw(job_id, self.entry_name, "caller_left")
-        self.coordinator.report_withdrawn_job(job_id)
-
     def _build_response(
         self,
         job_id: str,
