Let no lease outlast the proof that entries follow by 1.8 s

Cause: the wait of 1.8 s is 0.7 s of proof, 0.05 s until the check of the members and 1.02 s of lease. The check comes later in two cases. A leader that stood still for up to 0.5 s (more makes it step down) handles answers of targets and extends leases before the check. A leader of one zone waits up to 0.15 s for the other zones in each round of checks. An entry that had left keeps its runs that much longer.

Change: with each check the placer learns the proofs of the live members. A lease ends at most 1.8 s after the oldest proof of the entries that have jobs on its target.

Evidence: test_leader_that_was_held_up_extends_leases: without the change the lease ends 2.07 s after the proof, now after 1.8 s. test_lease_outlasts_the_proof_of_an_entry fails without it (no such method).

Why it works: the end of the lease follows from the proof and not from the time of the check. Only a proof older than 0.78 s shortens a lease. That of an entry that is heard is at most 0.3 s old (two intervals of the heartbeats), 0.5 s with the slowest check; after the longest hold-up it leaves 0.8 s, five polls.

--- a/anvilford/node/_coordination.py
+++ b/anvilford/node/_coordination.py
@@ -843,6 +843,7 @@
         """Stops the jobs of members that no longer send heartbeats."""
         self.driver.placer.record_contact(self.local_member.name, now)
         self.heartbeats.expire(now)
+        self.driver.placer.record_proofs(self.heartbeats.proofs())
         self.leader_hears_site = self.heartbeats.hears_site
         if not self.leader_hears_site:
             self.site.record_missing_members()
--- a/anvilford/node/_members.py
+++ b/anvilford/node/_members.py
@@ -15,7 +15,9 @@
 # The same from the last time at which a member is proved to have followed this
 # leader. Heartbeats that a leader reads late prove an earlier time. With the
 # time between two checks and the last lease, this stays within the 1.8 s after
-# which another placer starts the member's tasks (`UNSEEN_RUNS_WINDOW_S`).
+# which another placer starts the member's tasks (`UNSEEN_RUNS_WINDOW_S`). Checks
+# that come later, after a hold-up or in a leader of one zone, which waits up to
+# 0.15 s for the other zones, find shorter leases (`Placer.record_proofs`).
 MEMBER_PROOF_TIMEOUT_S = 0.7
 # Members that were silent for this long may follow another leader: two of their
 # heartbeats are due meanwhile. Shorter than the time after which their jobs are
@@ -197,6 +199,14 @@
             )
         self.hears_site = hears_site
 
+    def proofs(self) -> dict[str, float]:
+        """Returns when the live members are known to have followed, by name."""
+        return {
+            name: last.followed_at
+            for name, last in self._last_heartbeats.items()
+            if name in self.live_names
+        }
+
     def heartbeat_ages(self, now: float) -> dict[str, float]:
         """Returns the seconds since the last heartbeat, by member name."""
         return {
--- a/anvilford/node/tests/test_coordination.py
+++ b/anvilford/node/tests/test_coordination.py
@@ -1,6 +1,7 @@
 """Tests of the search for a leader, with doubles of peers and store."""
 
 import asyncio
+import random
 from unittest import mock
 
 import attrs
@@ -18,9 +19,23 @@
 from anvilford.node._members import MEMBER_LIVE_TIMEOUT_S
 from anvilford.node._search import MembershipView
 from anvilford.node._unanswered import UNANSWERED_RETENTION_S
+from anvilford.placement import Accepted
 from anvilford.placement import CrashHistory
+from anvilford.placement import JobSpec
 from anvilford.placement import LossState
+from anvilford.placement import Offer
+from anvilford.placement import PlacementOptions
+from anvilford.placement import Placer
+from anvilford.placement import Poll
+from anvilford.placement import QueuePolicy
+from anvilford.placement import Report
+from anvilford.placement import Resources
+from anvilford.placement import RunningTask
+from anvilford.placement import StartRun
+from anvilford.placement import StepSpec
 from anvilford.placement import TargetLoss
+from anvilford.placement import TargetRecord
+from anvilford.placement._placer import UNSEEN_RUNS_WINDOW_S
 from anvilford.protocol import Heartbeat
 from anvilford.protocol import HeartbeatReply
 from anvilford.protocol import LeaderAnnounced
@@ -367,6 +382,56 @@
     case.assertEqual(followed_at, answered_at)
 
 
+def test_leader_that_was_held_up_extends_leases(case, coordinator):
+    """Guards against runs that outlast the wait of another placer.
+
+    A leader that stood still for 0.46 s, too short for a step down, extends
+    leases before it checks its members. One of them had left since its last
+    proof, and its jobs start 1.8 s later elsewhere.
+    """
+    target = TargetRecord(
+        "r1", 3, "127.0.0.1:1", "a", "line", False, 0, Resources(8000), (), 1
+    )
+    step = StepSpec(1, Resources(1000), 50)
+    policy = QueuePolicy("check", "line", 0, 3, 1.6, 60)
+    offer = Offer(
+        "job", OTHER_MEMBER.name, policy, JobSpec("", (step,)), 0.0, 5.0
+    )
+    placer = Placer(64, 1000.0, PlacementOptions(), random.Random(1))
+    coordinator.create_driver.return_value.placer = placer
+
+    def pop_one(kind):
+        (order,) = (x for x in placer.pop_effects() if isinstance(x, kind))
+        return order
+
+    def answer_poll(poll, now, running=()):
+        clock_ms = int((now - 1000.0) * 1000)
+        report = Report(clock_ms, running, (), target.incarnation)
+        placer.handle_poll_answer(poll, report, now)
+
+    async def scenario():
+        coordinator.membership.members = (LOCAL_MEMBER, OTHER_MEMBER)
+        with mock.patch.object(clock, "now", return_value=1000.0):
+            coordinator._start_leading(Leader(3, LOCAL_MEMBER))
+        placer.apply_target_list([target], [], 1000.0)
+        answer_poll(pop_one(Poll), 1000.0)
+        placer.offer(offer, 1000.0)
+        placer.dispatch(1000.0)
+        start, poll = (
+            x for x in placer.pop_effects() if isinstance(x, StartRun | Poll)
+        )
+        placer.handle_start_answer(start, Accepted(0), 1000.0)
+        running = (RunningTask(start.task, start.run, 10),)
+        answer_poll(poll, 1000.55, running)
+        coordinator._expire_members(1000.59)
+        answer_poll(pop_one(Poll), 1001.05, running)
+
+    asyncio.run(scenario())
+    lease_end = placer.fleet.targets["r1"].lease_end
+    case.assertGreater(lease_end, 1001.75)
+    case.assertLessEqual(lease_end, 1000.0 + UNSEEN_RUNS_WINDOW_S)
+
+
 def test_reply_repeats_no_member_list(case, coordinator):
     """Guards against heartbeat replies that grow with the number of members.
 
--- a/anvilford/placement/_placer.py
+++ b/anvilford/placement/_placer.py
@@ -29,6 +29,7 @@
 from anvilford.placement._crashes import CRASHES_TO_GIVE_UP
 from anvilford.placement._crashes import CrashHistory
 from anvilford.placement._fleet import Fleet
+from anvilford.placement._fleet import UNSEEN_RUNS_WINDOW_S
 from anvilford.placement._model import Offer
 from anvilford.placement._model import Outcome
 from anvilford.placement._model import OutcomeKind
@@ -55,10 +56,6 @@
 # Maximum age of the cached view of a service. With hundreds of targets,
 # building a view takes longer than all other work for an event.
 MAX_VIEW_AGE_S = 0.01
-# Time after which all runs of an earlier placer have ended, from the repeated
-# offer of the job. That placer stops the jobs of entries that were silent for
-# 0.6 s, and its leases last 1.02 s.
-UNSEEN_RUNS_WINDOW_S = 1.8
 # Time after a repeated offer by which earlier runs on reachable targets have
 # been found; any others are on unreachable targets. Callers repeat a request
 # 1.3 s after status 504, when those runs have ended.
@@ -289,6 +286,18 @@
         """Records that an entry followed this placer at a time in seconds."""
         self._entry_contacts[entry] = followed_at
 
+    def record_proofs(self, followed_at: dict[str, float]) -> None:
+        """Records until when entries are proved to have followed this placer.
+
+        Leases end `UNSEEN_RUNS_WINDOW_S` after the proof of each entry that has
+        jobs on the target, however late this process is in stopping these.
+
+        Args:
+            followed_at: Time in seconds, by entry; a missing one does not limit
+                leases.
+        """
+        self.fleet.entry_proofs = followed_at
+
     def record_missing_members(self, now: float) -> None:
         """Records that entries are missing; they may follow another placer."""
         self.fleet.record_missing_members(now)
--- a/anvilford/placement/_state.py
+++ b/anvilford/placement/_state.py
@@ -2,6 +2,7 @@
 
 import enum
 import functools
+import math
 from collections.abc import Iterable
 
 import attrs
@@ -446,7 +447,11 @@
         self.last_contact_at = now
 
     def extend_lease(
-        self, now: float, max_lease: float, drift: float
+        self,
+        now: float,
+        max_lease: float,
+        drift: float,
+        latest_end: float = math.inf,
     ) -> int | None:
         """Extends the lease and returns its deadline for the next command.
 
@@ -457,6 +462,8 @@
             now: Current time in seconds.
             max_lease: Length of the lease, in seconds.
             drift: Maximum relative error of the target's clock rate.
+            latest_end: Time to which the lease may last at most. It never ends
+                before the present one.
 
         Returns:
             End of the lease, in milliseconds on the target's clock; None if
@@ -466,9 +473,13 @@
             return None
         elapsed = now - self.clock_read_at
         length = elapsed + max_lease
+        if latest_end < math.inf:
+            length = min(
+                length, (latest_end - self.clock_read_at) * (1 - drift)
+            )
         # If the target's clock runs slow, the lease lasts longer on this clock.
         end = self.clock_read_at + length / (1.0 - drift)
         self.lease_end = max(self.lease_end, end)
         deadline_ms = self.clock_ms + int(length * 1000)
         self.lease_deadline_ms = max(self.lease_deadline_ms, deadline_ms)
-        return deadline_ms
+        return self.lease_deadline_ms
--- a/anvilford/placement/tests/test_two_placers.py
+++ b/anvilford/placement/tests/test_two_placers.py
@@ -291,6 +291,26 @@
     )
 
 
+def test_lease_outlasts_the_proof_of_an_entry(case):
+    """Guards against a second run of a job whose entry has left.
+
+    The placer is late in checking its entries, as one of a zone that also waits
+    for the answers of other zones, and has not stopped the job yet.
+    """
+    site = make_site()
+    site.job_deadline_s = 9.0
+    start_on_far(site, 6.0)
+    placer = site.placers["site"]
+    placer.record_proofs({"entry": site.now})
+    left_at = site.now
+    site.schedule(0.6, placer.record_proofs, {"entry": 0.5})
+    site.run(4.0)
+    target = site.targets["far"]
+    case.assertEqual([how for *_, how in target.ends], [RunEnd.LAPSED])
+    case.assertGreater(target.ends[0][0], left_at + 1.8)
+    case.assertLess(target.ends[0][0], 0.5 + 1.8)
+
+
 def test_released_job_names_only_its_own_targets(case):
     """Guards against a second run of a job that is handed on twice.
 
