Soak: ask all entries at once whether they serve again

Cause: the check asked one entry after the other within one limit of 8 s. The check of a new configuration did the same within 3 s: at load 38 it reported 29 of 48 entries, whose logs show the configuration 1.2 to 2.0 s after it asked them first; it did not ask them again.

Change: all entries are asked at once, each with a pause of 0.1 s between its requests, within the same limits of 8 s and 3 s. Stricter than before: an answer of a job after the limit does not count, and no entry is asked for its configuration after it.

--- a/testkit/soak/_checks.py
+++ b/testkit/soak/_checks.py
@@ -14,6 +14,10 @@
 # Every entry must use a new configuration within this time, as on the users' sites
 # with small links.
 APPLY_LIMIT_S = 3.0
+# Pause before an entry is asked again, in seconds; short beside both limits. Without
+# it, dozens of entries that refuse at once keep the process of the soak, and so the
+# store and the targets, busy.
+RETRY_PAUSE_S = 0.1
 # The platform allows that a task crashes three targets and starts twice more.
 MAX_DEADLY_STARTS = 5
 # The platform allows to give up a task under which this many targets crashed.
@@ -93,36 +97,48 @@
     async def check_recovery(self) -> None:
         """Checks that every entry serves a job within the recovery limit."""
         end = time.monotonic() + RECOVERY_LIMIT_S
-        for name in self.site.entries:
-            status = None
-            while status != 200 and time.monotonic() < end:
-                answer = await self.site.submit(name, self.site.new_job_id())
-                status = (
-                    answer.status if isinstance(answer, ClientResponse) else 0
-                )
-            if status != 200:
-                process = self.site.entries[name].process
-                exit_status = process.poll() if process else "not started"
-                self.add_violation(
-                    f"{name} did not serve a job within {RECOVERY_LIMIT_S} s "
-                    f"after the faults; last status {status}, 200 expected; "
-                    f"exit status {exit_status}"
-                )
+        # All at once: one after the other, dozens of entries do not fit in.
+        await asyncio.gather(
+            *(self._check_recovery_of(name, end) for name in self.site.entries)
+        )
+
+    async def _check_recovery_of(self, name: str, end: float) -> None:
+        """Checks that an entry serves a job by a monotonic time."""
+        status = None
+        while time.monotonic() < end:
+            answer = await self.site.submit(name, self.site.new_job_id())
+            status = answer.status if isinstance(answer, ClientResponse) else 0
+            if status == 200 and time.monotonic() < end:
+                return
+            await asyncio.sleep(RETRY_PAUSE_S)
+        process = self.site.entries[name].process
+        exit_status = process.poll() if process else "not started"
+        self.add_violation(
+            f"{name} did not serve a job within {RECOVERY_LIMIT_S} s "
+            f"after the faults; last status {status}, 200 expected; "
+            f"exit status {exit_status}"
+        )
 
     async def check_route(self, prefix: str) -> None:
         """Checks that every entry has a new route in time."""
         end = time.monotonic() + APPLY_LIMIT_S
-        outdated = set(self.site.entries)
-        while outdated and time.monotonic() < end:
-            await asyncio.sleep(0.1)
-            for name in list(outdated):
-                if await self.site.has_route(name, prefix):
-                    outdated.discard(name)
-        for name in outdated:
-            self.add_violation(
-                f"{name} did not use a new configuration within"
-                f" {APPLY_LIMIT_S} s"
+        # All at once, as above.
+        await asyncio.gather(
+            *(
+                self._check_route_of(name, prefix, end)
+                for name in self.site.entries
             )
+        )
+
+    async def _check_route_of(self, name: str, prefix: str, end: float) -> None:
+        """Checks that an entry has a route by a monotonic time."""
+        while time.monotonic() < end:
+            await asyncio.sleep(RETRY_PAUSE_S)
+            if await self.site.has_route(name, prefix):
+                return
+        self.add_violation(
+            f"{name} did not use a new configuration within {APPLY_LIMIT_S} s"
+        )
 
     def describe_runs(self, task: str) -> list[str]:
         """Describes the runs of a task: target, number, start and end."""
--- a/testkit/soak/tests/test_soak.py
+++ b/testkit/soak/tests/test_soak.py
@@ -3,13 +3,18 @@
 import asyncio
 import random
 import signal
+import time
 from unittest import mock
 
+from anvilford.http1 import ClientResponse
 from standins.site import EntryProcess
 from standins.site import LoopbackSite
 from testkit import function_tests
+from testkit.soak import _checks as checks
 from testkit.soak import run_seed
 from testkit.soak import SoakOptions
+from testkit.soak._checks import SoakChecks
+from testkit.soak._checks import SoakReport
 from testkit.soak._run import _SoakRun
 
 load_tests = function_tests(__name__)
@@ -66,6 +71,88 @@
     asyncio.run(scenario())
 
 
+class SlowSite:
+    """A site of many entries, each of which takes a while to answer.
+
+    Attributes:
+        entries: Doubles of the entries by name.
+        status: Status of the answers by name; others are 200.
+        answer_time_s: Time until an answer in seconds.
+        asked: Names of the entries that were asked, in order.
+        route_at: Monotonic time from which the entries have a new route.
+    """
+
+    def __init__(self, count, answer_time_s):
+        self.entries = {f"entry-{n}": mock.Mock() for n in range(count)}
+        self.status = {}
+        self.answer_time_s = answer_time_s
+        self.asked = []
+        self.route_at = time.monotonic() + 1.0
+
+    def new_job_id(self):
+        """Returns a job id."""
+        return "0" * 16
+
+    async def submit(self, name, job_id):
+        """Answers a job."""
+        self.asked.append(name)
+        await asyncio.sleep(self.answer_time_s)
+        return ClientResponse(self.status.get(name, 200), b"")
+
+    async def has_route(self, name, prefix):
+        """Answers whether an entry has a route."""
+        has_route = time.monotonic() >= self.route_at
+        await asyncio.sleep(self.answer_time_s)
+        return has_route and self.status.get(name, 200) == 200
+
+
+def test_last_ones_of_many_entries_are_not_asked(case):
+    """Guards against ready entries that are reported as not recovered.
+
+    They were asked one after the other within one limit, so that with 48 of them
+    no job was sent to the last ones.
+    """
+
+    async def violations(site, limit_s=3.0):
+        found = SoakChecks(site, SoakReport(0))
+        with mock.patch.object(checks, "RECOVERY_LIMIT_S", limit_s):
+            await found.check_recovery()
+        return found.report.violations
+
+    site = SlowSite(48, answer_time_s=0.1)
+    case.assertEqual(asyncio.run(violations(site)), [])
+    case.assertEqual(set(site.asked), set(site.entries))
+    site = SlowSite(48, answer_time_s=0.1)
+    site.status["entry-47"] = 503
+    case.assertIn("entry-47", "".join(asyncio.run(violations(site))))
+    case.assertGreater(site.asked.count("entry-47"), 2)
+    # Answers that come after the limit do not count.
+    late = SlowSite(2, answer_time_s=1.0)
+    case.assertEqual(len(asyncio.run(violations(late, limit_s=0.5))), 2)
+
+
+def test_new_configuration_of_many_entries_is_not_seen(case):
+    """Guards against entries that are reported as late and are not.
+
+    They were asked one after the other. Of 48, some were not asked again after
+    they had the configuration.
+    """
+
+    async def violations(site):
+        found = SoakChecks(site, SoakReport(0))
+        with mock.patch.object(checks, "APPLY_LIMIT_S", 3.0):
+            await found.check_route("/new/")
+        return found.report.violations
+
+    site = SlowSite(48, answer_time_s=0.1)
+    case.assertEqual(asyncio.run(violations(site)), [])
+    site = SlowSite(48, answer_time_s=0.1)
+    site.status["entry-47"] = 404
+    found = asyncio.run(violations(site))
+    case.assertEqual(len(found), 1)
+    case.assertIn("entry-47", found[0])
+
+
 def test_starts_of_many_entries_block_store_and_targets(case):
     """Guards against a store and targets that stand still during the starts.
 
