Notice callers that are lost behind a partition

Cause: callers' connections had neither keep-alive probes nor TCP_USER_TIMEOUT, unlike those between entries. A FIN or reset that is lost behind a partition is never seen, so that the entry kept the job up to the caller's deadline.

Change: the listener sets both, with the function that the peers' connections use (moved to anvilford/sockets). An entry learns of a lost caller after two seconds, which is as soon as the kernel allows. Callers send again after 1.3 s, so this bounds the time and does not close the race.

Evidence: test_lost_client_is_not_noticed fails before (TCP_USER_TIMEOUT 0, not 2000). The plays of testkit.cuts keep the sockets of silent callers open on one machine, where the kernel answers probes: they cannot show the gain.

--- a/anvilford/http1/_server.py
+++ b/anvilford/http1/_server.py
@@ -9,8 +9,16 @@
 import attrs
 import httptools
 
+from anvilford.sockets import set_peer_loss_timeout
+
 _logger = logging.getLogger(__name__)
 
+# The kernel probes connections once a second at most, so that it can tell after
+# two seconds that a client is lost. This bounds how long a job goes on for a caller
+# whose FIN or reset was lost on the way. It does not prevent a second run: callers
+# send a job again 1.3 s after their connection broke.
+PEER_LOSS_TIMEOUT_S = 2.0
+
 _REASON_PHRASES = {
     200: "OK",
     400: "Bad Request",
@@ -41,6 +49,8 @@
             a connection is paused.
         backlog: Length of the socket's queue of connections that are not yet
             accepted.
+        peer_loss_timeout_s: Time without an acknowledgement after which a
+            connection ends, in seconds.
     """
 
     max_header_bytes: int = 16384
@@ -48,6 +58,7 @@
     idle_timeout_s: float = 30.0
     max_pipelined_requests: int = 8
     backlog: int = 1024
+    peer_loss_timeout_s: float = PEER_LOSS_TIMEOUT_S
 
 
 @attrs.define(eq=False)
@@ -137,6 +148,10 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport
+        set_peer_loss_timeout(
+            transport.get_extra_info("socket"),
+            self.listener.limits.peer_loss_timeout_s,
+        )
         self.listener.connections.add(self)
         self._start_idle_timer()
 
--- a/anvilford/http1/tests/test_exchange.py
+++ b/anvilford/http1/tests/test_exchange.py
@@ -244,3 +244,27 @@
     for by_reset in (True, False):
         with case.subTest(by_reset=by_reset):
             case.assertEqual(uvloop.run(disconnect(by_reset)), by_reset)
+
+
+def test_lost_client_is_not_noticed(case):
+    """Guards against jobs that go on for a caller behind a partition.
+
+    The bytes that close its connection are lost, so that only probes of the
+    kernel, and data that is not acknowledged, show that it is gone.
+    """
+
+    async def scenario():
+        async with listening(echo) as (listener, client):
+            await client.call(listener.address, "POST /x", b"", 1.0)
+            (connection,) = listener.connections
+            sock = connection.transport.get_extra_info("socket")
+            for level, option, value in (
+                (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 2000),
+                (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+                (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
+                (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+            ):
+                case.assertEqual(sock.getsockopt(level, option), value)
+
+    asyncio.run(scenario())
+    uvloop.run(scenario())
--- a/anvilford/peers/_stream.py
+++ b/anvilford/peers/_stream.py
@@ -5,8 +5,6 @@
 """
 
 import asyncio
-import contextlib
-import socket
 
 import attrs
 from expression import Error
@@ -18,6 +16,7 @@
 from anvilford.protocol import encode
 from anvilford.protocol import Envelope
 from anvilford.protocol import MalformedFrame
+from anvilford.sockets import set_peer_loss_timeout
 
 LENGTH_PREFIX_BYTES = 4
 READ_BUFFER_LIMIT_BYTES = 256 * 1024
@@ -96,22 +95,12 @@
         """Sets socket timeouts for a vanished peer and the buffer limit.
 
         The kernel ends the connection if sent data is not acknowledged within
-        `limits.unacknowledged_timeout_s`, and probes an idle connection at a
-        third of that time.
+        `limits.unacknowledged_timeout_s`.
         """
-        seconds = self.limits.unacknowledged_timeout_s
-        sock = self.writer.get_extra_info("socket")
-        probe_interval = max(1, int(seconds / 3))
-        for level, option, value in (
-            (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(seconds * 1000)),
-            (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-            (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, probe_interval),
-            (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, probe_interval),
-        ):
-            # Setting an option fails if the connection has already ended; the
-            # next read reports that.
-            with contextlib.suppress(OSError):
-                sock.setsockopt(level, option, value)
+        set_peer_loss_timeout(
+            self.writer.get_extra_info("socket"),
+            self.limits.unacknowledged_timeout_s,
+        )
         self.writer.transport.set_write_buffer_limits(WRITE_BUFFER_LIMIT_BYTES)
 
     async def send(self, frame: bytes) -> bool:
