Let a slow store show that a leader is gone

Cause: a search waits 0.2 s for a read of the leader's row. A read that took longer counted as "the store is away" until it ended, and the next search began another one. So the store counted as away whenever a search decided, although the row had been seen unchanged for long enough.

Change: the store counts as reachable if the last call that ended was answered, at most a second ago (ROW_READ_GAP_S, after which the measurement of the unchanged row begins anew anyway). A read under way shows neither.

Evidence: test_slow_store_counts_as_away_in_a_search finds no leader within 8 s before.

Why it works: what a search needs to know is that the row stayed the same for 2.5 s in which the store answered; the read that is under way adds nothing to that.

test_slow_read_begins_the_measurement_anew asserted the faulty rule: that a store is away 0.02 s after a read was sent. It now asserts that this shows nothing, and that the store counts as away a second after its last answer.

--- a/anvilford/node/_leader_row.py
+++ b/anvilford/node/_leader_row.py
@@ -79,7 +79,6 @@
             row.
         changed_at: Time of `clock.now` at which the current version of the
             row was first seen; 0 before that.
-        store_reachable: Whether the store answered the last call.
         unchanged_since: Time of the answer since which calls showed the current
             version without a gap. A leader cannot write the row while the
             store is away, so a failed call also is a gap.
@@ -94,13 +93,24 @@
         self.has_been_read = False
         self.version = 0
         self.changed_at = 0.0
-        self.store_reachable = False
         self.unchanged_since = 0.0
         self.seen_at = 0.0
-        self._answered_at = 0.0
+        self._answered_at = -math.inf
         self._has_failed = False
         self._read_task: asyncio.Task[bool] | None = None
 
+    @property
+    def store_reachable(self) -> bool:
+        """Whether the store answered the last call that ended, and did so lately.
+
+        A read that is still under way does not show that the store is away: a
+        slow one takes longer than a search waits for it.
+        """
+        return (
+            not self._has_failed
+            and clock.now() - self._answered_at <= ROW_READ_GAP_S
+        )
+
     @property
     def unchanged_s(self) -> float:
         """Seconds for which answered calls showed the row unchanged."""
@@ -125,7 +135,6 @@
                 asyncio.shield(self._read_task), timeout
             )
         except TimeoutError:
-            self.store_reachable = False
             return False
 
     async def _read(self) -> bool:
@@ -189,7 +198,6 @@
             self._answered_at = now
             self.seen_at = sent_at
         self._has_failed = not is_answered
-        self.store_reachable = is_answered
 
     def _update_from_rows(self, rows: tuple[StoreRow, ...]) -> None:
         self.has_been_read = True
--- a/anvilford/node/_search.py
+++ b/anvilford/node/_search.py
@@ -27,6 +27,8 @@
 STRAGGLER_WAIT_S = 0.02
 # Shortest time between two reads of the row to find a leader that it names.
 ROW_READ_INTERVAL_S = 0.3
+# Time for which a search waits for a read. A slow store takes longer: the read goes
+# on, and later searches use its answer.
 ROW_READ_TIMEOUT_S = 0.2
 # Pause before a failed read of the row is repeated.
 ROW_READ_RETRY_S = 0.08
--- a/anvilford/node/tests/test_rows.py
+++ b/anvilford/node/tests/test_rows.py
@@ -6,8 +6,10 @@
 from anvilford.leadership import Lead
 from anvilford.leadership import Member
 from anvilford.node import _clock as clock
+from anvilford.node._coordination import SEARCH_INTERVAL_S
 from anvilford.node._leader_row import LEADER_KEY
 from anvilford.node._leader_row import LeaderRow
+from anvilford.node._leader_row import ROW_READ_GAP_S
 from anvilford.node._search import LeaderSearch
 from anvilford.node._search import MembershipView
 from anvilford.node._speed_row import SpeedRow
@@ -199,10 +201,53 @@
         case.assertTrue(await row.read())
         store.read = mock.AsyncMock(side_effect=read_slowly)
         case.assertFalse(await row.read(0.02))
-        case.assertFalse(row.store_reachable)
+        # Neither reachable nor away is shown by a read that is under way.
+        case.assertTrue(row.store_reachable)
+        late = clock.now() + ROW_READ_GAP_S
+        with mock.patch.object(clock, "now", lambda: late):
+            case.assertFalse(row.store_reachable)
         case.assertTrue(await row.read(1.0))
         case.assertTrue(row.store_reachable)
         case.assertEqual(store.read.call_count, 1)
 
     asyncio.run(scenario())
     case.assertEqual(row.unchanged_since, row.changed_at)
+
+
+def test_slow_store_counts_as_away_in_a_search(case):
+    """Guards against a site without a leader while every answer is slow.
+
+    Most members are gone and do not answer either. Each search ended before the
+    read that it had begun, and the store counted as away whenever it decided.
+    """
+    members = [Member(name, "a", "h:1", 1.0, "t") for name in "abc"]
+    store, links = mock.Mock(), mock.Mock()
+
+    async def answer_slowly(table, timeout):
+        del table, timeout
+        await asyncio.sleep(0.4)
+        return row_of_version(1)
+
+    async def give_no_answer(address, message, timeout):
+        del address, message
+        await asyncio.sleep(timeout)
+        return mock.Mock(default_value=lambda default: default)
+
+    store.read = answer_slowly
+    links.call = give_no_answer
+    search = LeaderSearch(
+        MembershipView(members[0], 1, tuple(members)),
+        links,
+        LeaderRow(store, Counters()),
+        mock.AsyncMock(return_value=True),
+    )
+
+    async def scenario():
+        async with asyncio.timeout(8.0):
+            while True:
+                result = await search.collect_state()
+                if search.select_action(result, True) == Lead(False):
+                    return
+                await asyncio.sleep(SEARCH_INTERVAL_S)
+
+    asyncio.run(scenario())
