Show that a zone's leader claims lost targets again (failing)

The test cuts a member off from all members and targets outside its zone. Not mended: a member that waits from then on leaves its zone without a leader if the other one is cut off later, or if a late order with a higher token was the cause.

--- a/anvilford/node/tests/test_coordination.py
+++ b/anvilford/node/tests/test_coordination.py
@@ -851,3 +851,36 @@
 
     with case.assertNoLogs("anvilford.node._coordination", "WARNING"):
         asyncio.run(scenario())
+
+
+def test_leader_of_a_zone_claims_its_targets_in_turn(case, coordinator):
+    """Guards against two leaders that take the targets of a zone from each other.
+
+    Its members reach nobody outside, but the leader of the site reaches the
+    targets of the zone, and claims them again each time.
+    """
+    gone = [
+        Member(f"entry-{n}", "c", f"127.0.0.1:{n}", 1.0, f"t{n}")
+        for n in range(4, 6)
+    ]
+    coordinator.search.probe_other_zones = mock.AsyncMock(return_value=False)
+    coordinator.membership.members = (
+        LOCAL_MEMBER,
+        OTHER_MEMBER,
+        LOST_LEADER.member,
+        *gone,
+    )
+
+    async def scenario():
+        loop = asyncio.ensure_future(coordinator.run())
+        async with asyncio.timeout(5.0):
+            while coordinator.driver is None:
+                await asyncio.sleep(0.01)
+        case.assertTrue(coordinator.leader.is_partial)
+        coordinator.on_fence_lost(coordinator.driver)
+        case.assertIsNone(coordinator.driver)
+        await asyncio.sleep(4 * SEARCH_DURATION_S)
+        case.assertIsNone(coordinator.driver)
+        loop.cancel()
+
+    asyncio.run(scenario())
