Withdraw the job of a lost caller 1.6 s later if no leader was known

What callers saw: nothing yet; the commit before withdrew such a job at once when its wait had ended without an outcome, though its caller sends it again 1.3 s after its connection was reset and should find its work.

Change: the same grace as after 504. The test asks for more: no withdrawal for 1.3 s, then one.

--- a/anvilford/node/_callers.py
+++ b/anvilford/node/_callers.py
@@ -229,7 +229,9 @@
                 placement.cancel()
                 self.withdrawals.withdraw(job_id)
             else:
-                self._withdraw_from_silent_leader(job_id, progress, 0.0)
+                self._withdraw_from_silent_leader(
+                    job_id, progress, DISCONNECT_GRACE_S
+                )
             self._record_result(job_id, route, 0, cause, arrived_at, progress)
             return Response(504)
         try:
--- a/anvilford/node/tests/test_callers.py
+++ b/anvilford/node/tests/test_callers.py
@@ -318,7 +318,9 @@
             0.05, setattr, site.coordinator, "leader", None
         )
         await site.submit(is_lost=True)
-        await asyncio.sleep(0.3)
+        await asyncio.sleep(RESEND_DELAY_S)
+        case.assertEqual(site.withdrawn_at, [])
+        await asyncio.sleep(0.6)
         case.assertEqual(len(site.withdrawn_at), 1)
 
     asyncio.run(scenario())
