Log how long ago an entry is known to have followed when it offers a job

The logs cannot tell an offer that arrives late from one that was just made, nor a job of an entry that has left from one of an entry that follows.

"job accepted" and "offer joined" show the age of the last proof. No decision changes.

--- a/anvilford/placement/_placer.py
+++ b/anvilford/placement/_placer.py
@@ -190,6 +190,7 @@
             job.job_id,
             {
                 "entry": offer.entry,
+                "proof_age_ms": self._proof_age_ms(offer.entry, now),
                 "queue": job.policy.name,
                 "tasks": len(job.tasks),
                 "objective_ms": int(job.objective * 1000),
@@ -201,6 +202,15 @@
             self._waiting[job.job_id] = job
         self._complete_if_done(job, now)
 
+    def _proof_age_ms(self, entry: str, now: float) -> int | None:
+        """Returns how long ago an entry is known to have followed, for the log.
+
+        Returns:
+            Age in milliseconds; None if the entry has not been heard.
+        """
+        followed_at = self._entry_contacts.get(entry)
+        return None if followed_at is None else int((now - followed_at) * 1000)
+
     def _recognize_repeated_offer(self, offer: Offer, now: float) -> Offer:
         """Returns the offer, marked as repeated if the job may run elsewhere."""
         expected = self._expected_offers.get(offer.job_id)
@@ -242,6 +252,7 @@
             job.job_id,
             {
                 "entry": offer.entry,
+                "proof_age_ms": self._proof_age_ms(offer.entry, now),
                 "again": offer.again,
                 "placed_elsewhere": job.placed_elsewhere,
             },
