Start jobs and extend leases only by proofs that entries follow

Cause: a leader started whatever it was offered, whenever it read the offer, and leases lasted up to 1.8 s after the last proof that an entry followed, while callers send a job again after 1.3 s. So an offer that the network or a busy process held back was started beside the run of the next leader, and a run could outlive the pause of its caller.

Now placement/_permissions.py has the rule in one place. Offers name the leader's last answer, as heartbeats do; a leader takes no offer with an older proof than those that it goes by, and no lease ends later than 1.2 s (retransmit_ms less 0.1 s, a setting now) after the oldest of them. So each run ends before the caller may give the job to another entry, whatever that entry's leader knows. An entry offers jobs only after a recent answer, and the local entry counts as proved by the last check, not by the present one. The wait for runs that an earlier leader may have becomes 1.2 s instead of 1.8 s.

--- a/anvilford/node/_callers.py
+++ b/anvilford/node/_callers.py
@@ -16,6 +16,8 @@
 from anvilford.http1 import Response
 from anvilford.node import _clock as clock
 from anvilford.node._coordination import LeadershipCoordinator
+from anvilford.node._coordination import REASON_NOT_LEADING
+from anvilford.node._coordination import REASONS_NOT_STARTED
 from anvilford.node._sync import SiteView
 from anvilford.node._withdrawals import JobWithdrawals
 from anvilford.node._withdrawals import LEADER_CHECK_INTERVAL_S
@@ -363,6 +365,7 @@
                 progress.possible_run_targets,
                 progress.run_targets_known,
                 self.coordinator.fence,
+                self.coordinator.answered_at,
             )
             progress.offer_count += 1
             self.coordinator.forget_withdrawal(job_id)
@@ -398,7 +401,7 @@
             driver = self.coordinator.driver
             if driver is None:
                 progress.failed_placer_token = leader.member.token
-                return Outcome(OutcomeKind.MOVED, "not_leading")
+                return Outcome(OutcomeKind.MOVED, REASON_NOT_LEADING)
             outcome = await driver.place(offer)
             if outcome.kind is OutcomeKind.MOVED:
                 progress.may_have_started = True
@@ -412,7 +415,7 @@
             if answer.ok.kind is OutcomeKind.MOVED:
                 progress.failed_placer_token = leader.member.token
                 progress.may_have_started = progress.may_have_started or (
-                    answer.ok.reason != "not_leading"
+                    answer.ok.reason not in REASONS_NOT_STARTED
                 )
             return answer.ok
         if not isinstance(answer.error, PeerRefused):
--- a/anvilford/node/_coordination.py
+++ b/anvilford/node/_coordination.py
@@ -33,7 +33,11 @@
 from anvilford.node._sync import SiteView
 from anvilford.node._unanswered import UnansweredJobs
 from anvilford.peers import PeerLinks
+from anvilford.placement import ANSWER_AGE_S
 from anvilford.placement import CrashHistory
+from anvilford.placement import Offer
+from anvilford.placement import Outcome
+from anvilford.placement import OutcomeKind
 from anvilford.placement import TargetRecord
 from anvilford.protocol import Heartbeat
 from anvilford.protocol import HeartbeatReply
@@ -71,6 +75,11 @@
 # taken over, or have lost the lead since.
 APPOINT_AGAIN_AFTER_S = 10.0
 
+# Reasons of a `MOVED` outcome that show that the leader has not started the job.
+REASON_NOT_LEADING = "not_leading"
+REASON_LATE_OFFER = "late_offer"
+REASONS_NOT_STARTED = (REASON_NOT_LEADING, REASON_LATE_OFFER)
+
 _logger = logging.getLogger(__name__)
 
 
@@ -159,6 +168,7 @@
         self._next_heartbeat: tuple[Leader, asyncio.Task] | None = None
         # Token of the leader's process and `sent_at` of its last reply.
         self._last_answer = ("", 0.0)
+        self._last_answer_received_at = 0.0
         self._raise_fence_at = 0.0
         self._row_write_due_at = 0.0
         self._may_appoint_at = 0.0
@@ -197,14 +207,29 @@
         Jobs should be held back meanwhile. If the leader is gone, a successor
         starts a held-back job immediately. A job offered to the previous leader
         would have to wait, because the successor cannot know whether it has
-        started.
+        started. Without a recent answer, an offer proves nothing and would be
+        rejected.
         """
         since = self._heartbeat_pending_since
-        return (
+        return not self._has_fresh_answer or (
             since is not None
             and clock.now() - since > LEADER_UNRESPONSIVE_AFTER_S
         )
 
+    @property
+    def answered_at(self) -> float:
+        """Time of the leader's last answer, on its clock; 0 for none."""
+        token, sent_at = self._last_answer
+        leader = self.leader
+        return sent_at if leader and token == leader.member.token else 0.0
+
+    @property
+    def _has_fresh_answer(self) -> bool:
+        if self.leader is None or self.leader.member == self.local_member:
+            return self.leader is not None
+        age = clock.now() - self._last_answer_received_at
+        return self.answered_at > 0 and age <= ANSWER_AGE_S
+
     def report_unanswered_job(self, job_id: str) -> None:
         """Records that a caller of this entry may send a job again.
 
@@ -321,6 +346,31 @@
             else (),
         )
 
+    async def receive_offer(self, offer: Offer) -> Outcome:
+        """Places the job of a member that is proved to follow this leader.
+
+        The offer may be late: its entry may have offered the job to another
+        leader since.
+        """
+        self.raise_fence_above(offer.fence)
+        if self.driver is None:
+            return Outcome(OutcomeKind.MOVED, REASON_NOT_LEADING)
+        now = clock.now()
+        if not self.heartbeats.permissions.renew(
+            offer.entry, min(offer.answered_at, now), now
+        ):
+            self.counters.increment("late_offers")
+            _logger.warning(
+                "offer is not proved to be from a member that follows",
+                extra={
+                    "job": offer.job_id,
+                    "entry": offer.entry,
+                    "answered_ms_ago": int((now - offer.answered_at) * 1000),
+                },
+            )
+            return Outcome(OutcomeKind.MOVED, REASON_LATE_OFFER)
+        return await self.driver.place(offer)
+
     def raise_fence_above(self, fence: int) -> None:
         """Reacts to a fencing token that a member followed, if it is higher.
 
@@ -524,7 +574,11 @@
                     self._set_leader(
                         Leader(reply.term, leader.member, leader.is_partial)
                     )
+                was_unresponsive = self.leader_is_unresponsive
                 self._last_answer = (leader.member.token, reply.sent_at)
+                self._last_answer_received_at = clock.now()
+                if was_unresponsive:
+                    self._wake_waiting_offers()
                 if not reply.leaving:
                     self._leader_contact_at = clock.now()
                     return True
@@ -666,6 +720,7 @@
         self._may_appoint_at = now + APPOINT_AFTER_S
         self.site.is_placing = True
         self.driver = self.create_driver(leader.fence, leader.is_partial)
+        self.driver.placer.limit_leases(self.heartbeats.permissions.oldest)
         self.driver.start(
             self._targets_in_scope(self.site.targets),
             self._targets_in_scope(self.site.recently_removed_targets()),
@@ -843,12 +898,14 @@
         """Stops the jobs of members that no longer send heartbeats."""
         self.driver.placer.record_contact(self.local_member.name, now)
         self.heartbeats.expire(now)
-        self.driver.placer.record_proofs(self.heartbeats.proofs())
+        self.driver.placer.limit_leases(self.heartbeats.permissions.oldest)
         self.leader_hears_site = self.heartbeats.hears_site
         if not self.leader_hears_site:
             self.site.record_missing_members()
             self.driver.placer.record_missing_members(now)
-        for entry in self.driver.waiting_entries() - self.heartbeats.live_names:
+        for entry in self.driver.waiting_entries():
+            if entry in self.heartbeats.permissions:
+                continue
             self.driver.stop_jobs_of(entry)
             if self.driver is None:
                 return  # The member has stepped down after a suspension.
--- a/anvilford/node/_main.py
+++ b/anvilford/node/_main.py
@@ -37,8 +37,6 @@
 from anvilford.peers import PeerServer
 from anvilford.placement import CrashHistory
 from anvilford.placement import Offer
-from anvilford.placement import Outcome
-from anvilford.placement import OutcomeKind
 from anvilford.placement import PlacementOptions
 from anvilford.platform import StoreClient
 from anvilford.platform import TargetClient
@@ -220,6 +218,7 @@
             max_lease=settings.max_lease_ms / 1000,
             stop_time=settings.stop_time_ms / 1000,
             remote_penalty=float(settings.remote_penalty),
+            resubmit_pause=settings.resubmit_pause_ms / 1000,
             list_complete_at=(
                 math.inf if is_partial else self.site.removals_known_at
             ),
@@ -271,11 +270,7 @@
         coordination = self.coordinator
         match message:
             case Offer():
-                coordination.raise_fence_above(message.fence)
-                driver = coordination.driver
-                if driver is None:
-                    return Outcome(OutcomeKind.MOVED, "not_leading")
-                return await driver.place(message)
+                return await coordination.receive_offer(message)
             case Heartbeat():
                 return coordination.receive_heartbeat(message)
             case LeaderQuery(member):
--- a/anvilford/node/_members.py
+++ b/anvilford/node/_members.py
@@ -7,18 +7,13 @@
 import attrs
 
 from anvilford.leadership import Member
+from anvilford.placement import EntryPermissions
+from anvilford.placement import PROOF_TIMEOUT_S
 
 # The jobs of a member without a heartbeat for this long are stopped. Related
 # times: callers resubmit a job 1.3 s after its connection broke, and the lease
 # of a run lasts 1.02 s.
 MEMBER_LIVE_TIMEOUT_S = 0.6
-# The same from the last time at which a member is proved to have followed this
-# leader. Heartbeats that a leader reads late prove an earlier time. With the
-# time between two checks and the last lease, this stays within the 1.8 s after
-# which another placer starts the member's tasks (`UNSEEN_RUNS_WINDOW_S`). Checks
-# that come later, after a hold-up or in a leader of one zone, which waits up to
-# 0.15 s for the other zones, find shorter leases (`Placer.record_proofs`).
-MEMBER_PROOF_TIMEOUT_S = 0.7
 # Members that were silent for this long may follow another leader: two of their
 # heartbeats are due meanwhile. Shorter than the time after which their jobs are
 # stopped, since less depends on it.
@@ -64,12 +59,13 @@
         local_member: The leader itself, which always counts as live.
         live_names: Names of the members whose last heartbeat was received at
             most `MEMBER_LIVE_TIMEOUT_S` ago and proves that they followed this
-            leader `MEMBER_PROOF_TIMEOUT_S` ago or later, as of the last call
+            leader `PROOF_TIMEOUT_S` ago or later, as of the last call
             of `expire`.
         hears_site: Whether all known members were heard within
             `MEMBER_SILENT_AFTER_S`, as of the last call of `expire`. A missing
             one may follow another leader, or lead its zone.
         contested_at: Time at which a target last obeyed another leader.
+        permissions: When each member is last proved to have followed.
     """
 
     def __init__(self, local_member: Member):
@@ -77,7 +73,9 @@
         self.live_names: set[str] = set()
         self.hears_site = True
         self.contested_at = -math.inf
+        self.permissions = EntryPermissions()
         self._last_heartbeats: dict[str, _Heartbeat] = {}
+        self._checked_at = -math.inf
         # Times of the first and the last check that showed control of a zone
         # without a gap.
         self._controlled: dict[str, tuple[float, float]] = {}
@@ -90,6 +88,8 @@
             member.name: _Heartbeat(member, now, now) for member in members
         }
         self.live_names = set(self._last_heartbeats)
+        self.permissions.reset(self._last_heartbeats, now)
+        self._checked_at = now
         self.hears_site = True
         self._controlled.clear()
         self._known_members = None
@@ -105,12 +105,13 @@
             followed_at: Time after which the member sent the heartbeat; 0 if
                 it has not received an answer of this leader.
         """
+        self.permissions.renew(member.name, followed_at, now)
         last = self._last_heartbeats.get(member.name)
         if last is None or last.member != member:
             self._known_members = None
         if member.name not in self.live_names:
             self.live_names.add(member.name)
-            # This leader has no jobs of the member that it could keep alive.
+            # It counts as a member again, but has no permission yet.
             followed_at = now
             _logger.info(
                 "first heartbeat from a new or returning member",
@@ -123,7 +124,13 @@
         )
 
     def expire(self, now: float) -> None:
-        """Updates the live members."""
+        """Updates the live members and those with permission.
+
+        The local member is only known to have followed at the last check: the
+        loss of a caller since then may not have been handled yet.
+        """
+        self.permissions.renew(self.local_member.name, self._checked_at, now)
+        self._checked_at = now
         self._last_heartbeats[self.local_member.name] = _Heartbeat(
             self.local_member, now, now
         )
@@ -131,7 +138,7 @@
             name
             for name, last in self._last_heartbeats.items()
             if now - last.received_at <= MEMBER_LIVE_TIMEOUT_S
-            and now - last.followed_at <= MEMBER_PROOF_TIMEOUT_S
+            and now - last.followed_at <= PROOF_TIMEOUT_S
         }
         for name in self.live_names - live:
             _logger.warning(
@@ -140,6 +147,7 @@
                 extra={"member": name},
             )
         self.live_names = live
+        self.permissions.expire(live, now)
         self._update_hears_site(now)
 
     def forget_lost_members(
@@ -226,14 +234,6 @@
             )
         self.hears_site = hears_site
 
-    def proofs(self) -> dict[str, float]:
-        """Returns when the live members are known to have followed, by name."""
-        return {
-            name: last.followed_at
-            for name, last in self._last_heartbeats.items()
-            if name in self.live_names
-        }
-
     def heartbeat_ages(self, now: float) -> dict[str, float]:
         """Returns the seconds since the last heartbeat, by member name."""
         return {
--- a/anvilford/node/_settings.py
+++ b/anvilford/node/_settings.py
@@ -9,6 +9,8 @@
 from expression import Ok
 from expression import Result
 
+from anvilford.placement import RESUBMIT_PAUSE_S
+
 
 def _string_field() -> str:
     return attrs.field(validator=validators.instance_of(str))
@@ -42,6 +44,8 @@
             target confirmed its stop, in milliseconds.
         remote_penalty: Factor by which a task runs longer outside the rack
             that holds its data.
+        resubmit_pause_ms: Time after which callers without an answer send a
+            job to another entry, in milliseconds.
         cpu_share: Part of each core that the VM may use.
         log_level: Lowest level that is logged: "debug", "info", "warning" or
             "error".
@@ -59,6 +63,9 @@
     max_lease_ms: int = _positive_field(int)
     stop_time_ms: int = _positive_field(int)
     remote_penalty: float = _positive_field((int, float))
+    resubmit_pause_ms: float = _positive_field(
+        (int, float), RESUBMIT_PAUSE_S * 1000
+    )
     cpu_share: float = attrs.field(
         default=1.0,
         validator=[
--- a/anvilford/node/tests/test_settings.py
+++ b/anvilford/node/tests/test_settings.py
@@ -41,3 +41,16 @@
     for share in (0, -1, "half"):
         with case.subTest(share=share):
             case.assertTrue(load(cpu_share=share).is_error())
+
+
+def test_pause_of_callers_is_that_of_the_site(case):
+    """Guards against runs that outlive a pause shorter than the usual one."""
+    template = TEMPLATE.read_text(encoding="utf-8")
+    case.assertIn(
+        '"resubmit_pause_ms": {{bounds.retransmit_ms|json}}', template
+    )
+    case.assertEqual(load().ok.resubmit_pause_ms, 1300)
+    case.assertEqual(load(resubmit_pause_ms=900).ok.resubmit_pause_ms, 900)
+    for pause in (0, -1, "soon"):
+        with case.subTest(pause=pause):
+            case.assertTrue(load(resubmit_pause_ms=pause).is_error())
--- a/anvilford/order_model/_site.py
+++ b/anvilford/order_model/_site.py
@@ -225,6 +225,7 @@
             return
         if name not in self.faults.silent_placers:
             placer.record_contact("entry", self.now)
+            placer.limit_leases(self.now)
         placer.tick(self.now)
         self._execute_effects(name)
         self.schedule(self.now + TICK_INTERVAL_S, self._tick, name)
--- a/anvilford/placement/__init__.py
+++ b/anvilford/placement/__init__.py
@@ -15,6 +15,7 @@
 from anvilford.placement._model import PlacementOptions
 from anvilford.placement._model import QueuePolicy
 from anvilford.placement._model import Resources
+from anvilford.placement._model import RESUBMIT_PAUSE_S
 from anvilford.placement._model import StepSpec
 from anvilford.placement._model import TargetRecord
 from anvilford.placement._orders import Accepted
@@ -37,14 +38,19 @@
 from anvilford.placement._orders import Settle
 from anvilford.placement._orders import StartRun
 from anvilford.placement._orders import StopRun
+from anvilford.placement._permissions import ANSWER_AGE_S
+from anvilford.placement._permissions import EntryPermissions
+from anvilford.placement._permissions import PROOF_TIMEOUT_S
 from anvilford.placement._placer import Placer
 
 __all__ = [
+    "ANSWER_AGE_S",
     "Accepted",
     "CrashHistory",
     "Decision",
     "Effect",
     "EndedTask",
+    "EntryPermissions",
     "FenceLost",
     "JobSpec",
     "LifeReplaced",
@@ -56,6 +62,7 @@
     "Outcome",
     "OutcomeKind",
     "Placer",
+    "PROOF_TIMEOUT_S",
     "PlacementOptions",
     "Poll",
     "PollAnswer",
@@ -63,6 +70,7 @@
     "Refusal",
     "Refused",
     "Report",
+    "RESUBMIT_PAUSE_S",
     "Resources",
     "Restarted",
     "RunEnd",
--- a/anvilford/placement/_fleet.py
+++ b/anvilford/placement/_fleet.py
@@ -59,11 +59,6 @@
 # The same on a target that also has claimed runs. Its lease must not be extended
 # before, and may end 0.3 s after the takeover.
 SHARED_CLAIM_WINDOW_S = 0.15
-# Time after which all runs of an earlier placer have ended, from the repeated
-# offer of the job. That placer stops the jobs of entries that were silent for
-# 0.6 s, and its leases last 1.02 s; none lasts longer from the last proof that an
-# entry with jobs on the target followed it.
-UNSEEN_RUNS_WINDOW_S = 1.8
 # Interval between polls of an unreachable target that has runs.
 UNREACHABLE_RETRY_S = 0.1
 # Time after which a stop without a confirmation is sent again. Targets answer
@@ -102,8 +97,8 @@
             placer, as reported by targets.
         found_foreign_runs: Set to True when a target reports runs or ends of
             another placer; the owner of the fleet resets it.
-        entry_proofs: Time at which each entry is last proved to have followed
-            this placer, if that is limited; set by `Placer.record_proofs`.
+        leases_end_by: Latest time at which leases may end; set by
+            `Placer.limit_leases`.
     """
 
     def __init__(
@@ -120,7 +115,7 @@
         self.on_task_event = on_task_event
         self.tasks_found_done: set[str] = set()
         self.found_foreign_runs = False
-        self.entry_proofs: dict[str, float] = {}
+        self.leases_end_by = math.inf
         # Ids of targets beside `target_by_task` that may run a task, by name.
         self._other_targets: dict[str, list[str]] = {}
 
@@ -313,29 +308,11 @@
             now,
             options.max_lease,
             options.clock_drift,
-            self._latest_lease_end(target),
+            self.leases_end_by,
         )
         assert deadline is not None  # The clock is known after the first poll.
         return deadline
 
-    def _latest_lease_end(self, target: Target) -> float:
-        """Returns the time at which all runs on a target may have to end.
-
-        An entry that left since its last proof offers its jobs to another
-        placer, which starts them `UNSEEN_RUNS_WINDOW_S` later. Only a process
-        that was held up, and so has not stopped the jobs of the entry in time,
-        finds a proof so old that this shortens a lease.
-        """
-        return UNSEEN_RUNS_WINDOW_S + min(
-            (
-                self.entry_proofs.get(entry, math.inf)
-                for run in target.runs.values()
-                if run.task is not None
-                for entry in run.task.job.entries
-            ),
-            default=math.inf,
-        )
-
     def _stop_run(self, target: Target, run: Run, now: float) -> None:
         if run.phase is RunPhase.STOPPED:
             return
--- a/anvilford/placement/_model.py
+++ b/anvilford/placement/_model.py
@@ -4,6 +4,12 @@
 
 import attrs
 
+# `retransmit_ms` of the users' sites.
+RESUBMIT_PAUSE_S = 1.3
+# Part of the pause that is left for what an entry cannot see at once: a connection
+# that broke, and a request that took long to arrive.
+RESUBMIT_MARGIN_S = 0.1
+
 
 @attrs.frozen
 class Resources:
@@ -191,6 +197,8 @@
             reported `placed`.
         fence: Highest fencing token of the placers that the entry has
             followed.
+        answered_at: Time of the placer's last answer that the entry has
+            received, on the placer's clock; 0 for none.
     """
 
     job_id: str
@@ -204,6 +212,7 @@
     placed: tuple[str, ...] = ()
     placed_is_known: bool = True
     fence: int = 0
+    answered_at: float = 0.0
 
 
 @attrs.frozen
@@ -220,6 +229,8 @@
         list_complete_at: Time from which the platform's list is known to
             contain every target that an earlier placer may have used.
             Infinite if this placer serves only a part of the site.
+        resubmit_pause: Time after which a caller whose connection broke or who
+            got no answer sends its job to another entry.
     """
 
     max_lease: float = 1.0
@@ -227,3 +238,9 @@
     stop_time: float = 0.05
     remote_penalty: float = 2.0
     list_complete_at: float = 0.0
+    resubmit_pause: float = RESUBMIT_PAUSE_S
+
+    @property
+    def permission_lifetime(self) -> float:
+        """Time from the last proof of an entry to the end of its runs."""
+        return self.resubmit_pause - RESUBMIT_MARGIN_S
--- a/anvilford/placement/_placer.py
+++ b/anvilford/placement/_placer.py
@@ -3,8 +3,8 @@
 Only `Placer` starts tasks. These rules keep a task from running twice at the
 same time:
 
-- A run ends at the latest with its target's lease, which lasts at most
-  `max_lease`. A placer extends the lease of a target only while all runs on it
+- A run ends at the latest with its target's lease, which lasts no longer than the
+  permission of any entry (`_permissions.py` has the rule). A placer extends the lease of a target only while all runs on it
   belong to its own jobs in progress, since another placer that cannot reach the
   target counts on the end of the lease. A run whose stop is not confirmed yet
   belongs to none.
@@ -29,7 +29,6 @@
 from anvilford.placement._crashes import CRASHES_TO_GIVE_UP
 from anvilford.placement._crashes import CrashHistory
 from anvilford.placement._fleet import Fleet
-from anvilford.placement._fleet import UNSEEN_RUNS_WINDOW_S
 from anvilford.placement._model import Offer
 from anvilford.placement._model import Outcome
 from anvilford.placement._model import OutcomeKind
@@ -242,7 +241,7 @@
         job.entries.add(offer.entry)
         job.deadline = max(job.deadline, now + offer.remaining)
         if offer.again:
-            job.unseen_runs_until = now + UNSEEN_RUNS_WINDOW_S
+            job.unseen_runs_until = now + self.options.permission_lifetime
             job.add_possible_targets(
                 offer.placed if offer.placed_is_known else None
             )
@@ -275,7 +274,7 @@
                 elsewhere.
             now: Current time in seconds.
         """
-        until = now + UNSEEN_RUNS_WINDOW_S
+        until = now + self.options.permission_lifetime
         for job_id in job_ids:
             known = self._expected_offers.get(job_id)
             placed = known.placed if known else ()
@@ -297,17 +296,16 @@
         """Records that an entry followed this placer at a time in seconds."""
         self._entry_contacts[entry] = followed_at
 
-    def record_proofs(self, followed_at: dict[str, float]) -> None:
-        """Records until when entries are proved to have followed this placer.
-
-        Leases end `UNSEEN_RUNS_WINDOW_S` after the proof of each entry that has
-        jobs on the target, however late this process is in stopping these.
+    def limit_leases(self, oldest_proof: float) -> None:
+        """Lets no lease outlast the permission of any entry.
 
         Args:
-            followed_at: Time in seconds, by entry; a missing one does not limit
-                leases.
+            oldest_proof: Time of the oldest proof that an entry with jobs here
+                followed this placer, in seconds.
         """
-        self.fleet.entry_proofs = followed_at
+        self.fleet.leases_end_by = (
+            oldest_proof + self.options.permission_lifetime
+        )
 
     def record_missing_members(self, now: float) -> None:
         """Records that entries are missing; they may follow another placer."""
@@ -338,7 +336,7 @@
         for job in list(self.jobs.values()):
             if entry in job.entries:
                 placed = self._possible_targets(job, now)
-                until = now + UNSEEN_RUNS_WINDOW_S
+                until = now + self.options.permission_lifetime
                 expected = _ExpectedOffer(until, placed, placed_is_known=True)
                 self._expect_offer(job.job_id, expected)
                 self._end_job(
@@ -408,7 +406,7 @@
         Another placer is active: it may have extended leases whose ends are
         known here, or have moved runs that this placer takes for its own.
         """
-        self._earlier_runs_end_by = now + UNSEEN_RUNS_WINDOW_S
+        self._earlier_runs_end_by = now + self.options.permission_lifetime
         for job in self.jobs.values():
             if job.lease_ended_at:
                 self._expect_unseen_runs(job)
@@ -467,7 +465,7 @@
         """
         found = self.fleet.adopt_runs(job, now)
         if job.has_earlier_runs and not job.unseen_runs_until:
-            job.unseen_runs_until = now + UNSEEN_RUNS_WINDOW_S
+            job.unseen_runs_until = now + self.options.permission_lifetime
             job.placed_elsewhere = None
         return found
 
@@ -489,7 +487,7 @@
             offer.spec,
             now - offer.waited,
             now + offer.remaining,
-            now + UNSEEN_RUNS_WINDOW_S if offer.again else 0.0,
+            now + self.options.permission_lifetime if offer.again else 0.0,
             offer.placed if offer.placed_is_known else None,
             {offer.entry},
             has_run_before=offer.job_id in self._lost_jobs,
@@ -649,7 +647,9 @@
     def _is_discovery_over(self, job: Job, now: float) -> bool:
         """Returns whether `RUN_DISCOVERY_S` have passed since the offer."""
         return now > (
-            job.unseen_runs_until - UNSEEN_RUNS_WINDOW_S + RUN_DISCOVERY_S
+            job.unseen_runs_until
+            - self.options.permission_lifetime
+            + RUN_DISCOVERY_S
         )
 
     def dispatch(self, now: float) -> None:
--- a/anvilford/protocol/anvilford.thrift
+++ b/anvilford/protocol/anvilford.thrift
@@ -176,6 +176,7 @@
   9: required i64 fence
   10: required list<string> placed
   11: required bool placed_is_known
+  12: required double answered_at
 }
 
 enum OutcomeKind {
--- a/anvilford/protocol/wire/ttypes.py
+++ b/anvilford/protocol/wire/ttypes.py
@@ -715,11 +715,12 @@
      - fence
      - placed
      - placed_is_known
+     - answered_at
 
     """
 
 
-    def __init__(self, job_id=None, entry=None, policy=None, spec=None, waited=None, remaining=None, again=None, done=None, fence=None, placed=None, placed_is_known=None,):
+    def __init__(self, job_id=None, entry=None, policy=None, spec=None, waited=None, remaining=None, again=None, done=None, fence=None, placed=None, placed_is_known=None, answered_at=None,):
         self.job_id = job_id
         self.entry = entry
         self.policy = policy
@@ -731,6 +732,7 @@
         self.fence = fence
         self.placed = placed
         self.placed_is_known = placed_is_known
+        self.answered_at = answered_at
 
     def __repr__(self):
         L = ['%s=%r' % (key, value)
@@ -1301,6 +1303,7 @@
     (9, TType.I64, 'fence', None, None, ),  # 9
     (10, TType.LIST, 'placed', (TType.STRING, 'UTF8', False), None, ),  # 10
     (11, TType.BOOL, 'placed_is_known', None, None, ),  # 11
+    (12, TType.DOUBLE, 'answered_at', None, None, ),  # 12
 )
 all_structs.append(Outcome)
 Outcome.thrift_spec = (
