Let a job go on without its caller only while all entries are proved to follow

Cause: an entry kept the job of a lost caller, or one past its deadline, for 1.6 s or longer, unless it knew that the leader missed a member. Its heartbeats kept the runs alive; callers send a job again after 1.3 s, to entries that may have another leader by then. That knowledge is 0.4 s old or more at best.

Evidence: test_job_of_a_lost_caller_runs_when_it_may_be_sent_again: the job goes on to its end, 3.5 s after its caller was lost, at a placer that misses an entry.

Now the leader decides, by the rule of placement/_permissions.py. The runs of a job without a caller end as if the permission had ended with its report, which is before the job can come again. They go on beyond that only while the last proofs of all known members are younger than the report, which each of them has got with the reply before. Their leases then end with the permission of the member whose proof is the oldest, and a leader that such a member follows next lets the job wait for the same time. An entry offers a job whose caller is lost to no further leader.

Tried first: withdrawing at once. testkit.cuts.tests.test_cuts. test_job_is_given_up_for_good_after_a_zone_is_gone failed (0, 0, 0 instead of a 200 at the end), since a job that takes longer than its caller waits would never end.

--- a/anvilford/http1/_server.py
+++ b/anvilford/http1/_server.py
@@ -15,8 +15,8 @@
 
 # The kernel probes connections once a second at most, so that it can tell after
 # two seconds that a client is lost. This bounds how long a job goes on for a caller
-# whose FIN or reset was lost on the way. It does not prevent a second run: callers
-# send a job again 1.3 s after their connection broke.
+# whose FIN or reset was lost on the way, before its deadline. It does not prevent a
+# second run: callers send a job again 1.3 s after their connection broke.
 PEER_LOSS_TIMEOUT_S = 2.0
 
 _REASON_PHRASES = {
--- a/anvilford/node/_callers.py
+++ b/anvilford/node/_callers.py
@@ -9,6 +9,7 @@
 import math
 import random
 import string
+from collections.abc import Callable
 
 import attrs
 
@@ -76,6 +77,8 @@
         failed_placer_token: Process token of the leader that last failed to
             place the job; it gets no further offer until the leader changes.
             Empty if there is none.
+        caller_is_lost: True once the caller may have given the job to another
+            entry. The job is offered to no further leader then.
     """
 
     may_have_started: bool = False
@@ -84,6 +87,7 @@
     run_targets_known: bool = True
     offer_count: int = 0
     failed_placer_token: str = ""
+    caller_is_lost: bool = False
 
 
 class CallerRequestHandler:
@@ -216,6 +220,7 @@
             placement,
             request.disconnected,
             arrived_at + wait_s + DEADLINE_TOLERANCE_S,
+            lambda: self._lose_caller(job_id, progress),
         )
         if not placement.done():
             left_early = (
@@ -225,7 +230,7 @@
                 cause = "caller_left"
             else:
                 cause = "caller_lost"
-                self.coordinator.report_unanswered_job(job_id)
+                self._lose_caller(job_id, progress)
                 await self._wait_for_lost_caller(placement)
             if not placement.done():
                 placement.cancel()
@@ -273,6 +278,7 @@
         placement: asyncio.Future,
         disconnected: asyncio.Future,
         caller_waits_until: float,
+        lose_caller: Callable[[], None],
     ) -> None:
         """Waits until a job or the connection of its caller ends.
 
@@ -284,6 +290,7 @@
             placement: Ends with the outcome of the job.
             disconnected: Ends when the connection is closed or reset.
             caller_waits_until: Time after which the caller has given up.
+            lose_caller: Called at that time.
         """
         events = (placement, disconnected)
         timeout = caller_waits_until - clock.now()
@@ -293,10 +300,21 @@
                 timeout=max(timeout, 0.0),
                 return_when=asyncio.FIRST_COMPLETED,
             )
+            if not placement.done() and not disconnected.done():
+                lose_caller()
             timeout = LEADER_CHECK_INTERVAL_S
             if self.withdrawals.may_have_other_leader:
                 return
 
+    def _lose_caller(self, job_id: str, progress: _PlacementProgress) -> None:
+        """Ends the permission for a job whose caller may send it elsewhere.
+
+        The leader decides whether it goes on until it is sent again.
+        """
+        if not progress.caller_is_lost:
+            progress.caller_is_lost = True
+            self.coordinator.report_unanswered_job(job_id)
+
     async def _wait_for_lost_caller(self, placement: asyncio.Future) -> None:
         """Waits until a job without its caller ends, for a limited time.
 
@@ -335,6 +353,8 @@
         """
         first_offer_deadline = arrived_at + LEADER_WAIT_S
         while True:
+            if progress.caller_is_lost:
+                return self._outcome_without_placer(progress)
             now = clock.now()
             leader = self.coordinator.leader
             if (
--- a/anvilford/node/_coordination.py
+++ b/anvilford/node/_coordination.py
@@ -898,7 +898,12 @@
         """Stops the jobs of members that no longer send heartbeats."""
         self.driver.placer.record_contact(self.local_member.name, now)
         self.heartbeats.expire(now)
-        self.driver.placer.limit_leases(self.heartbeats.permissions.oldest)
+        self.driver.placer.limit_leases(
+            self.heartbeats.permissions.oldest,
+            self.heartbeats.oldest_proof_of_all,
+        )
+        # The members have to know them for as long as they go on.
+        self.unanswered_jobs.add(self.driver.placer.kept_jobs)
         self.leader_hears_site = self.heartbeats.hears_site
         if not self.leader_hears_site:
             self.site.record_missing_members()
--- a/anvilford/node/_members.py
+++ b/anvilford/node/_members.py
@@ -241,6 +241,17 @@
             for name, last in self._last_heartbeats.items()
         }
 
+    @property
+    def oldest_proof_of_all(self) -> float:
+        """Oldest of the last proofs of all known members, in seconds.
+
+        Minus infinity while one of them has none.
+        """
+        proofs = [
+            self.permissions.proof(name) for name in self._last_heartbeats
+        ]
+        return min(proofs, default=-math.inf)
+
     def live_members(self) -> list[Member]:
         """Returns the members that count as live."""
         return [
--- a/anvilford/node/tests/test_coordination.py
+++ b/anvilford/node/tests/test_coordination.py
@@ -120,6 +120,7 @@
     site.recently_removed_targets.return_value = ()
     driver = mock.Mock(name="driver")
     driver.waiting_entries.return_value = set()
+    driver.placer.kept_jobs = []
     yield LeadershipCoordinator(
         LOCAL_MEMBER,
         FakePeerLinks(),
--- a/anvilford/placement/_fleet.py
+++ b/anvilford/placement/_fleet.py
@@ -308,7 +308,7 @@
             now,
             options.max_lease,
             options.clock_drift,
-            self.leases_end_by,
+            min(self.leases_end_by, target.kept_until),
         )
         assert deadline is not None  # The clock is known after the first poll.
         return deadline
--- a/anvilford/placement/_permissions.py
+++ b/anvilford/placement/_permissions.py
@@ -6,7 +6,9 @@
 
 1. The caller gives it to one entry at a time. The entry has it while the
    caller's connection is open, and at most until the caller's deadline. The
-   caller turns to another entry `PlacementOptions.resubmit_pause` later.
+   caller turns to another entry `PlacementOptions.resubmit_pause` later. An
+   entry that reads a request late counts the deadline from the earliest time at
+   which it may have arrived.
 2. The entry gives it to one leader at a time. An offer or a heartbeat names the
    last answer of the leader that the entry has received, and so proves that the
    entry followed the leader at the time of that answer, however late it
@@ -22,6 +24,13 @@
 permission, and that is before the caller gives it to another entry. The proof
 needs no knowledge of other leaders, of the store, of the list of targets or of
 what other entries have: it holds for each process by its own clock.
+
+A job whose caller is gone may take longer than the caller's pause. It goes on
+(`Placer.limit_leases`) only while every known entry is proved to follow this
+leader and to have been told of the job since. An entry that leaves then has
+left after it knew the job, and its next leader lets the job wait as a repeated
+one for `permission_lifetime`; by then the runs here have ended, since their
+leases are bound to the proof of that entry as well.
 """
 
 import math
@@ -65,6 +74,10 @@
     def __contains__(self, entry: str) -> bool:
         return entry in self._followed_at
 
+    def proof(self, entry: str) -> float:
+        """Returns the time of an entry's last proof; minus infinity for none."""
+        return self._followed_at.get(entry, -math.inf)
+
     def renew(self, entry: str, followed_at: float, now: float) -> bool:
         """Applies a proof that an entry followed this leader.
 
--- a/anvilford/placement/_placer.py
+++ b/anvilford/placement/_placer.py
@@ -17,6 +17,7 @@
   job no entry offers again.
 """
 
+import math
 import random
 from collections.abc import Iterable
 
@@ -62,6 +63,11 @@
 # Weight of a new delay in the moving average. With one delay each 20 ms or
 # later, a processor that is short of time is noticed within 0.1 s.
 EVENT_DELAY_WEIGHT = 0.3
+# How long before its runs have to end a job without a caller is stopped. A stop is
+# repeated each 0.1 s.
+KEPT_STOP_S = 0.3
+# Most jobs that go on without a caller. The members remember more of them.
+MAX_KEPT_JOBS = 500
 # Time reserved for the transfer of the answer to the caller.
 ANSWER_MARGIN_S = 0.006
 
@@ -125,6 +131,8 @@
             self.crashes,
         )
         self._waiting: dict[str, Job] = {}
+        # Jobs in progress whose callers are gone, by id.
+        self._kept: dict[str, Job] = {}
         # End of jobs that ended as lost after tasks had started, by id.
         self._lost_jobs: dict[str, float] = {}
         # Jobs that callers may send again to other entries, by id.
@@ -239,6 +247,8 @@
         The entry may have offered the job to another placer meanwhile.
         """
         job.entries.add(offer.entry)
+        job.lost_entries.discard(offer.entry)
+        self._update_kept(job, now)
         job.deadline = max(job.deadline, now + offer.remaining)
         if offer.again:
             job.unseen_runs_until = now + self.options.permission_lifetime
@@ -280,10 +290,42 @@
             placed = known.placed if known else ()
             self._expect_offer(job_id, _ExpectedOffer(until, placed))
             job = self.jobs.get(job_id)
-            if job is not None and not job.started and entry not in job.entries:
+            if job is None:
+                continue
+            if entry in job.entries:
+                job.lost_entries.add(entry)
+                self._update_kept(job, now)
+            elif not job.started:
                 job.unseen_runs_until = until
                 job.placed_elsewhere = None
 
+    @property
+    def kept_jobs(self) -> list[str]:
+        """Ids of the jobs in progress whose callers are gone."""
+        return list(self._kept)
+
+    def _update_kept(self, job: Job, now: float) -> None:
+        """Updates whether a job goes on without a caller.
+
+        Its caller may send it to any entry. Runs end as they would have without
+        this, unless `limit_leases` extends that.
+        """
+        if not job.entries <= job.lost_entries:
+            self._kept.pop(job.job_id, None)
+            job.kept_since, job.kept_until = 0.0, math.inf
+        elif not job.kept_since:
+            self._kept[job.job_id] = job
+            job.kept_since, job.kept_until = now, self.fleet.leases_end_by
+
+    def _stop_kept_jobs(self, now: float) -> None:
+        """Stops jobs without a caller in time before their runs have to end."""
+        for job in list(self._kept.values()):
+            if now > job.kept_until - KEPT_STOP_S or (
+                len(self._kept) > MAX_KEPT_JOBS
+            ):
+                lost = Outcome(OutcomeKind.LOST, "caller_lost")
+                self._end_job(job, lost, now)
+
     def record_event_delay(self, seconds: float) -> None:
         """Records how late the owner handled an event.
 
@@ -296,16 +338,26 @@
         """Records that an entry followed this placer at a time in seconds."""
         self._entry_contacts[entry] = followed_at
 
-    def limit_leases(self, oldest_proof: float) -> None:
+    def limit_leases(
+        self, oldest_proof: float, oldest_of_all: float = -math.inf
+    ) -> None:
         """Lets no lease outlast the permission of any entry.
 
+        A job whose caller is gone has no permission. It goes on only once each
+        entry of the site has followed this placer since it learned of it, and as
+        long as all of them do: no other placer gets the job as new then.
+
         Args:
             oldest_proof: Time of the oldest proof that an entry with jobs here
                 followed this placer, in seconds.
+            oldest_of_all: The same of all entries of the site, with jobs or
+                without; minus infinity while one of them is missing.
         """
-        self.fleet.leases_end_by = (
-            oldest_proof + self.options.permission_lifetime
-        )
+        lifetime = self.options.permission_lifetime
+        self.fleet.leases_end_by = oldest_proof + lifetime
+        for job in self._kept.values():
+            if oldest_of_all >= job.kept_since:
+                job.kept_until = max(job.kept_until, oldest_of_all + lifetime)
 
     def record_missing_members(self, now: float) -> None:
         """Records that entries are missing; they may follow another placer."""
@@ -322,8 +374,11 @@
         if job is None:
             return
         job.entries.discard(entry)
+        job.lost_entries.discard(entry)
         if not job.entries:
             self._end_job(job, Outcome(OutcomeKind.LOST, reason), now)
+            return
+        self._update_kept(job, now)
 
     def stop_jobs_of(self, entry: str, now: float) -> None:
         """Stops all jobs of an entry that may have left for another placer.
@@ -361,6 +416,7 @@
             self.effects.append(Settle(job.job_id, moved))
         self.jobs.clear()
         self._waiting.clear()
+        self._kept.clear()
         self.fleet.clear()
 
     def _possible_targets(self, job: Job, now: float) -> tuple[str, ...]:
@@ -440,6 +496,7 @@
 
     def tick(self, now: float) -> None:
         """Handles timeouts; to be called every 20 ms while there are jobs."""
+        self._stop_kept_jobs(now)
         self.fleet.tick(now)
         self.crashes.drop_old_losses(now)
         for job in list(self._waiting.values()):
@@ -661,7 +718,7 @@
         is_claiming = self.fleet.is_claiming(now)
         jobs_by_service: dict[str, list[Job]] = {}
         for job in self._waiting.values():
-            if job.is_held:
+            if job.is_held or job.kept_since:
                 continue
             is_new = not job.started and not job.unseen_runs_until
             if is_new and is_claiming:
@@ -905,6 +962,7 @@
         """Removes a job, stops its runs and reports its outcome."""
         self.jobs.pop(job.job_id, None)
         self._waiting.pop(job.job_id, None)
+        self._kept.pop(job.job_id, None)
         self.fleet.stop_job(job, now)
         if outcome.kind in (OutcomeKind.COMPLETED, OutcomeKind.FAILED):
             self.outcomes[job.job_id] = (now, outcome)
--- a/anvilford/placement/_state.py
+++ b/anvilford/placement/_state.py
@@ -133,6 +133,10 @@
         placed_elsewhere: Ids of the targets on which an earlier placer may
             have started tasks; None if they are not known.
         entries: Names of the entries that wait for the outcome.
+        lost_entries: Those of them whose callers are gone.
+        kept_since: Time at which the last caller was known to be gone; 0 if
+            there is one.
+        kept_until: Latest time at which runs may end, while there is no caller.
         has_run_before: True if the job was offered before, and lost after tasks
             had started. It must not be refused, as a refusal denies that.
         lease_ended_at: Time at which a run was last counted as ended because
@@ -160,6 +164,9 @@
     unseen_runs_until: float = 0.0
     placed_elsewhere: tuple[str, ...] | None = None
     entries: set[str] = attrs.field(factory=set)
+    lost_entries: set[str] = attrs.field(factory=set)
+    kept_since: float = 0.0
+    kept_until: float = math.inf
     has_run_before: bool = False
     lease_ended_at: float = 0.0
     tasks: list[Task] = attrs.field(factory=list)
@@ -415,6 +422,18 @@
                 return False
         return True
 
+    @property
+    def kept_until(self) -> float:
+        """Latest end of the runs of jobs whose callers are gone."""
+        return min(
+            (
+                run.task.job.kept_until
+                for run in self.runs.values()
+                if run.task is not None
+            ),
+            default=math.inf,
+        )
+
     def accepts_starts_within_lease(self, now: float) -> bool:
         """Returns whether tasks may start although a stop is unconfirmed."""
         if self.clock_ms is None or self.has_unclaimed_runs:
