--- a/anvilford/node/_unanswered.py
+++ b/anvilford/node/_unanswered.py
@@ -6,7 +6,7 @@
 from anvilford.node import _clock as clock
 
 # Callers send a job again 1.3 s after a broken connection or status 504. A new
-# leader is found within 0.7 s, and runs of the one before may last 1.8 s more.
+# leader is found within 0.7 s, and runs of the one before may last 1.2 s more.
 # Withdrawn jobs need less: a leader that hears nothing of them for 0.6 s hears
 # nothing of their entry either, and stops them.
 UNANSWERED_RETENTION_S = 4.0
--- a/anvilford/placement/tests/test_two_placers.py
+++ b/anvilford/placement/tests/test_two_placers.py
@@ -215,7 +215,7 @@
     """Guards against a run that goes on although its job was withdrawn.
 
     The stop was lost, and polls extended the lease for the run alone. Another
-    placer waits only 1.8 s before it starts the job.
+    placer waits only 1.2 s before it starts the job.
     """
     site = make_site()
     first = start_on_far(site, 4.0)
@@ -235,7 +235,7 @@
     """Guards against a run that goes on after its job was withdrawn.
 
     Its stop was lost, and polls and starts extended the lease of the target for
-    other runs. Another placer waits only 1.8 s before it starts the job.
+    other runs. Another placer waits only 1.2 s before it starts the job.
     """
     for starts_another in (False, True):
         with case.subTest(starts_another=starts_another):
