End the placement of a job whose caller has left, whatever happens meanwhile

Cause: asyncio.wait_for of Python 3.11 loses a cancellation that comes together with what it waits for. If a caller left in the moment in which the leader changed, or both were read after a hold-up, the placement of its job went on with nobody waiting. It offered the job to each leader from then on, with fresh proofs, beside the entry to which the caller had turned.

--- a/anvilford/daemon/_runtime.py
+++ b/anvilford/daemon/_runtime.py
@@ -240,7 +240,8 @@
         self._pending_replies[request_id] = answer
         self.handle(make_event(request_id))
         try:
-            return await asyncio.wait_for(answer, wait)
+            async with asyncio.timeout(wait):
+                return await answer
         except TimeoutError:
             self.handle(RequesterGone(request_id))
             return None
--- a/anvilford/node/_callers.py
+++ b/anvilford/node/_callers.py
@@ -233,6 +233,7 @@
                 self._lose_caller(job_id, progress)
                 await self._wait_for_lost_caller(placement)
             if not placement.done():
+                progress.caller_is_lost = True
                 placement.cancel()
                 self.withdrawals.withdraw(job_id)
             else:
--- a/anvilford/node/_coordination.py
+++ b/anvilford/node/_coordination.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import logging
 from collections.abc import Awaitable
 from collections.abc import Callable
@@ -195,10 +196,11 @@
         Args:
             timeout: Longest time to wait, in seconds.
         """
-        try:
-            await asyncio.wait_for(self._leader_changed.wait(), timeout)
-        except TimeoutError:
-            return  # The caller checks its own deadline.
+        # Not `asyncio.wait_for`, which loses a cancellation that comes together
+        # with the event (Python 3.11).
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout):
+                await self._leader_changed.wait()
 
     @property
     def leader_is_unresponsive(self) -> bool:
@@ -474,10 +476,9 @@
     async def _wait_for_wake(self, seconds: float) -> None:
         """Waits until an event requires a step, at most the given seconds."""
         self._wake.clear()
-        try:
-            await asyncio.wait_for(self._wake.wait(), seconds)
-        except TimeoutError:
-            return  # Usually no event arrives before the timeout.
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._wake.wait()
 
     # Methods used while this member follows another one.
 
--- a/anvilford/node/_leader_row.py
+++ b/anvilford/node/_leader_row.py
@@ -131,9 +131,8 @@
         if self._read_task is None or self._read_task.done():
             self._read_task = asyncio.ensure_future(self._read())
         try:
-            return await asyncio.wait_for(
-                asyncio.shield(self._read_task), timeout
-            )
+            async with asyncio.timeout(timeout):
+                return await asyncio.shield(self._read_task)
         except TimeoutError:
             return False
 
--- a/anvilford/node/_sync.py
+++ b/anvilford/node/_sync.py
@@ -214,7 +214,8 @@
             if left <= 0:
                 break
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._wake.wait(), left)
+                async with asyncio.timeout(left):
+                    await self._wake.wait()
         self._has_changes = False
         if clock.now() - started >= FULL_READ_AFTER_S:
             self._needs_full_read = True
--- a/anvilford/node/tests/test_permissions.py
+++ b/anvilford/node/tests/test_permissions.py
@@ -185,3 +185,22 @@
         await placed
 
     asyncio.run(scenario())
+
+
+def test_placement_of_a_caller_that_left_goes_on(case, node):
+    """Guards against offers of a job whose request has been answered.
+
+    The caller left in the moment in which the leader changed. The placement
+    lost its cancellation, and offered the job to each leader from then on.
+    """
+
+    async def scenario():
+        coordinator = node.coordinator
+        waiting = asyncio.ensure_future(coordinator.wait_for_leader_change(1.0))
+        await asyncio.sleep(0.01)
+        coordinator._wake_waiting_offers()
+        waiting.cancel()
+        await asyncio.wait((waiting,))
+        case.assertTrue(waiting.cancelled())
+
+    asyncio.run(scenario())
