Let no message bring a permission back that has ended

An entry that follows another leader and is back within 0.7 s revived its old jobs, which that leader may have (lease until 1.44 s after it left). An offer for one job renewed the permission for others whose callers were lost since the last heartbeat (lease until 1.43 s after that). And a report that a new leader gets again ended a job whose caller had come back and waits (504).

Now a heartbeat has a number, and an offer names the last one that its process sent: what is read after a later heartbeat is outdated. A heartbeat that names no answer of this leader stops the jobs that its entry had here. Offers are checked by their proof, but only heartbeats renew. A job that is offered again is not reported any more, and none is while another request for it is in progress.

--- a/anvilford/node/_callers.py
+++ b/anvilford/node/_callers.py
@@ -312,8 +312,8 @@
 
         The leader decides whether it goes on until it is sent again.
         """
-        if not progress.caller_is_lost:
-            progress.caller_is_lost = True
+        progress.caller_is_lost, was_lost = True, progress.caller_is_lost
+        if not was_lost and not self.withdrawals.has_other_request(job_id):
             self.coordinator.report_unanswered_job(job_id)
 
     async def _wait_for_lost_caller(self, placement: asyncio.Future) -> None:
@@ -387,6 +387,8 @@
                 progress.run_targets_known,
                 self.coordinator.fence,
                 self.coordinator.answered_at,
+                self.coordinator.local_member.token,
+                self.coordinator.heartbeat_number,
             )
             progress.offer_count += 1
             self.coordinator.forget_withdrawal(job_id)
--- a/anvilford/node/_coordination.py
+++ b/anvilford/node/_coordination.py
@@ -112,6 +112,7 @@
             started to lead.
         unanswered_jobs: Jobs that callers may send again to any entry, as far
             as this member knows.
+        heartbeat_number: Number of the last heartbeat that this process sent.
         leader_hears_site: Whether the leader lately heard all known members,
             as it replied last.
     """
@@ -158,6 +159,8 @@
         self._withdrawn_jobs = UnansweredJobs()
         # Token of the latest process of each member that this leader has heard.
         self._process_tokens: dict[str, str] = {}
+        # Number of the latest heartbeat that was read of each of them.
+        self._heartbeat_numbers: dict[str, int] = {}
         self._leader_changed = asyncio.Event()
         self._wake = asyncio.Event()
         self._leader_contact_at = clock.now()
@@ -170,6 +173,7 @@
         # Token of the leader's process and `sent_at` of its last reply.
         self._last_answer = ("", 0.0)
         self._last_answer_received_at = 0.0
+        self.heartbeat_number = 0
         self._raise_fence_at = 0.0
         self._row_write_due_at = 0.0
         self._may_appoint_at = 0.0
@@ -253,7 +257,8 @@
             self._send_withdrawals(self.leader, (job_id,))
 
     def forget_withdrawal(self, job_id: str) -> None:
-        """Ends the reports of a withdrawn job that is offered again."""
+        """Ends the reports of a withdrawn or lost job that is offered again."""
+        self._local_unanswered_jobs.remove(job_id)
         self._withdrawn_jobs.remove(job_id)
 
     def _send_withdrawals(self, leader: Leader, job_ids: Iterable[str]) -> None:
@@ -309,15 +314,44 @@
         token = self._process_tokens.get(member.name)
         self._process_tokens[member.name] = member.token
         if token not in (None, member.token):
+            self._heartbeat_numbers.pop(member.name, None)
             self.driver.stop_jobs_of(member.name)
 
+    def _is_outdated(self, name: str, process: str, number: int) -> bool:
+        """Returns whether a member has sent a heartbeat after a message.
+
+        The network may hold a message back while later ones arrive over another
+        connection. The member may have withdrawn since what the message offers.
+
+        Args:
+            name: Name of the member.
+            process: Token of the process that sent the message.
+            number: Number of the last heartbeat that it sent before.
+        """
+        return process != self._process_tokens.get(
+            name
+        ) or number < self._heartbeat_numbers.get(name, 0)
+
     def receive_heartbeat(self, message: Heartbeat) -> HeartbeatReply:
         """Records a member's heartbeat and returns the reply."""
         now = clock.now()
         if self._is_leading:
             # It may step down if it was suspended.
             self._stop_jobs_of_earlier_process(message.member)
-        if self._is_leading:
+        name = message.member.name
+        if self._is_leading and not self._is_outdated(
+            name, message.member.token, message.number
+        ):
+            self._heartbeat_numbers[name] = message.number
+            if not message.answered_at and (
+                name in self.driver.waiting_entries()
+            ):
+                # The member has followed another leader since it last did this
+                # one, which may run its jobs.
+                self.driver.stop_jobs_of(name)
+        if self._is_leading and not self._is_outdated(
+            name, message.member.token, message.number
+        ):
             # The heartbeat itself may have been sent long before it was read.
             followed_at = min(message.answered_at, now)
             self.heartbeats.record_heartbeat(message.member, now, followed_at)
@@ -358,7 +392,9 @@
         if self.driver is None:
             return Outcome(OutcomeKind.MOVED, REASON_NOT_LEADING)
         now = clock.now()
-        if not self.heartbeats.permissions.renew(
+        if self._is_outdated(
+            offer.entry, offer.process, offer.heartbeat_number
+        ) or not self.heartbeats.permissions.admit(
             offer.entry, min(offer.answered_at, now), now
         ):
             self.counters.increment("late_offers")
@@ -630,6 +666,7 @@
         if reported_to != leader.fence:
             reported_at = 0.0
         now = clock.now()
+        self.heartbeat_number += 1
         self._send_withdrawals(
             leader, self._withdrawn_jobs.list_since(reported_at)
         )
@@ -639,6 +676,7 @@
             self.membership.members_digest,
             sent_at if token == leader.member.token else 0.0,
             self._local_unanswered_jobs.list_since(reported_at),
+            self.heartbeat_number,
         )
         answer = await self.links.call(
             leader.member.address, heartbeat, HEARTBEAT_TIMEOUT_S
@@ -711,6 +749,7 @@
         self.has_written_row = False
         self._site_check_task = None
         self._process_tokens.clear()
+        self._heartbeat_numbers.clear()
         self.heartbeats.reset(
             [self.local_member, *self.membership.other_members], now
         )
--- a/anvilford/node/_withdrawals.py
+++ b/anvilford/node/_withdrawals.py
@@ -48,6 +48,10 @@
             if not self._requests[job_id]:
                 del self._requests[job_id]
 
+    def has_other_request(self, job_id: str) -> bool:
+        """Returns whether another request for a job is in progress here."""
+        return self._requests[job_id] > 1
+
     def withdraw(self, job_id: str) -> None:
         """Tells the leader that this entry no longer waits for a job."""
         driver = self.coordinator.driver
--- a/anvilford/node/tests/test_permissions.py
+++ b/anvilford/node/tests/test_permissions.py
@@ -4,8 +4,6 @@
 import random
 from unittest import mock
 
-import attrs
-
 from anvilford.leadership import Leader
 from anvilford.leadership import Member
 from anvilford.node import _clock as clock
@@ -115,7 +113,14 @@
     policy = QueuePolicy("check", "line", 0, 3, 1.6, 60)
     spec = JobSpec("", (step,))
     return Offer(
-        "00000000000000a1", OTHER_MEMBER.name, policy, spec, 0.0, 1.5, **fields
+        "00000000000000a1",
+        OTHER_MEMBER.name,
+        policy,
+        spec,
+        0.0,
+        1.5,
+        process=OTHER_MEMBER.token,
+        **fields,
     )
 
 
@@ -168,9 +173,7 @@
             Heartbeat(OTHER_MEMBER, 0, answered_at=reply.sent_at)
         )
         await asyncio.sleep(0.02)
-        offer = make_offer()
-        if hasattr(offer, "answered_at"):
-            offer = attrs.evolve(offer, answered_at=reply.sent_at)
+        offer = make_offer(answered_at=reply.sent_at)
         placed = asyncio.ensure_future(
             EntryNode._handle_peer_message(node, mock.Mock(), offer)
         )
--- a/anvilford/placement/_model.py
+++ b/anvilford/placement/_model.py
@@ -199,6 +199,8 @@
             followed.
         answered_at: Time of the placer's last answer that the entry has
             received, on the placer's clock; 0 for none.
+        process: Token of the entry's process.
+        heartbeat_number: Number of the last heartbeat that the process has sent.
     """
 
     job_id: str
@@ -213,6 +215,8 @@
     placed_is_known: bool = True
     fence: int = 0
     answered_at: float = 0.0
+    process: str = ""
+    heartbeat_number: int = 0
 
 
 @attrs.frozen
--- a/anvilford/placement/_permissions.py
+++ b/anvilford/placement/_permissions.py
@@ -12,7 +12,9 @@
 2. The entry gives it to one leader at a time. An offer or a heartbeat names the
    last answer of the leader that the entry has received, and so proves that the
    entry followed the leader at the time of that answer, however late it
-   arrives. The permission ends `permission_lifetime` after the latest proof.
+   arrives. The permission ends `permission_lifetime` after the latest proof, and
+   with a heartbeat or withdrawal that says so. A message that is read after a later
+   heartbeat of its entry gives none.
    An entry that turns to another leader says that the job may have runs, and
    that leader starts it only after that time, or once it controls all
    targets that may have them.
@@ -78,21 +80,34 @@
         """Returns the time of an entry's last proof; minus infinity for none."""
         return self._followed_at.get(entry, -math.inf)
 
-    def renew(self, entry: str, followed_at: float, now: float) -> bool:
-        """Applies a proof that an entry followed this leader.
+    def renew(self, entry: str, followed_at: float, now: float) -> None:
+        """Applies the proof of a heartbeat.
+
+        A heartbeat also tells which jobs have lost their callers before, so that
+        it gives permission for the others.
 
         Args:
             entry: Name of the entry.
             followed_at: Time after which the entry sent the message.
             now: Current time.
+        """
+        if self.admit(entry, followed_at, now):
+            known = self._followed_at[entry]
+            self._followed_at[entry] = max(followed_at, known)
+
+    def admit(self, entry: str, followed_at: float, now: float) -> bool:
+        """Returns whether the proof of an offer gives permission for its job.
+
+        It says nothing of the other jobs of the entry, and renews no permission.
 
-        Returns:
-            Whether the message gives permission. One that is too old does not.
+        Args:
+            entry: Name of the entry.
+            followed_at: Time after which the entry sent the offer.
+            now: Current time.
         """
         if now - followed_at > PROOF_TIMEOUT_S or followed_at < self.oldest:
             return False
-        known = self._followed_at.get(entry, followed_at)
-        self._followed_at[entry] = max(followed_at, known)
+        self._followed_at.setdefault(entry, followed_at)
         return True
 
     def expire(self, live: Container[str], now: float) -> None:
--- a/anvilford/protocol/_messages.py
+++ b/anvilford/protocol/_messages.py
@@ -323,6 +323,8 @@
         unanswered_jobs: Ids of jobs whose callers the sender has left without
             an answer, since its last heartbeat to this leader or, to a new
             one, lately. Another entry may offer them as new.
+        number: Counts the heartbeats of the process. What the sender sent before
+            is void once a later one was read.
     """
 
     member: Member
@@ -330,6 +332,7 @@
     members_digest: int = 0
     answered_at: float = 0.0
     unanswered_jobs: tuple[str, ...] = ()
+    number: int = 0
 
 
 @attrs.frozen
--- a/anvilford/protocol/anvilford.thrift
+++ b/anvilford/protocol/anvilford.thrift
@@ -177,6 +177,8 @@
   10: required list<string> placed
   11: required bool placed_is_known
   12: required double answered_at
+  13: required string process
+  14: required i64 heartbeat_number
 }
 
 enum OutcomeKind {
@@ -238,6 +240,7 @@
   3: required i64 members_digest
   4: required double answered_at
   5: required list<string> unanswered_jobs
+  6: required i64 number
 }
 
 struct HeartbeatReply {
--- a/anvilford/protocol/wire/ttypes.py
+++ b/anvilford/protocol/wire/ttypes.py
@@ -716,11 +716,13 @@
      - placed
      - placed_is_known
      - answered_at
+     - process
+     - heartbeat_number
 
     """
 
 
-    def __init__(self, job_id=None, entry=None, policy=None, spec=None, waited=None, remaining=None, again=None, done=None, fence=None, placed=None, placed_is_known=None, answered_at=None,):
+    def __init__(self, job_id=None, entry=None, policy=None, spec=None, waited=None, remaining=None, again=None, done=None, fence=None, placed=None, placed_is_known=None, answered_at=None, process=None, heartbeat_number=None,):
         self.job_id = job_id
         self.entry = entry
         self.policy = policy
@@ -733,6 +735,8 @@
         self.placed = placed
         self.placed_is_known = placed_is_known
         self.answered_at = answered_at
+        self.process = process
+        self.heartbeat_number = heartbeat_number
 
     def __repr__(self):
         L = ['%s=%r' % (key, value)
@@ -922,16 +926,18 @@
      - members_digest
      - answered_at
      - unanswered_jobs
+     - number
 
     """
 
 
-    def __init__(self, member=None, fence=None, members_digest=None, answered_at=None, unanswered_jobs=None,):
+    def __init__(self, member=None, fence=None, members_digest=None, answered_at=None, unanswered_jobs=None, number=None,):
         self.member = member
         self.fence = fence
         self.members_digest = members_digest
         self.answered_at = answered_at
         self.unanswered_jobs = unanswered_jobs
+        self.number = number
 
     def __repr__(self):
         L = ['%s=%r' % (key, value)
@@ -1304,6 +1310,8 @@
     (10, TType.LIST, 'placed', (TType.STRING, 'UTF8', False), None, ),  # 10
     (11, TType.BOOL, 'placed_is_known', None, None, ),  # 11
     (12, TType.DOUBLE, 'answered_at', None, None, ),  # 12
+    (13, TType.STRING, 'process', 'UTF8', None, ),  # 13
+    (14, TType.I64, 'heartbeat_number', None, None, ),  # 14
 )
 all_structs.append(Outcome)
 Outcome.thrift_spec = (
@@ -1358,6 +1366,7 @@
     (3, TType.I64, 'members_digest', None, None, ),  # 3
     (4, TType.DOUBLE, 'answered_at', None, None, ),  # 4
     (5, TType.LIST, 'unanswered_jobs', (TType.STRING, 'UTF8', False), None, ),  # 5
+    (6, TType.I64, 'number', None, None, ),  # 6
 )
 all_structs.append(HeartbeatReply)
 HeartbeatReply.thrift_spec = (
