Count the deadline of a request that is read late from when it may have come

A timer marks every 0.05 s that the event loop runs. Data that is read may have arrived since the third last mark, because a connection is accepted in one round of the loop and read in the next one; if that mark is over 0.25 s old, the arrival counts from it. Requests behind others of their connection count from when their first byte was read, and what arrives while reading is paused from the pause. An entry answers 503 with Retry-After if the deadline is over by that count, and otherwise waits 0.05 s, in which the loop reads that a caller has closed, before it goes on with what is left. The wait for a first leader still counts from the offer, so that an entry that wakes has time to find one.

Not covered: a hold-up of less than 0.25 s, and bytes that were late on the network.

--- a/anvilford/http1/_server.py
+++ b/anvilford/http1/_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import logging
+import time
 from collections.abc import Awaitable
 from collections.abc import Callable
 
@@ -18,6 +19,9 @@
 # whose FIN or reset was lost on the way. It does not prevent a second run: callers
 # send a job again 1.3 s after their connection broke.
 PEER_LOSS_TIMEOUT_S = 2.0
+# Time after a pause in which the loop reads what arrived during it. It polls its
+# sockets at least once before a timer ends.
+READ_AGAIN_S = 0.02
 
 _REASON_PHRASES = {
     200: "OK",
@@ -73,6 +77,8 @@
         disconnected: Completed if the connection ends before the response is
             written; the result is True if the connection was reset and False if
             the client closed it.
+        arrived_at: Earliest time at which its first byte may have arrived, in
+            seconds of the listener's `arrival_clock`.
     """
 
     method: str
@@ -80,6 +86,7 @@
     headers: dict[str, str]
     body: bytes
     disconnected: asyncio.Future
+    arrived_at: float
 
 
 @attrs.frozen
@@ -114,10 +121,15 @@
             none.
         is_closing: True once the connection was closed or lost.
         reading_paused: True while too many requests wait in the queue.
+        unread_since: Time at which reading was paused, until what arrived
+            meanwhile is read; else None.
+        data_arrived_at: Earliest time at which the data that was read last may
+            have arrived.
         idle_timer: Closes the connection; set while no request is in progress.
         parser: Parser of the requests.
         url: Target of the request that is being received; it and the
             attributes below are reset for each request.
+        arrived_at: Earliest time at which its first byte may have arrived.
         headers: Headers received so far.
         header_size: Their total length in bytes.
         body_parts: Parts of the body received so far.
@@ -134,12 +146,15 @@
         self.serve_task: asyncio.Task | None = None
         self.is_closing = False
         self.reading_paused = False
+        self.unread_since: float | None = None
+        self.data_arrived_at = 0.0
         self.idle_timer: asyncio.TimerHandle | None = None
         self.parser = httptools.HttpRequestParser(self)
         self._reset_message()
 
     def _reset_message(self) -> None:
         self.url = b""
+        self.arrived_at = self.data_arrived_at
         self.headers: dict[str, str] = {}
         self.header_size = 0
         self.body_parts: list[bytes] = []
@@ -156,6 +171,10 @@
         self._start_idle_timer()
 
     def data_received(self, data: bytes) -> None:
+        self.data_arrived_at = self.listener.arrival_clock()
+        if self.unread_since is not None:
+            self.data_arrived_at = min(self.data_arrived_at, self.unread_since)
+            self.unread_since = None
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -210,6 +229,7 @@
             self.headers,
             b"".join(self.body_parts),
             asyncio.get_running_loop().create_future(),
+            self.arrived_at,
         )
         keep_alive = self.parser.should_keep_alive()
         self._stop_idle_timer()
@@ -221,6 +241,8 @@
             >= self.listener.limits.max_pipelined_requests
         ):
             self.reading_paused = True
+            # What was there is read, so that more arrives from now on.
+            self.unread_since = self.listener.arrival_clock()
             self.transport.pause_reading()
         if self.serve_task is None:
             self.serve_task = self.listener.start_task(self._serve())
@@ -234,12 +256,23 @@
             self.current_request = None
             self._write(response, is_last or self.listener.is_closing)
             if self.reading_paused and not self.is_closing:
-                self.reading_paused = False
-                self.transport.resume_reading()
+                self._resume_reading()
         self.serve_task = None
         if not self.is_closing:
             self._start_idle_timer()
 
+    def _resume_reading(self) -> None:
+        self.reading_paused = False
+        self.transport.resume_reading()
+        asyncio.get_running_loop().call_later(
+            READ_AGAIN_S, self._end_pause, self.unread_since
+        )
+
+    def _end_pause(self, unread_since: float | None) -> None:
+        """Lets data count as new if none had arrived during a pause."""
+        if not self.reading_paused and self.unread_since == unread_since:
+            self.unread_since = None
+
     async def _handle(self, request: Request) -> Response:
         try:
             return await self.listener.handler(request)
@@ -307,6 +340,8 @@
             listener is open.
         handler: Called for each request; an exception is answered with 500.
         limits: Limits on requests and connections.
+        arrival_clock: Returns the earliest time at which data that is read now
+            may have arrived, in seconds.
         is_closing: Set by the owner to True before a stop; each response then
             closes its connection.
         connections: Open connections.
@@ -314,10 +349,17 @@
             connections, because the client does not keep them alive.
     """
 
-    def __init__(self, address: str, handler: Handler, limits: ListenerLimits):
+    def __init__(
+        self,
+        address: str,
+        handler: Handler,
+        limits: ListenerLimits,
+        arrival_clock: Callable[[], float] = time.monotonic,
+    ):
         self.address = address
         self.handler = handler
         self.limits = limits
+        self.arrival_clock = arrival_clock
         self.is_closing = False
         self.connections: set[_ServerConnection] = set()
         self.final_requests: set[Request] = set()
--- a/anvilford/http1/tests/test_exchange.py
+++ b/anvilford/http1/tests/test_exchange.py
@@ -4,6 +4,7 @@
 import contextlib
 import socket
 import struct
+import time
 
 import uvloop
 
@@ -268,3 +269,43 @@
 
     asyncio.run(scenario())
     uvloop.run(scenario())
+
+
+def test_request_counts_from_when_reading_was_paused(case):
+    """Guards against a deadline that begins when a full queue is read again.
+
+    The bytes of the third request wait in the socket while the second one is in
+    the queue. A handler that counts from the reading runs its job after the
+    client's deadline.
+    """
+    arrivals = []
+
+    async def slow(request):
+        arrivals.append(request.arrived_at)
+        await asyncio.sleep(0.3)
+        return await echo(request)
+
+    async def scenario():
+        limits = ListenerLimits(max_pipelined_requests=1)
+        async with listening(slow, limits) as (listener, _):
+            host, _, port = listener.address.rpartition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            for _ in range(3):
+                writer.write(b"GET / HTTP/1.1\r\nContent-Length: 0\r\n\r\n")
+                await asyncio.sleep(0.05)
+            sent_at = time.monotonic()
+            while len(arrivals) < 3:
+                await asyncio.sleep(0.01)
+            case.assertLess(max(arrivals), sent_at)
+            await asyncio.sleep(0.4)
+            # Read in time, since no request waits any more.
+            sent_at = time.monotonic()
+            writer.write(b"GET / HTTP/1.1\r\nContent-Length: 0\r\n\r\n")
+            while len(arrivals) < 4:
+                await asyncio.sleep(0.01)
+            case.assertGreaterEqual(arrivals[-1], sent_at)
+            writer.close()
+
+    for run in (asyncio.run, uvloop.run):
+        arrivals.clear()
+        run(scenario())
--- a/anvilford/node/_callers.py
+++ b/anvilford/node/_callers.py
@@ -16,6 +16,7 @@
 from anvilford.http1 import Response
 from anvilford.node import _clock as clock
 from anvilford.node._coordination import LeadershipCoordinator
+from anvilford.node._progress import HELD_UP_S
 from anvilford.node._sync import SiteView
 from anvilford.node._withdrawals import JobWithdrawals
 from anvilford.node._withdrawals import LEADER_CHECK_INTERVAL_S
@@ -48,6 +49,9 @@
 # Callers that close their connection this close to their deadline are expected
 # to resubmit the job.
 DEADLINE_TOLERANCE_S = 0.1
+# Time in which the loop reads whether the caller of a request that waited has
+# closed its connection meanwhile.
+CLOSE_READ_S = 0.05
 # Additional time for the leader's reply to an offer.
 PLACER_REPLY_MARGIN_S = 0.5
 
@@ -185,6 +189,12 @@
                 return self._refuse(job_id, "unsupported " + feature, 503, 0)
         if route.needs_advice:
             return self._refuse(job_id, "unsupported advice", 503, 0)
+        if clock.now() - request.arrived_at > HELD_UP_S:
+            await asyncio.wait((request.disconnected,), timeout=CLOSE_READ_S)
+            if request.disconnected.done():
+                return self._refuse(job_id, "caller_left", 503, 0)
+        if clock.now() >= request.arrived_at + _parse_deadline_s(request):
+            return self._refuse(job_id, "read_late", 503, 1000)
         if self.rejects_new_jobs:
             return self._refuse(job_id, "entry_stopping", 503, 0)
         with self.withdrawals.request_in_progress(job_id):
@@ -202,7 +212,7 @@
         goes on for `DISCONNECT_GRACE_S`, because the caller is expected to
         resubmit it.
         """
-        arrived_at = clock.now()
+        arrived_at = request.arrived_at
         wait_s = _parse_deadline_s(request)
         progress = _PlacementProgress()
         placement = asyncio.ensure_future(
@@ -323,7 +333,7 @@
             route: Route that matched the request.
             job_id: Id of the job.
             spec: The job.
-            arrived_at: Time at which the request was received.
+            arrived_at: Time at which the request arrived.
             deadline: Time until which the caller waits.
             progress: State of the job; updated after each offer.
 
@@ -331,7 +341,7 @@
             Outcome of the job. If no leader is found in time, `LOST` if tasks
             may have started and `REFUSED` if not.
         """
-        first_offer_deadline = arrived_at + LEADER_WAIT_S
+        first_offer_deadline = clock.now() + LEADER_WAIT_S
         while True:
             now = clock.now()
             leader = self.coordinator.leader
@@ -376,7 +386,7 @@
                 {*progress.possible_run_targets, *outcome.placed}
             )
             if (
-                clock.now() > arrived_at + LEADER_WAIT_S
+                clock.now() > first_offer_deadline
                 and not progress.may_have_started
             ):
                 return self._outcome_without_placer(progress)
--- a/anvilford/node/_main.py
+++ b/anvilford/node/_main.py
@@ -27,6 +27,7 @@
 from anvilford.node._coordination import LeadershipCoordinator
 from anvilford.node._driver import PlacerDriver
 from anvilford.node._leader_row import LeaderRow
+from anvilford.node._progress import LoopProgress
 from anvilford.node._settings import load_node_settings
 from anvilford.node._settings import NodeSettings
 from anvilford.node._speed_row import SpeedRow
@@ -190,8 +191,14 @@
             )
         )
         limits = ListenerLimits()
+        progress = stack.enter_context(LoopProgress())
         self.caller_listener = await stack.enter_async_context(
-            HttpListener(settings.callers, self.caller_handler.handle, limits)
+            HttpListener(
+                settings.callers,
+                self.caller_handler.handle,
+                limits,
+                progress.earliest_arrival,
+            )
         )
         for address, handler in (
             (settings.ready, self._answer_ready),
