--- a/testkit/cuts/tests/test_cuts.py
+++ b/testkit/cuts/tests/test_cuts.py
@@ -271,12 +271,39 @@
     case.assertEqual(asyncio.run(resend_to_a_lone_entry(LONG_CUT_S)), [])
 
 
-async def resend_after_a_zone_is_gone() -> list[int]:
+def describe_job(site: LoopbackSite, job_id: str) -> str:
+    """Returns the log lines about a job, and all others since its first one."""
+    records = [
+        (record["time"], name, record)
+        for name, entry in site.entries.items()
+        for record in entry.log_records()
+    ]
+    records.sort(key=lambda r: r[:2])
+    times = [at for at, _, record in records if record.get("job") == job_id]
+    lines = [
+        f"{at} {name} {record['message']} {record}"
+        for at, name, record in records
+        if times and at >= times[0]
+    ]
+    lines += [
+        f"{server.name} started {start}"
+        for server in site.targets
+        for start in server.target.starts
+    ]
+    lines += [
+        f"{server.name} ended {end}"
+        for server in site.targets
+        for end in server.target.ends
+    ]
+    return "\n".join(lines)
+
+
+async def resend_after_a_zone_is_gone() -> tuple[list[int], str]:
     """Ends the only entry of a zone; later sends a long job again and again.
 
     Returns:
         Statuses of the answers, 0 for none; the last one is that of success, or
-        of the last of three tries.
+        of the last of three tries. And what the logs and the targets say.
     """
     zones = ("a", "a", "b", "b", "c")
     site = LoopbackSite(len(zones), len(TARGET_ZONES))
@@ -297,7 +324,7 @@
                 is_answered = isinstance(answer, ClientResponse)
                 statuses.append(answer.status if is_answered else 0)
                 await asyncio.sleep(RESEND_AFTER_S)
-        return statuses
+        return statuses, describe_job(site, job_id)
 
 
 def test_job_is_given_up_for_good_after_a_zone_is_gone(case):
@@ -307,8 +334,9 @@
     so that nobody else can lead there. A job that takes longer than its caller
     waits must go on until it is sent again.
     """
-    statuses = asyncio.run(resend_after_a_zone_is_gone())
-    case.assertEqual(statuses[-1], 200, statuses)
+    statuses, log = asyncio.run(resend_after_a_zone_is_gone())
+    # The log tells what a failure in CI came from (known failure 39).
+    case.assertEqual(statuses[-1], 200, f"{statuses}\n{log}")
 
 
 async def lose_members_behind_a_cut() -> list[int]:
