--- a/anvilford/node/tests/test_permission_gaps.py
+++ b/anvilford/node/tests/test_permission_gaps.py
@@ -17,6 +17,7 @@
 from anvilford.node._callers import CallerRequestHandler
 from anvilford.node._coordination import LeadershipCoordinator
 from anvilford.node._main import EntryNode
+from anvilford.node._progress import LoopProgress
 from anvilford.node.tests.test_permissions import LOCAL_MEMBER
 from anvilford.node.tests.test_permissions import make_offer
 from anvilford.node.tests.test_permissions import node
@@ -220,7 +221,7 @@
 
         def submit():
             disconnected = asyncio.get_running_loop().create_future()
-            request = Request("POST", "/", {}, b"", disconnected)
+            request = Request("POST", "/", {}, b"", disconnected, clock.now())
             route = mock.Mock(policy=offer.policy)
             return asyncio.ensure_future(
                 handler._place_until_deadline(
@@ -267,13 +268,23 @@
         handler = CallerRequestHandler(
             LOCAL_MEMBER.name, site, coordinator, mock.Mock(), Counters()
         )
+        with LoopProgress() as progress:
+            listener = HttpListener(
+                "127.0.0.1:0",
+                handler.handle,
+                ListenerLimits(),
+                progress.earliest_arrival,
+            )
+            await submit(listener)
+        case.assertEqual([offer.remaining for offer in offers], [])
+
+    async def submit(listener):
         body = b'{"spec":"x","best_effort":true,"steps":[{"count":1,"cpu":500,"estimate_ms":9}]}'
         head = (
             "POST /jobs/00000000000000a1 HTTP/1.1\r\nHost: a\r\n"
             "X-Anvilford-Deadline-Ms: 500\r\n"
             f"Content-Length: {len(body)}\r\n\r\n"
         )
-        listener = HttpListener("127.0.0.1:0", handler.handle, ListenerLimits())
         async with listener:
             await asyncio.sleep(0.1)
             host, _, port = listener.address.rpartition(":")
@@ -281,6 +292,5 @@
                 caller.sendall(head.encode() + body)
                 time.sleep(1.0)  # noqa: ASYNC251
                 await asyncio.sleep(0.2)
-        case.assertEqual([offer.remaining for offer in offers], [])
 
     asyncio.run(scenario())
