Start a job that was offered again early only if its earlier leader released it

Cause: a leader started a repeated job at once, instead of 1.2 s later, if it had read the list of targets since it began to lead, and each target that it knew had obeyed it when it last answered. Neither shows that the earlier leader does not start the job afterwards: it may know a target that was added since (the store may refuse the new leader for a while), or have taken a target back with a higher token.

Now a repeated job waits for the permission of its earlier leader to end. It starts earlier only if that leader has released it (a planned stop, a new leader that it follows) and named its targets, and each has shown its runs since.

--- a/anvilford/node/_callers.py
+++ b/anvilford/node/_callers.py
@@ -229,7 +229,7 @@
         await self._wait_for_outcome(
             placement,
             request.disconnected,
-            arrived_at + wait_s + DEADLINE_TOLERANCE_S,
+            arrived_at + wait_s,
             lambda: self._lose_caller(job_id, progress),
         )
         if not placement.done():
--- a/anvilford/node/_coordination.py
+++ b/anvilford/node/_coordination.py
@@ -315,6 +315,7 @@
         self._process_tokens[member.name] = member.token
         if token not in (None, member.token):
             self._heartbeat_numbers.pop(member.name, None)
+            self.heartbeats.permissions.withdraw(member.name)
             self.driver.stop_jobs_of(member.name)
 
     def _is_outdated(self, name: str, process: str, number: int) -> bool:
--- a/anvilford/node/_members.py
+++ b/anvilford/node/_members.py
@@ -10,9 +10,8 @@
 from anvilford.placement import EntryPermissions
 from anvilford.placement import PROOF_TIMEOUT_S
 
-# The jobs of a member without a heartbeat for this long are stopped. Related
-# times: callers resubmit a job 1.3 s after its connection broke, and the lease
-# of a run lasts 1.02 s.
+# The jobs of a member without a heartbeat for this long are stopped, well before
+# its permission ends (`placement/_permissions.py`).
 MEMBER_LIVE_TIMEOUT_S = 0.6
 # Members that were silent for this long may follow another leader: two of their
 # heartbeats are due meanwhile. Shorter than the time after which their jobs are
--- a/anvilford/placement/_fleet.py
+++ b/anvilford/placement/_fleet.py
@@ -234,6 +234,19 @@
         )
         self._send_poll(target, now)
 
+    def ask_for_runs(self, job: Job, now: float) -> None:
+        """Probes the targets that have to show whether they run a job."""
+        offered_at = job.unseen_runs_until - self.options.permission_lifetime
+        for target_id in job.placed_elsewhere or ():
+            target = self.targets.get(target_id)
+            if (
+                target is not None
+                and target.reachable
+                and not target.missed_polls
+                and target.controlled_at < offered_at
+            ):
+                self._send_poll(target, now, is_probe=True)
+
     def check_liveness(self, target: Target, now: float) -> bool:
         """Returns whether a target was heard recently; probes it otherwise."""
         if target.was_heard_recently(now):
@@ -515,6 +528,7 @@
         self, target: Target, order: Poll, report: Report, now: float
     ) -> None:
         target.record_clock(report.clock_ms, now)
+        target.controlled_at = max(target.controlled_at, order.sent_at)
         self.crashes.record_return(
             target.record.target_id, target.record.incarnation
         )
--- a/anvilford/placement/_permissions.py
+++ b/anvilford/placement/_permissions.py
@@ -16,8 +16,9 @@
    with a heartbeat or withdrawal that says so. A message that is read after a later
    heartbeat of its entry gives none.
    An entry that turns to another leader says that the job may have runs, and
-   that leader starts it only after that time, or once it controls all
-   targets that may have them.
+   that leader starts it only after that time. It starts it earlier only if the
+   other leader has released the job and named its targets, and all of these have
+   shown since what they run.
 3. The leader gives it to targets, as leases. No lease that it grants ends later
    than `permission_lifetime` after the oldest proof that it goes by. It takes no
    offer with an older proof.
@@ -110,6 +111,10 @@
         self._followed_at.setdefault(entry, followed_at)
         return True
 
+    def withdraw(self, entry: str) -> None:
+        """Ends the permission of an entry whose process has ended."""
+        self._followed_at.pop(entry, None)
+
     def expire(self, live: Container[str], now: float) -> None:
         """Removes the entries that are silent or whose last proof is too old.
 
--- a/anvilford/placement/_placer.py
+++ b/anvilford/placement/_placer.py
@@ -178,11 +178,14 @@
         if known is not None:
             self.effects.append(Settle(offer.job_id, known[1]))
             return
+        may_have_run = offer.again
         offer = self._recognize_repeated_offer(offer, now)
+        if offer.again and self.fleet.has_unclaimed_targets(now):
+            may_have_run = True
         job = self._create_job(offer, now)
         found = self._find_runs(job, now)
         self._update_held(job)
-        may_have_run = found or offer.again or job.has_lost_target
+        may_have_run = may_have_run or found or job.has_lost_target
         refusal = None if may_have_run else self._check_admission(job, now)
         if refusal is not None:
             if job.has_run_before:
@@ -223,12 +226,6 @@
         expected = self._expected_offers.get(offer.job_id)
         if offer.again or expected is None or now >= expected.until:
             return offer
-        self.fleet.give_up_silent(expected.placed)
-        may_run = not self.fleet.owns_all(expected.placed)
-        if not expected.placed_is_known:
-            may_run = may_run or self.fleet.has_unclaimed_targets(now)
-        if not may_run:
-            return offer
         return attrs.evolve(
             offer,
             again=True,
@@ -723,6 +720,8 @@
             is_new = not job.started and not job.unseen_runs_until
             if is_new and is_claiming:
                 continue
+            if job.unseen_runs_until > now:
+                self.fleet.ask_for_runs(job, now)
             may_run_elsewhere = job.unseen_runs_until or job.lease_ended_at
             if not may_run_elsewhere or not self._must_wait(job, now):
                 jobs_by_service.setdefault(job.policy.service, []).append(job)
--- a/anvilford/placement/_state.py
+++ b/anvilford/placement/_state.py
@@ -337,6 +337,8 @@
         retry_at: Earliest time of the next start and the next regular poll
             after commands failed.
         last_contact_at: Time of the last answer that contained the clock.
+        controlled_at: Time at which the last poll was sent that the target has
+            answered under the placer's token.
         speed: Estimated speed; a task takes its estimated run time divided by
             this.
         speed_samples: Number of completed runs in `speed`.
@@ -372,6 +374,7 @@
     probe_pending: bool = False
     retry_at: float = 0.0
     last_contact_at: float = 0.0
+    controlled_at: float = -math.inf
     speed: float = 1.0
     speed_samples: int = 0
     recent_failures: set[str] = attrs.field(factory=set)
--- a/anvilford/placement/_target_list.py
+++ b/anvilford/placement/_target_list.py
@@ -141,14 +141,32 @@
     def may_have_unseen_runs(self, job: Job, now: float) -> bool:
         """Returns whether an earlier placer's runs of a job may still continue.
 
-        Such runs can be on targets that this placer has not claimed, or that
-        are missing from its list.
+        If that placer has released the job and named its targets, those have to
+        show their runs under this placer's token after the job was offered.
+        Otherwise the permission of that placer has to end: it may go on to start
+        the job, on targets that are missing here, and on those that it takes back.
         """
         if now >= job.unseen_runs_until:
             return False
-        if job.placed_elsewhere is not None:
-            return not self.owns_all(job.placed_elsewhere)
-        return self.has_unclaimed_targets(now)
+        if job.placed_elsewhere is None:
+            return True
+        offered_at = job.unseen_runs_until - self.options.permission_lifetime
+        return not self.have_shown_runs(job.placed_elsewhere, offered_at)
+
+    def have_shown_runs(self, target_ids: Iterable[str], since: float) -> bool:
+        """Returns whether targets have reported to this placer since a time.
+
+        Args:
+            target_ids: Ids of the targets.
+            since: Time in seconds; the polls must have been sent later.
+        """
+        targets = [self.targets.get(target_id) for target_id in target_ids]
+        return all(
+            target is not None
+            and target.ownership is Ownership.OWNED
+            and target.controlled_at >= since
+            for target in targets
+        )
 
     def has_unclaimed_targets(self, now: float) -> bool:
         """Returns whether other placers may control targets.
@@ -179,17 +197,6 @@
             for target in targets
         )
 
-    def give_up_silent(self, target_ids: Iterable[str]) -> None:
-        """Counts those targets that do not answer as not claimed.
-
-        Another placer may have claimed them, and may have extended their
-        leases. The next answer of a target claims it again.
-        """
-        for target_id in target_ids:
-            target = self.targets.get(target_id)
-            if target is not None and target.missed_polls:
-                target.ownership = Ownership.CLAIMING
-
     def reconcile(
         self,
         records: Iterable[TargetRecord],
