Report no lost caller while another request for its job waits here

What callers saw: 504 for a job sent again to the same entry, once more.

Cause: each answer of 504 reported the job as left by its caller, also while a second request for it waited at the entry. The leader then started none of its tasks and ended it as lost.

The report goes through the check that lost connections use.

--- a/anvilford/node/_callers.py
+++ b/anvilford/node/_callers.py
@@ -320,7 +320,8 @@
     def _lose_caller(self, job_id: str, progress: _PlacementProgress) -> None:
         """Ends the permission for a job whose caller may send it elsewhere.
 
-        The leader decides whether it goes on until it is sent again.
+        The leader decides whether it goes on until it is sent again. It is not
+        told while the caller of another request waits here.
         """
         progress.caller_is_lost, was_lost = True, progress.caller_is_lost
         if not was_lost and not self.withdrawals.has_other_request(job_id):
@@ -494,7 +495,7 @@
             case _:
                 status = 504
                 response = Response(504)
-                self.coordinator.report_unanswered_job(job_id)
+                self._lose_caller(job_id, progress)
         reason = outcome.reason or outcome.kind.name.lower()
         self._record_result(job_id, route, status, reason, arrived_at, progress)
         return response
--- a/anvilford/node/tests/test_permission_gaps.py
+++ b/anvilford/node/tests/test_permission_gaps.py
@@ -294,3 +294,73 @@
                 await asyncio.sleep(0.2)
 
     asyncio.run(scenario())
+
+
+def test_job_is_reported_for_the_first_of_two_requests(case):
+    """Guards against status 504 for a caller that waits.
+
+    The entry has not noticed that the first connection is gone. The offer for
+    the second request replaces that for the first one, whose answer is 504.
+    """
+
+    async def scenario():
+        heartbeats, offers = [], []
+
+        async def call(address, message, timeout_s):
+            del address, timeout_s
+            if isinstance(message, Heartbeat):
+                heartbeats.append(message)
+                return Error(PeerLost())
+            for replaced in offers:
+                replaced.set_result(Outcome(OutcomeKind.LOST, "offered_again"))
+            offers.append(asyncio.get_running_loop().create_future())
+            return Ok(await offers[-1])
+
+        links = mock.Mock(call=call)
+        coordinator = LeadershipCoordinator(
+            LOCAL_MEMBER,
+            links,
+            mock.Mock(),
+            mock.Mock(),
+            mock.Mock(),
+            Counters(),
+            mock.Mock(),
+            mock.AsyncMock(),
+            CrashHistory(),
+        )
+        leader = Leader(3, OTHER_MEMBER)
+        coordinator._set_leader(leader)
+        coordinator._last_answer = (OTHER_MEMBER.token, clock.now())
+        coordinator._last_answer_received_at = clock.now()
+        handler = CallerRequestHandler(
+            LOCAL_MEMBER.name, mock.Mock(), coordinator, links, Counters()
+        )
+        offer = make_offer()
+        site = handler.site
+        site.routing_table.find_route.return_value = mock.Mock(
+            policy=offer.policy, path_prefix="/jobs/", needs_advice=False
+        )
+
+        def submit():
+            disconnected = asyncio.get_running_loop().create_future()
+            body = b'{"best_effort":true,"steps":[{"count":1,"estimate_ms":9}]}'
+            request = Request(
+                "POST",
+                "/jobs/" + offer.job_id,
+                {},
+                body,
+                disconnected,
+                clock.now(),
+            )
+            return asyncio.ensure_future(handler.handle(request))
+
+        first = submit()
+        await asyncio.sleep(0.02)
+        second = submit()
+        case.assertEqual((await first).status, 504)
+        await coordinator._call_leader(leader)
+        case.assertFalse(second.done())
+        second.cancel()
+        case.assertEqual(heartbeats[-1].unanswered_jobs, ())
+
+    asyncio.run(scenario())
