Count the lease of an earlier leader for tasks that start on a claimed target

Cause: a lease never shortens.

Evidence: test_run_has_the_lease_of_an_earlier_placer failed before. The assumed end of the lease holds for each claim now, and an offer is taken with a proof of at most 0.4 s, so that a lease of an earlier leader ends within the caller's pause after it.

--- a/anvilford/node/_members.py
+++ b/anvilford/node/_members.py
@@ -244,12 +244,14 @@
     def oldest_proof_of_all(self) -> float:
         """Oldest of the last proofs of all known members, in seconds.
 
-        Minus infinity while one of them has none.
+        Minus infinity while one of them has none, and while no other member is
+        known: there may be some.
         """
-        proofs = [
+        if len(self._last_heartbeats) < 2:
+            return -math.inf
+        return min(
             self.permissions.proof(name) for name in self._last_heartbeats
-        ]
-        return min(proofs, default=-math.inf)
+        )
 
     def live_members(self) -> list[Member]:
         """Returns the members that count as live."""
--- a/anvilford/placement/_fleet.py
+++ b/anvilford/placement/_fleet.py
@@ -544,8 +544,9 @@
         is_claim = target.ownership is Ownership.CLAIMING
         target.ownership = Ownership.OWNED
         running = {reported.task: reported for reported in report.running}
-        if running and (is_claim or not running.keys() <= target.runs.keys()):
-            # Another placer may have extended the lease just before this claim.
+        if is_claim or not running.keys() <= target.runs.keys():
+            # Another placer may have extended the lease just before this claim,
+            # also if its runs have ended: tasks that start now have that lease.
             # The lease is therefore assumed to last for the maximum from now,
             # measured by a target clock that is slow by the maximum drift.
             options = self.options
--- a/anvilford/placement/_permissions.py
+++ b/anvilford/placement/_permissions.py
@@ -49,6 +49,10 @@
 # Age up to which an entry offers jobs by an answer of the leader. Leases always
 # leave room for such an offer. Heartbeats are sent twice as often.
 ANSWER_AGE_S = 0.35
+# Age up to which a leader takes such an offer. A target may have the lease of
+# another leader, which ends up to `permission_lifetime` less `ANSWER_AGE_S` after it
+# was claimed, and so before the caller's pause after the proof is over.
+OFFER_AGE_S = 0.4
 
 
 class EntryPermissions:
@@ -92,9 +96,10 @@
             followed_at: Time after which the entry sent the message.
             now: Current time.
         """
-        if self.admit(entry, followed_at, now):
-            known = self._followed_at[entry]
-            self._followed_at[entry] = max(followed_at, known)
+        if now - followed_at > PROOF_TIMEOUT_S or followed_at < self.oldest:
+            return
+        known = self._followed_at.get(entry, followed_at)
+        self._followed_at[entry] = max(followed_at, known)
 
     def admit(self, entry: str, followed_at: float, now: float) -> bool:
         """Returns whether the proof of an offer gives permission for its job.
@@ -106,7 +111,7 @@
             followed_at: Time after which the entry sent the offer.
             now: Current time.
         """
-        if now - followed_at > PROOF_TIMEOUT_S or followed_at < self.oldest:
+        if now - followed_at > OFFER_AGE_S or followed_at < self.oldest:
             return False
         self._followed_at.setdefault(entry, followed_at)
         return True
--- a/anvilford/placement/tests/test_permissions.py
+++ b/anvilford/placement/tests/test_permissions.py
@@ -78,3 +78,20 @@
     case.assertEqual([how for *_, how in site.targets["t"].ends], [RunEnd.DONE])
     kinds = [outcome.kind for *_, outcome in site.outcomes]
     case.assertEqual(kinds, [OutcomeKind.COMPLETED])
+
+
+def test_run_has_the_lease_of_an_earlier_placer(case):
+    """Guards against a second run of a task whose lease seems to have ended.
+
+    A lease never shortens, and the one that another placer gave to a run that
+    has ended since holds for the next run as well.
+    """
+    site = PlacementSimulation([make_target("t")])
+    site.add_placer("first", 1)
+    site.run(0.1)
+    site.offer("first", job(seconds=0.3))
+    site.run(0.9)
+    claimed_at = site.now
+    second = site.add_placer("second", 2)
+    site.run(1.0)
+    case.assertGreater(second.fleet.targets["t"].lease_end, claimed_at + 1.0)
