Soak: measure when its process stood still, and what a late entry did

The process of the soak notes every 0.02 s that its event loop runs. The time by which a note is over 0.1 s late is added to the limit of 3 s, and only that; without it, the limit is as before. The report lists these times, and tells of a late entry whether its process ended, ran, slept, was suspended or waited for a processor; the entry writes its stack to its log.

--- a/testkit/soak/__main__.py
+++ b/testkit/soak/__main__.py
@@ -53,6 +53,8 @@
         failed += bool(report.violations)
         for violation in report.violations:
             print(f"  {violation}")
+        if report.stalls:
+            print(f"  this process stood still: {report.stalls}")
         if report.violations:
             print(f"  faults: {report.faults}")
     print(f"{arguments.seeds - failed} passed, {failed} failed")
--- a/testkit/soak/_checks.py
+++ b/testkit/soak/_checks.py
@@ -2,12 +2,18 @@
 
 import asyncio
 import collections
+import signal
 import time
 
 import attrs
 
 from anvilford.http1 import ClientResponse
+from standins.site import EntryProcess
 from standins.site import LoopbackSite
+from testkit.soak._stalls import describe_process
+from testkit.soak._stalls import ProcessSample
+from testkit.soak._stalls import sample_process
+from testkit.soak._stalls import StallRecorder
 
 # Every entry must serve requests again within this time after the faults.
 RECOVERY_LIMIT_S = 8.0
@@ -18,6 +24,8 @@
 # it, dozens of entries that refuse at once keep the process of the soak, and so the
 # store and the targets, busy.
 RETRY_PAUSE_S = 0.1
+# Time for an entry to write its stack to its log.
+STACK_TIME_S = 0.2
 # The platform allows that a task crashes three targets and starts twice more.
 MAX_DEADLY_STARTS = 5
 # The platform allows to give up a task under which this many targets crashed.
@@ -34,6 +42,8 @@
         status_counts: Number of submissions by HTTP status; 0 counts those
             without an answer.
         faults: Injected faults as (seconds after the start, name).
+        stalls: Times for which the process of the soak stood still, as
+            (seconds after the start, seconds).
     """
 
     seed: int
@@ -42,6 +52,7 @@
         factory=collections.Counter
     )
     faults: list[tuple[float, str]] = attrs.field(factory=list)
+    stalls: list[tuple[float, float]] = attrs.field(factory=list)
 
 
 @attrs.define
@@ -53,6 +64,7 @@
         report: Result, filled during the run.
         was_only_refused: By job id, whether all submissions were refused.
         deadly_jobs: Ids of the jobs whose tasks crash targets.
+        stalls: Records when this process stood still.
         started: Monotonic time of the start of the load.
     """
 
@@ -60,6 +72,7 @@
     report: SoakReport
     was_only_refused: dict[str, bool] = attrs.field(factory=dict)
     deadly_jobs: list[str] = attrs.field(factory=list)
+    stalls: StallRecorder = attrs.field(factory=StallRecorder)
     started: float = attrs.field(factory=time.monotonic)
 
     def check_completed_job(self, job: str, tasks: int) -> None:
@@ -120,25 +133,39 @@
         )
 
     async def check_route(self, prefix: str) -> None:
-        """Checks that every entry has a new route in time."""
-        end = time.monotonic() + APPLY_LIMIT_S
+        """Checks that every entry has a new route in time.
+
+        The limit is longer by the time for which this process, which carries
+        the store, is measured to have stood still meanwhile.
+        """
+        started = time.monotonic()
         # All at once, as above.
         await asyncio.gather(
             *(
-                self._check_route_of(name, prefix, end)
+                self._check_route_of(name, prefix, started)
                 for name in self.site.entries
             )
         )
 
-    async def _check_route_of(self, name: str, prefix: str, end: float) -> None:
-        """Checks that an entry has a route by a monotonic time."""
-        while time.monotonic() < end:
+    async def _check_route_of(
+        self, name: str, prefix: str, started: float
+    ) -> None:
+        """Checks that an entry has a route in time since a monotonic time."""
+        entry = self.site.entries[name]
+        before = sample_entry(entry)
+        while time.monotonic() < (
+            started + APPLY_LIMIT_S + self.stalls.stalled_s(started)
+        ):
             await asyncio.sleep(RETRY_PAUSE_S)
             if await self.site.has_route(name, prefix):
                 return
         self.add_violation(
-            f"{name} did not use a new configuration within {APPLY_LIMIT_S} s"
+            f"{name} did not use a new configuration within {APPLY_LIMIT_S} s "
+            f"and {self.stalls.stalled_s(started):.2f} s for which the store "
+            f"stood still; {describe_process(before, sample_entry(entry))}"
         )
+        entry.send_signal(signal.SIGQUIT)
+        await asyncio.sleep(STACK_TIME_S)
 
     def describe_runs(self, task: str) -> list[str]:
         """Describes the runs of a task: target, number, start and end."""
@@ -188,3 +215,10 @@
                 self.add_violation(
                     f"job {job} ran although all its submissions were refused"
                 )
+
+
+def sample_entry(entry: EntryProcess) -> ProcessSample | None:
+    """Returns what the process of an entry has done; None without one."""
+    if entry.process is None or entry.process.poll() is not None:
+        return None
+    return sample_process(entry.process.pid)
--- a/testkit/soak/_entry.py
+++ b/testkit/soak/_entry.py
@@ -2,9 +2,10 @@
 
 SIGUSR1 simulates a suspension of the machine: the clock that the entry uses for
 its decisions jumps forward, and no other clock does. SIGUSR2 steps the wall
-clock, forward and backward in turn.
+clock, forward and backward in turn. SIGQUIT writes the stack to the log.
 """
 
+import faulthandler
 import itertools
 import signal
 import sys
@@ -40,6 +41,7 @@
 
 
 if __name__ == "__main__":
+    faulthandler.register(signal.SIGQUIT)
     replace_clocks()
     use_cut_loop()
     sys.exit(main())
--- a/testkit/soak/_run.py
+++ b/testkit/soak/_run.py
@@ -8,7 +8,8 @@
 - No task of a job starts if all its submissions were refused (429 or 503).
 - No request is answered with 500, the status of an unexpected exception.
 - Every entry serves requests again within `RECOVERY_LIMIT_S` of the faults.
-- After that, every entry uses a new configuration within `APPLY_LIMIT_S`.
+- After that, every entry uses a new configuration within `APPLY_LIMIT_S`, and the
+  time for which the process of the store is measured to have stood still.
 - A job is answered as failed only if a task of it has crashed two targets, and
   no task that crashes targets is started more than `MAX_DEADLY_STARTS` times.
 
@@ -403,6 +404,7 @@
         site.wrap_target_address = wrap_target_address
         site.entry_module = "testkit.soak._entry"
         await stack.enter_async_context(site)
+        await stack.enter_async_context(soak.checks.stalls)
         soak.checks.started = time.monotonic()
         end = soak.checks.started + options.length
         await asyncio.gather(
@@ -415,6 +417,10 @@
         )
         await soak.checks.check_recovery()
         await soak.check_configuration()
+        soak.report.stalls = [
+            (round(start - soak.checks.started, 2), round(end - start, 2))
+            for start, end in soak.checks.stalls.stalls
+        ]
         soak.checks.check_task_history()
         if soak.report.violations and save_log is not None:
             for entry in site.entries.values():
