Leave lost targets to the leader of a zone that is cut off

What callers saw: while the entries of a zone reach nothing outside of it, and the leader of the site still reaches the targets inside, the two leaders took these targets from each other in turn, for as long as the cut lasted. Runs ended with each turn, and callers in either zone lost some answers.

Cause: the leader of the site claimed targets back a second after each loss, whoever had taken them; the leader of the zone led again at once. Targets do not tell who controls them and refuse a lower token for ever, so neither side can see that the other one is gone, only that it takes a target back.

Why the change works: each leader has entries that the other one does not serve. So the leader of the site does not claim lost targets again while they are in zones of which it hears no member, if it had controlled them (another leader has claimed them since; the refusal of a first claim may come from one that is gone). It claims them when a member of the zone is heard, when targets elsewhere are lost as well, and after a minute. A token that is raised for another reason leaves out the targets that are left. Nothing of safety rests on it: targets that obey another token count as not owned, and waits for them are bounded as before.

--- a/anvilford/node/_coordination.py
+++ b/anvilford/node/_coordination.py
@@ -64,6 +64,10 @@
 # higher one. It lets the jobs of the leader of a cut-off zone end before the
 # targets are claimed again.
 FENCE_RAISE_DELAY_S = 1.0
+# Time after which a leader claims targets that it has left to the leader of a zone
+# that is cut off. If all entries of the zone are gone, nobody else uses them;
+# otherwise their leader loses its runs.
+LEFT_ZONES_RETRY_S = 60.0
 # A leader with a much better member appoints it when it has led for this long:
 # members without a heartbeat no longer count as live then.
 APPOINT_AFTER_S = 1.0
@@ -160,6 +164,11 @@
         # Token of the leader's process and `sent_at` of its last reply.
         self._last_answer = ("", 0.0)
         self._raise_fence_at = 0.0
+        # Zones whose lost targets are left to their leaders, and until when.
+        self._left_zones: set[str] = set()
+        self._claims_left_zones_at = 0.0
+        # Whether a target refused a claim of this leader since its last raise.
+        self._was_refused_claim = False
         self._row_write_due_at = 0.0
         self._may_appoint_at = 0.0
         # The member that was appointed last, and when it may be appointed again.
@@ -717,7 +726,11 @@
             return  # The member has stepped down after a suspension.
         if leader.is_partial:
             await self._hand_back_zone()
-        elif self._raise_fence_at and now >= self._raise_fence_at:
+        elif (
+            self._raise_fence_at
+            and now >= self._raise_fence_at
+            and not self._leaves_lost_targets(now)
+        ):
             self._claim_or_step_down()
         elif now >= self._row_write_due_at and not self.is_stopping:
             self._start_row_write()
@@ -813,6 +826,42 @@
             and self.heartbeats.has_majority
         )
 
+    def _leaves_lost_targets(self, now: float) -> bool:
+        """Whether the targets that this leader has lost stay with another one.
+
+        They do if another one has taken them since this one claimed them, and
+        if they are in zones of which it hears no member. A zone that is cut off
+        has a leader of its own, for entries that this leader does not serve;
+        the two would take the targets from each other in turn. A member that is
+        heard again ends that.
+        """
+        zones = self.driver.fenced_zones()
+        if self._left_zones and not zones:
+            # The targets that were left are gone or new incarnations.
+            self._left_zones = set()
+            self._raise_fence_at = 0.0
+            return True
+        leaves = (
+            self._may_claim_site
+            and not self._was_refused_claim
+            and bool(zones)
+            and zones <= self._zones_to_leave(now)
+        )
+        if leaves and zones != self._left_zones:
+            self._left_zones = zones
+            self._claims_left_zones_at = now + LEFT_ZONES_RETRY_S
+            _logger.warning(
+                "leaving lost targets to the leader of their zone",
+                extra={"zones": sorted(zones), **self.heartbeats.counts},
+            )
+        return leaves
+
+    def _zones_to_leave(self, now: float) -> set[str]:
+        """Returns zones whose lost targets this leader does not claim again."""
+        if self._left_zones and now >= self._claims_left_zones_at:
+            return set()
+        return self.heartbeats.silent_zones()
+
     def _claim_or_step_down(self) -> None:
         """Claims all targets with a higher token, or steps down."""
         if self._may_claim_site:
@@ -832,8 +881,14 @@
         self._set_leader(leader)
         self.site.require_current_targets()
         self.update_targets()
+        now = clock.now()
+        left_zones = self._left_zones & self._zones_to_leave(now)
+        self._was_refused_claim = False
+        self._left_zones = left_zones
+        if left_zones:
+            self._raise_fence_at = now  # Checked again at each step.
         if self.driver is not None:
-            self.driver.raise_fence(leader.fence)
+            self.driver.raise_fence(leader.fence, left_zones)
         if not self._is_leading:
             return  # The member has stepped down after a suspension.
         self._send_to_members(LeaderAnnounced(leader))
@@ -859,16 +914,26 @@
             self.membership.members = self.heartbeats.known_members()
         self.waiting_jobs = self.driver.placer.count_waiting_jobs()
 
-    def on_fence_lost(self, driver: PlacerDriver) -> None:
+    def on_fence_lost(
+        self, driver: PlacerDriver, was_owned: bool = True
+    ) -> None:
         """Reacts to a target that obeys a higher fencing token.
 
         Another placer is active. A leader that is stopping or serves only its
         zone steps down; another one raises its term after a delay, or steps
         down if it does not hear a majority of the members by then.
+
+        Args:
+            driver: The driver whose order the target refused.
+            was_owned: Whether the target had obeyed this driver's token, so
+                that another placer has claimed it since. Otherwise an earlier
+                one may have, which is gone.
         """
         if driver is not self.driver:
             return
         self.heartbeats.contested_at = clock.now()
+        if not was_owned:
+            self._was_refused_claim = True
         if self.is_stopping or self.leader.is_partial:
             self._step_down("fence_lost")
         elif not self._raise_fence_at:
@@ -898,6 +963,8 @@
         """Closes the placer, if this member leads."""
         driver, self.driver = self.driver, None
         self._raise_fence_at = 0.0
+        self._left_zones = set()
+        self._was_refused_claim = False
         self.site.is_placing = False
         if driver is not None:
             driver.close()
--- a/anvilford/node/_driver.py
+++ b/anvilford/node/_driver.py
@@ -4,6 +4,7 @@
 import logging
 import random
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterable
 
 from anvilford.node import _clock as clock
@@ -55,8 +56,8 @@
         placer: Decides on which targets tasks run.
         target_client: Client that sends orders to targets.
         counters: Receives counts and latencies of orders.
-        on_fence_lost: Called with the driver when a target obeys a higher
-            fencing token.
+        on_fence_lost: Called when a target obeys a higher fencing token, with
+            the driver and whether the target had obeyed this placer before.
         on_suspended: Called with the driver when the process was suspended for
             longer than `SUSPENSION_THRESHOLD_S`.
     """
@@ -67,7 +68,7 @@
         options: PlacementOptions,
         target_client: TargetClient,
         counters: Counters,
-        on_fence_lost: Callable[["PlacerDriver"], None],
+        on_fence_lost: Callable[["PlacerDriver", bool], None],
         on_suspended: Callable[["PlacerDriver"], None],
         crashes: CrashHistory,
     ):
@@ -140,11 +141,20 @@
         )
         self._run_effects()
 
-    def raise_fence(self, fence: int) -> None:
-        """Raises the fencing token and claims all targets again with it."""
-        self.placer.raise_fence(fence, self._read_clock())
+    def raise_fence(self, fence: int, left_zones: Collection[str]) -> None:
+        """Raises the fencing token and claims all targets again with it.
+
+        Args:
+            fence: The higher token.
+            left_zones: As for `Placer.raise_fence`.
+        """
+        self.placer.raise_fence(fence, self._read_clock(), left_zones)
         self._run_effects()
 
+    def fenced_zones(self) -> set[str]:
+        """Returns the zones with targets that obey a higher fencing token."""
+        return self.placer.fleet.fenced_zones()
+
     def measured_speeds(self) -> dict[str, float]:
         """Returns the measured speeds by target, for the next leader."""
         return self.placer.fleet.measured_speeds()
@@ -292,8 +302,8 @@
                 self.counters.increment(
                     "decisions", event=event.replace(" ", "_")
                 )
-            case FenceLost():
-                self.on_fence_lost(self)
+            case FenceLost(was_owned=was_owned):
+                self.on_fence_lost(self, was_owned)
 
     def _finish_order(self, task: asyncio.Task) -> None:
         self._order_tasks.discard(task)
--- a/anvilford/node/_members.py
+++ b/anvilford/node/_members.py
@@ -249,6 +249,12 @@
             if name in self.live_names
         ]
 
+    def silent_zones(self) -> set[str]:
+        """Returns the zones of known members none of which counts as live."""
+        return {last.member.zone for last in self._last_heartbeats.values()} - {
+            member.zone for member in self.live_members()
+        }
+
     @property
     def has_majority(self) -> bool:
         """Whether more than half of the known members count as live."""
--- a/anvilford/node/tests/test_coordination.py
+++ b/anvilford/node/tests/test_coordination.py
@@ -121,6 +121,7 @@
     site.recently_removed_targets.return_value = ()
     driver = mock.Mock(name="driver")
     driver.waiting_entries.return_value = set()
+    driver.fenced_zones.return_value = {"b"}
     yield LeadershipCoordinator(
         LOCAL_MEMBER,
         FakePeerLinks(),
--- a/anvilford/placement/_fleet.py
+++ b/anvilford/placement/_fleet.py
@@ -7,6 +7,7 @@
 
 import math
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterable
 
 import attrs
@@ -157,11 +158,27 @@
         self.reconcile(records, dropped, now)
         self._send_due_polls(now)
 
-    def raise_fence(self, fence: int, now: float) -> None:
+    def fenced_zones(self) -> set[str]:
+        """Returns the zones with targets that obey a higher fencing token."""
+        return {
+            target.record.zone
+            for target in self.targets.values()
+            if target.ownership is Ownership.FENCED
+        }
+
+    def raise_fence(
+        self, fence: int, now: float, left_zones: Collection[str] = ()
+    ) -> None:
         """Adopts a higher fencing token and claims all targets again.
 
         Keeps the runs started by this placer; the next reports of the targets
         show their state.
+
+        Args:
+            fence: The higher token.
+            now: Current time in seconds.
+            left_zones: Zones whose targets stay with the placer that they
+                obey, if they obey another one.
         """
         self.fence = fence
         self.claims_began_at = now
@@ -171,6 +188,11 @@
                 self.list_complete_at, now + UNLISTED_KEEP_S
             )
         for target in self.targets.values():
+            if (
+                target.ownership is Ownership.FENCED
+                and target.record.zone in left_zones
+            ):
+                continue
             target.ownership = Ownership.CLAIMING
             target.retry_at = now
             # A probe, because the regular poll may still wait for the end of
@@ -706,6 +728,7 @@
         """
         if target.ownership is Ownership.FENCED or order.fence != self.fence:
             return
+        was_owned = target.ownership is Ownership.OWNED
         target.ownership = Ownership.FENCED
         self.log_target_event(
             "target obeys a higher fence",
@@ -713,8 +736,9 @@
             target.record,
             fence=self.fence,
             refused_fence=order.fence,
+            was_owned=was_owned,
         )
-        self.effects.append(FenceLost(target.record.target_id))
+        self.effects.append(FenceLost(target.record.target_id, was_owned))
 
     def _handle_replaced(self, target: Target, now: float) -> None:
         """Drops a target on which another incarnation answered.
--- a/anvilford/placement/_orders.py
+++ b/anvilford/placement/_orders.py
@@ -102,9 +102,15 @@
 
 @attrs.frozen
 class FenceLost:
-    """A target has accepted a higher fencing token than this placer's."""
+    """A target has accepted a higher fencing token than this placer's.
+
+    Attributes:
+        target_id: The target.
+        was_owned: Whether it had obeyed the token of this placer before.
+    """
 
     target_id: str
+    was_owned: bool
 
 
 Effect = StartRun | StopRun | Poll | Settle | Decision | FenceLost
--- a/anvilford/placement/_placer.py
+++ b/anvilford/placement/_placer.py
@@ -18,6 +18,7 @@
 """
 
 import random
+from collections.abc import Collection
 from collections.abc import Iterable
 
 import attrs
@@ -391,17 +392,24 @@
         """
         self.fleet.apply_target_list(records, dropped, now, is_current)
 
-    def raise_fence(self, fence: int, now: float) -> None:
+    def raise_fence(
+        self, fence: int, now: float, left_zones: Collection[str] = ()
+    ) -> None:
         """Adopts a higher fencing token and claims all targets with it.
 
         Another placer is active: it may have extended leases whose ends are
         known here, or have moved runs that this placer takes for its own.
+
+        Args:
+            fence: The higher token.
+            now: Current time in seconds.
+            left_zones: As for `Fleet.raise_fence`.
         """
         self._earlier_runs_end_by = now + UNSEEN_RUNS_WINDOW_S
         for job in self.jobs.values():
             if job.lease_ended_at:
                 self._expect_unseen_runs(job)
-        self.fleet.raise_fence(fence, now)
+        self.fleet.raise_fence(fence, now, left_zones)
 
     def _expect_unseen_runs(self, job: Job) -> None:
         """Lets a job wait for the claims that follow a raised token."""
--- a/anvilford/placement/tests/test_zone_cuts.py
+++ b/anvilford/placement/tests/test_zone_cuts.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from anvilford.order_model import PlacementSimulation
 from anvilford.order_model import ZoneCutSimulation
 from anvilford.placement.tests._shared import job
 from anvilford.placement.tests._shared import make_target
@@ -47,3 +48,26 @@
         with case.subTest(seed=seed):
             site = simulate_zone_cuts(seed)
             case.assertEqual(site.find_overlapping_tasks(), [])
+
+
+def test_raised_token_claims_targets_that_are_left(case):
+    """Guards against a placer that takes targets which it leaves to another.
+
+    It raised its token for another reason. Targets of that zone that obey it
+    are claimed like all others.
+    """
+    targets = [make_target(name) for name in ("a0", "b0", "b1")]
+    for target in targets[1:]:
+        target.record = attrs.evolve(target.record, zone="b")
+    site = PlacementSimulation(targets)
+    placer = site.add_placer("site", 1)
+    site.run(0.1)
+    targets[1].fence = 2
+    site.offer("site", job(seconds=0.2, tasks=6, at=0.1))
+    site.run(0.2)
+    case.assertEqual(placer.fleet.fenced_zones(), {"b"})
+    for left_zones, fences in (({"b"}, [3, 2, 3]), ((), [4, 4, 4])):
+        placer.raise_fence(fences[0], site.now, left_zones)
+        site.run(site.now + 0.2)
+        case.assertEqual([target.fence for target in targets], fences)
+    case.assertEqual(placer.fleet.fenced_zones(), set())
--- /dev/null
+++ b/testkit/cuts/tests/test_contested_zone.py
@@ -0,0 +1,121 @@
+"""Tests of a zone whose targets the leader of the site reaches, real processes.
+
+The entries of the zone reach nothing outside of it, but the leader of the site
+reaches the targets inside.
+"""
+
+import asyncio
+
+import attrs
+
+from anvilford.http1 import ClientResponse
+from standins.site import LoopbackSite
+from testkit import function_tests
+from testkit.cuts import How
+from testkit.cuts import SiteLinks
+
+load_tests = function_tests(__name__)
+
+ENTRY_ZONES = ("a", "a", "a", "b", "b")
+TARGET_ZONES = ("a", "b") * 4
+CONTEST_S = 12.0
+TASK_S = 0.4
+TASK_INTERVAL_S = 0.1
+# Time within which entries of the zone have answers once the leader of the site
+# no longer reaches its targets.
+RECOVERY_S = 8.0
+# Share of the jobs that must have answers, in both zones.
+MIN_ANSWERED = 0.9
+
+
+@attrs.define
+class ContestedZone:
+    """What happened to a site with a contested zone.
+
+    Attributes:
+        zone_terms: Number of times that an entry of the zone began to lead it
+            while its targets were contested.
+        statuses: Statuses of jobs sent to each zone meanwhile; 0 for none.
+        recovered_after_s: Time until an entry of the zone answered 200 after
+            the zone was cut off altogether; None if none did.
+        overlapping: Tasks that ran twice at the same time.
+    """
+
+    zone_terms: int = 0
+    statuses: dict[str, list[int]] = attrs.field(factory=dict)
+    recovered_after_s: float | None = None
+    overlapping: list[str] = attrs.field(factory=list)
+
+
+def count_zone_terms(site: LoopbackSite) -> int:
+    """Returns how often an entry began to lead only its zone, from the logs."""
+    return len(
+        {
+            (name, record["term"])
+            for name, entry in site.entries.items()
+            for record in entry.log_records()
+            if record.get("message") == "leader changed"
+            and record["leader"] == name
+            and record["is_partial"]
+        }
+    )
+
+
+async def submit(site: LoopbackSite, entry: str) -> int:
+    """Submits a job; returns the status of the answer, 0 for none."""
+    answer = await site.submit(entry, site.new_job_id(), TASK_S, 1, 2.0)
+    return answer.status if isinstance(answer, ClientResponse) else 0
+
+
+async def contest_zone() -> ContestedZone:
+    """Cuts the entries of zone "b" off, and later the whole zone."""
+    site = LoopbackSite(
+        len(ENTRY_ZONES), len(TARGET_ZONES), {"entry-0": 1.5, "entry-3": 0.6}
+    )
+    site.entry_zones = list(ENTRY_ZONES)
+    site.target_zones = list(TARGET_ZONES)
+    links = SiteLinks(site)
+    result = ContestedZone(statuses={"a": [], "b": []})
+    clock = asyncio.get_running_loop().time
+
+    async def send(zone: str, entry: str):
+        result.statuses[zone].append(await submit(site, entry))
+
+    async with site:
+        while site.leader_name() != "entry-0":
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(1.0)
+        outside = {t.name for t in site.targets if t.zone == "a"}
+        outside |= set(links.entries_of("a"))
+        links.cut(links.entries_of("b"), outside, How.RESET)
+        async with asyncio.TaskGroup() as callers:
+            for _ in range(int(CONTEST_S / TASK_INTERVAL_S)):
+                for zone, entry in (("a", "entry-1"), ("b", "entry-4")):
+                    callers.create_task(send(zone, entry))
+                await asyncio.sleep(TASK_INTERVAL_S)
+        result.zone_terms = count_zone_terms(site)
+        links.cut_zone("b")
+        began = clock()
+        while clock() < began + RECOVERY_S and not result.recovered_after_s:
+            if await submit(site, "entry-4") == 200:
+                result.recovered_after_s = clock() - began
+            await asyncio.sleep(0.05)
+        links.heal()
+        await asyncio.sleep(1.0)
+        result.overlapping = site.find_overlapping_tasks()
+    return result
+
+
+def test_leaders_take_the_targets_of_a_zone_in_turn(case):
+    """Guards against leaders that take targets in turn for as long as a cut.
+
+    Each began to lead the targets of the zone again after each loss. Neither
+    zone may go without answers instead.
+    """
+    result = asyncio.run(contest_zone())
+    case.assertLessEqual(result.zone_terms, 2, result)
+    for statuses in result.statuses.values():
+        answered = statuses.count(200) / len(statuses)
+        case.assertGreaterEqual(answered, MIN_ANSWERED, result)
+    case.assertIsNotNone(result.recovered_after_s, result)
+    case.assertEqual(result.overlapping, [])
