Let the leader of a zone lead again only if its targets are not contested

What callers saw: an entry that is cut off from all machines but the targets of its zone leads the zone, while the leader of the site serves the zone's other entries and uses the same targets. The two took the targets from each other in turn; runs ended with each turn.

Cause: after each fence_lost the entry led again at once. A pause would leave the zone without a leader if the other one is cut off later, or if a late order caused the loss; and a refusal shows nothing about now, since a target refuses a lower token for ever.

What changed: what shows another leader at work is that it takes a target back, or a run of a token above the one that was lost, since runs end with their leases. An entry that has lost a target which had obeyed its token probes the targets once such runs must have ended (1.2 s): it claims three of them, without changing their runs or leases, and watches them for 2 s, in which a leader that uses one takes it back. If none does, it leads again; else it probes again after 5 s. A refusal of a first claim may come from a leader that is gone: the entry leads again at once with a higher term, as before. An answered heartbeat ends all that.

It waits like any single machine that is cut off, and callers who try another entry are served; those who do not are worse off than before.

--- a/anvilford/node/_coordination.py
+++ b/anvilford/node/_coordination.py
@@ -21,6 +21,8 @@
 from anvilford.leadership import Opinion
 from anvilford.leadership import Wait
 from anvilford.node import _clock as clock
+from anvilford.node._contest import Contest
+from anvilford.node._contest import ContestCheck
 from anvilford.node._driver import PlacerDriver
 from anvilford.node._leader_row import LeaderRow
 from anvilford.node._members import HeartbeatTracker
@@ -99,6 +101,7 @@
         heartbeats: Heartbeats that this member receives while it leads.
         membership: Members and term known to this member.
         search: Searches for a leader.
+        contest: Checks targets before this member leads without a majority.
         waiting_jobs: Number of jobs that have not started, by queue; updated
             by each heartbeat reply, or by the placer while this member leads.
         fence: Highest fencing token of the leaders that this member followed.
@@ -120,6 +123,7 @@
         counters: Counters,
         create_driver: Callable[[int, bool], PlacerDriver],
         probe_other_zones: Callable[[], Awaitable[bool]],
+        probe_targets: Callable[[int, int, bool, float], Awaitable[Contest]],
         crashes: CrashHistory,
     ):
         self.local_member = local_member
@@ -139,6 +143,7 @@
         self.search = LeaderSearch(
             self.membership, links, leader_row, probe_other_zones
         )
+        self.contest = ContestCheck(probe_targets)
         self.fence = 0
         self.has_written_row = False
         self.unanswered_jobs = UnansweredJobs()
@@ -536,6 +541,7 @@
                 self._last_answer = (leader.member.token, reply.sent_at)
                 if not reply.leaving:
                     self._leader_contact_at = clock.now()
+                    self.contest.clear()
                     return True
                 self._clear_resigned_leader(leader, "leaving")
             case HeartbeatReply(term=term):
@@ -627,6 +633,8 @@
         match self.search.select_action(result, self._can_lead()):
             case Follow(leader):
                 self._follow(leader)
+            case Lead(is_partial=True) if self.contest.has_lost:
+                await self._lead_if_uncontested(is_partial=True)
             case Lead(is_partial):
                 self._start_leading(
                     Leader(self.term + 1, self.local_member, is_partial)
@@ -645,6 +653,38 @@
                 return True
         return False
 
+    async def _lead_if_uncontested(self, is_partial: bool) -> None:
+        """Leads if the targets show no other leader at work.
+
+        Without a majority, this member cannot tell otherwise whether one leads
+        the others and reaches the targets. The two would take them from each
+        other in turn. The probe goes on during further searches.
+
+        Args:
+            is_partial: Whether this member would lead only its zone.
+        """
+        if self.contest.is_due:
+            # Leaders that this member follows next claim above this token.
+            token = Leader(self.term + 1, self.local_member)
+            self.membership.raise_term(token.term)
+            self.fence = max(self.fence, token.fence)
+            self.contest.start(token.fence, is_partial)
+        result = await self.contest.wait(SEARCH_INTERVAL_S)
+        if result is None or self.leader is not None:
+            return
+        _logger.info(
+            "targets probed for another leader",
+            extra={
+                "result": result.value,
+                "term": self.term,
+                "is_partial": is_partial,
+            },
+        )
+        if result is Contest.FREE:
+            self._start_leading(
+                Leader(self.term + 1, self.local_member, is_partial)
+            )
+
     async def _claim_row(self) -> None:
         """Leads if the row can be written, as no other member is known."""
         leader = Leader(self.term + 1, self.local_member)
@@ -661,6 +701,8 @@
         """Starts a placer and announces this member as the leader."""
         now = clock.now()
         self._close_driver()
+        self.contest.clear()
+        self.contest.led_fence = leader.fence
         self.membership.term = leader.term
         self.has_written_row = False
         self._site_check_task = None
@@ -878,6 +920,8 @@
             "claiming all targets with a higher fence",
             extra={"fence": leader.fence, **self.heartbeats.counts},
         )
+        self.contest.clear()
+        self.contest.led_fence = leader.fence
         self._set_leader(leader)
         self.site.require_current_targets()
         self.update_targets()
@@ -932,7 +976,9 @@
         if driver is not self.driver:
             return
         self.heartbeats.contested_at = clock.now()
-        if not was_owned:
+        if was_owned:
+            self.contest.record_loss()
+        else:
             self._was_refused_claim = True
         if self.is_stopping or self.leader.is_partial:
             self._step_down("fence_lost")
--- a/anvilford/node/_main.py
+++ b/anvilford/node/_main.py
@@ -24,6 +24,8 @@
 from anvilford.model import Incarnation
 from anvilford.node import _clock as clock
 from anvilford.node._callers import CallerRequestHandler
+from anvilford.node._contest import Contest
+from anvilford.node._contest import probe_targets
 from anvilford.node._coordination import LeadershipCoordinator
 from anvilford.node._driver import PlacerDriver
 from anvilford.node._leader_row import LeaderRow
@@ -157,6 +159,7 @@
             self.counters,
             self._create_driver,
             self._probe_other_zones,
+            self._probe_targets,
             self.crashes,
         )
         self.site.target_listeners.append(self.coordinator.update_targets)
@@ -263,6 +266,19 @@
         )
         return any(results)
 
+    async def _probe_targets(
+        self, fence: int, own_fence: int, is_partial: bool, watch_s: float
+    ) -> Contest:
+        """As `probe_targets`, for the targets that this entry would lead."""
+        targets = [
+            target
+            for target in self.site.targets
+            if not is_partial or target.zone == self.settings.zone
+        ]
+        return await probe_targets(
+            targets, self.target_client.poll, fence, own_fence, watch_s
+        )
+
     # Messages from other entries.
 
     async def _handle_peer_message(
--- a/anvilford/node/tests/test_coordination.py
+++ b/anvilford/node/tests/test_coordination.py
@@ -13,6 +13,7 @@
 from anvilford.leadership import Member
 from anvilford.leadership import Opinion
 from anvilford.node import _clock as clock
+from anvilford.node._contest import Contest
 from anvilford.node._coordination import APPOINT_AFTER_S
 from anvilford.node._coordination import APPOINT_AGAIN_AFTER_S
 from anvilford.node._coordination import LeadershipCoordinator
@@ -131,6 +132,7 @@
         Counters(),
         mock.Mock(name="make_driver", return_value=driver),
         _probe_other_zones,
+        mock.AsyncMock(return_value=Contest.UNANSWERED),
         CrashHistory(),
     )
 
--- a/anvilford/placement/__init__.py
+++ b/anvilford/placement/__init__.py
@@ -8,6 +8,7 @@
 from anvilford.placement._crashes import CrashHistory
 from anvilford.placement._crashes import LossState
 from anvilford.placement._crashes import TargetLoss
+from anvilford.placement._fleet import RUNS_PER_FENCE
 from anvilford.placement._model import JobSpec
 from anvilford.placement._model import Offer
 from anvilford.placement._model import Outcome
@@ -65,6 +66,7 @@
     "Report",
     "Resources",
     "Restarted",
+    "RUNS_PER_FENCE",
     "RunEnd",
     "RunningTask",
     "Settle",
