Lead by a stale row only if the targets show no other leader at work

What callers saw: while the store refuses the leader of the majority and serves a minority that is cut off from it, a member of the minority led the whole site beside it, by turns.

Cause: a row that was unchanged for 2.5 s counted as proof that the site has no leader. It only proves that no leader could write it.

What changed: a member without a majority that goes by the row first claims targets, a few and then twice as many each time, without changing runs or leases. A run on one shows another leader at work, since it lives only as long as a leader extends its lease; the member asks again after 15 s then. If no target has one, it leads as before. The rule remains for members that are gone for good: their runs have ended before the row is stale.

--- a/anvilford/leadership/_election.py
+++ b/anvilford/leadership/_election.py
@@ -78,9 +78,13 @@
 
     Attributes:
         is_partial: True to place jobs only on targets of the local zone.
+        by_row: True if only the stale row shows that the site has no leader.
+            The store may refuse the leader of the others, so that the member
+            may lead only if the targets show no other leader at work.
     """
 
     is_partial: bool
+    by_row: bool = False
 
 
 @attrs.frozen
@@ -197,7 +201,7 @@
     )
     if has_majority or row_is_stale:
         if min(candidates, key=candidate_sort_key) == local_member:
-            return Lead(is_partial=False)
+            return Lead(is_partial=False, by_row=not has_majority)
         return Wait("better_member")
     return _decide_partial_leadership(state, candidates)
 
--- a/anvilford/leadership/tests/test_election.py
+++ b/anvilford/leadership/tests/test_election.py
@@ -115,7 +115,8 @@
     store_was_away = attrs.evolve(minority, row_age_s=3.0, row_unchanged_s=1.0)
     case.assertEqual(decide_action(store_was_away), Wait("machine_cut_off"))
     stale_row = attrs.evolve(minority, row_age_s=3.0, row_unchanged_s=3.0)
-    case.assertEqual(decide_action(stale_row), Lead(is_partial=False))
+    by_row = Lead(is_partial=False, by_row=True)
+    case.assertEqual(decide_action(stale_row), by_row)
 
 
 def test_zone_leader_is_not_followed_by_other_zones(case, state):
--- a/anvilford/node/_contest.py
+++ b/anvilford/node/_contest.py
@@ -23,8 +23,8 @@
 from anvilford.placement import RUNS_PER_FENCE
 from anvilford.placement import TargetRecord
 
-# Number of targets that a probe claims. Another leader cannot use them until it
-# has raised its own token, and loses their runs, so they are few.
+# Number of targets that a probe claims, or claims first. Another leader cannot use
+# them until it has raised its own token, and loses their runs, so they are few.
 PROBED_TARGETS = 3
 PROBE_TIMEOUT_S = 0.1
 # Pause between two polls of the same target in one probe.
@@ -42,6 +42,9 @@
 # may be cut off from the targets at any time, and the members here have no
 # leader then; each probe costs it some runs.
 PROBE_INTERVAL_S = 5.0
+# The same if the probe may have claimed all targets of the site, which costs the
+# other leader up to a second.
+SITE_PROBE_INTERVAL_S = 15.0
 
 
 class Contest(enum.StrEnum):
@@ -71,48 +74,91 @@
     own_fence: int,
     watch_s: float,
 ) -> Contest:
-    """Claims a few targets, without changing their runs, and watches them.
+    """Claims targets, without changing their runs, until another leader shows.
 
     Args:
-        targets: Targets of which some are claimed.
+        targets: Targets that the member would lead.
         poll: Sends a poll to an address; the last argument is the timeout.
         fence: Token to claim them with.
         own_fence: Token with which this member led last; 0 if it has not led.
             Its own runs may not have ended yet, so that only those of higher
             tokens show another leader.
-        watch_s: Seconds for which the targets are watched; 0 for one poll.
+        watch_s: Seconds for which a few targets are watched; if it is 0, all
+            are asked once, a few first.
     """
-    sample = random.sample(targets, min(PROBED_TARGETS, len(targets)))
+    probe = _Probe(poll, fence, own_fence)
     ends_at = clock.now() + watch_s
-    owned: set[str] = set()
-    while True:
+    left = random.sample(targets, len(targets))
+    count = PROBED_TARGETS
+    result = Contest.UNANSWERED
+    while left:
+        result = await probe.ask(left[:count])
+        if result in (Contest.TAKEN, Contest.REFUSED):
+            break
+        if not watch_s:
+            left = left[count:]
+            count *= 2
+        elif result is Contest.UNANSWERED or clock.now() >= ends_at:
+            break
+        else:
+            await asyncio.sleep(PROBE_POLL_INTERVAL_S)
+    if result is Contest.UNANSWERED and probe.owned and not watch_s:
+        return Contest.FREE
+    return result
+
+
+class _Probe:
+    """Polls of one probe.
+
+    Attributes:
+        owned: Ids of the targets that obey the token.
+    """
+
+    def __init__(self, poll: PollTarget, fence: int, own_fence: int):
+        self.poll = poll
+        self.fence = fence
+        self.own_fence = own_fence
+        self.owned: set[str] = set()
+
+    async def ask(self, targets: Sequence[TargetRecord]) -> Contest:
+        """Polls targets once; returns what their answers show together."""
         answers = await asyncio.gather(
             *(
-                poll(target.address, _make_poll(target, fence), PROBE_TIMEOUT_S)
-                for target in sample
+                self.poll(
+                    target.address,
+                    _make_poll(target, self.fence),
+                    PROBE_TIMEOUT_S,
+                )
+                for target in targets
             )
         )
-        is_refused = False
-        for target, answer in zip(sample, answers, strict=True):
-            match answer:
-                case Report(running=running):
-                    if any(
-                        task.run > (own_fence + 1) * RUNS_PER_FENCE
-                        for task in running
-                    ):
-                        return Contest.TAKEN
-                    owned.add(target.target_id)
-                case Refused(Refusal.FENCE, _):
-                    if target.target_id in owned:
-                        return Contest.TAKEN
-                    is_refused = True
-        if is_refused:
-            return Contest.REFUSED
-        if not owned:
-            return Contest.UNANSWERED
-        if clock.now() >= ends_at:
-            return Contest.FREE
-        await asyncio.sleep(PROBE_POLL_INTERVAL_S)
+        results = {
+            self._judge(target.target_id, answer)
+            for target, answer in zip(targets, answers, strict=True)
+        }
+        return next(
+            result
+            for result in (
+                Contest.TAKEN,
+                Contest.REFUSED,
+                Contest.FREE,
+                Contest.UNANSWERED,
+            )
+            if result in results
+        )
+
+    def _judge(self, target_id: str, answer: PollAnswer) -> Contest:
+        match answer:
+            case Report(running=running):
+                self.owned.add(target_id)
+                highest_own_run = (self.own_fence + 1) * RUNS_PER_FENCE
+                if any(task.run > highest_own_run for task in running):
+                    return Contest.TAKEN
+                return Contest.FREE
+            case Refused(Refusal.FENCE, _):
+                is_owned = target_id in self.owned
+                return Contest.TAKEN if is_owned else Contest.REFUSED
+        return Contest.UNANSWERED
 
 
 def _make_poll(target: TargetRecord, fence: int) -> Poll:
@@ -141,6 +187,7 @@
         self.has_lost = False
         self._due_at = 0.0
         self._started_at = 0.0
+        self._interval_s = 0.0
         self._task: asyncio.Task[Contest] | None = None
 
     def record_loss(self) -> None:
@@ -162,6 +209,9 @@
         """Starts a probe with a token."""
         watch_s = PROBE_WATCH_S if self.has_lost else 0.0
         self._started_at = clock.now()
+        self._interval_s = (
+            PROBE_INTERVAL_S if is_partial else SITE_PROBE_INTERVAL_S
+        )
         self._task = asyncio.ensure_future(
             self.probe(fence, self.led_fence, is_partial, watch_s)
         )
@@ -183,7 +233,7 @@
             return None
         result = task.result()
         if result is Contest.TAKEN:
-            self._due_at = clock.now() + PROBE_INTERVAL_S
+            self._due_at = clock.now() + self._interval_s
         return result
 
     def clear(self) -> None:
--- a/anvilford/node/_coordination.py
+++ b/anvilford/node/_coordination.py
@@ -633,8 +633,8 @@
         match self.search.select_action(result, self._can_lead()):
             case Follow(leader):
                 self._follow(leader)
-            case Lead(is_partial=True) if self.contest.has_lost:
-                await self._lead_if_uncontested(is_partial=True)
+            case Lead(is_partial) as lead if self._must_probe(lead):
+                await self._lead_if_uncontested(is_partial)
             case Lead(is_partial):
                 self._start_leading(
                     Leader(self.term + 1, self.local_member, is_partial)
@@ -653,6 +653,17 @@
                 return True
         return False
 
+    def _must_probe(self, lead: Lead) -> bool:
+        """Whether targets must show no other leader before this member leads.
+
+        That is so without a majority for a member that has lost targets, and
+        for one that goes by the row: the store may refuse the leader of the
+        others, so that its row is stale although it is at work.
+        """
+        if lead.by_row:
+            return bool(self.site.targets)
+        return lead.is_partial and self.contest.has_lost
+
     async def _lead_if_uncontested(self, is_partial: bool) -> None:
         """Leads if the targets show no other leader at work.
 
--- a/anvilford/node/tests/test_contest.py
+++ b/anvilford/node/tests/test_contest.py
@@ -213,3 +213,65 @@
     asyncio.run(scenario())
     case.assertFalse(cut_off.contest.has_lost)
     case.assertEqual(cut_off.contest.led_fence, Leader(3, LOCAL_MEMBER).fence)
+
+
+def test_minority_leads_beside_a_leader_that_the_store_refuses(
+    case, coordinator
+):
+    """Guards against a leader of the site beside that of the majority.
+
+    The store refused the leader of the majority, whose row was stale for the
+    minority. The two took all targets from each other in turn. Once the targets
+    show no other leader, the minority leads, as its members may be all that is
+    left.
+    """
+    coordinator.site.targets = tuple(TARGETS)
+    coordinator.leader_row.unchanged_s = 60.0
+    coordinator.membership.members = (
+        LOCAL_MEMBER,
+        OTHER_MEMBER,
+        LOST_LEADER.member,
+        Member("entry-4", "c", "127.0.0.1:4", 1.0, "t4"),
+        Member("entry-5", "c", "127.0.0.1:5", 1.0, "t5"),
+    )
+    probe = coordinator.contest.probe = mock.AsyncMock(
+        return_value=Contest.TAKEN
+    )
+
+    async def scenario():
+        loop = asyncio.ensure_future(coordinator.run())
+        await asyncio.sleep(2 * SEARCH_DURATION_S)
+        case.assertIsNone(coordinator.driver)
+        probe.return_value = Contest.FREE
+        await wait_until_leading(coordinator)
+        loop.cancel()
+
+    with mock.patch.object(contest, "SITE_PROBE_INTERVAL_S", 0.3):
+        asyncio.run(scenario())
+    case.assertFalse(coordinator.leader.is_partial)
+    for fence, own_fence, is_partial, watch_s in (
+        call.args for call in probe.call_args_list
+    ):
+        case.assertLess(fence, coordinator.leader.fence)
+        case.assertEqual((own_fence, is_partial, watch_s), (0, False, 0.0))
+
+
+def test_probe_misses_the_only_target_in_use(case):
+    """Guards against a leader beside one whose other targets are idle."""
+    other_run = OTHER_FENCE * RUNS_PER_FENCE + 1
+
+    async def poll(address, order, timeout):
+        is_busy = address == TARGETS[-1].address
+        targets = busy if is_busy else idle
+        return await targets.poll(address, order, timeout)
+
+    for _ in range(20):
+        busy, idle = FakeTargets(runs=(other_run,)), FakeTargets()
+        result = asyncio.run(probe_targets(TARGETS, poll, PROBE_FENCE, 0, 0.0))
+        case.assertIs(result, Contest.TAKEN)
+    busy = idle
+    result = asyncio.run(probe_targets(TARGETS, poll, PROBE_FENCE, 0, 0.0))
+    case.assertIs(result, Contest.FREE)
+    busy = idle = FakeTargets(is_silent=True)
+    result = asyncio.run(probe_targets(TARGETS, poll, PROBE_FENCE, 0, 0.0))
+    case.assertIs(result, Contest.UNANSWERED)
--- a/testkit/cuts/tests/test_contested_zone.py
+++ b/testkit/cuts/tests/test_contested_zone.py
@@ -1,4 +1,4 @@
-"""Tests of a zone whose targets the leader of the site reaches, real processes.
+"""Tests of two leaders that reach the same targets, as real processes.
 
 Entries of the zone reach nothing outside of it, but the leader of the site reaches
 the targets inside.
@@ -15,6 +15,8 @@
 from testkit import function_tests
 from testkit.cuts import How
 from testkit.cuts import SiteLinks
+from testkit.cuts._links import STORE
+from testkit.cuts._report import read_terms
 
 load_tests = function_tests(__name__)
 
@@ -49,6 +51,16 @@
     overlapping: list[str] = attrs.field(factory=list)
 
 
+def make_site() -> LoopbackSite:
+    """Returns a site whose largest entry, in zone "a", soon leads."""
+    site = LoopbackSite(
+        len(ENTRY_ZONES), len(TARGET_ZONES), {"entry-0": 1.5, "entry-3": 0.6}
+    )
+    site.entry_zones = list(ENTRY_ZONES)
+    site.target_zones = list(TARGET_ZONES)
+    return site
+
+
 def count_zone_terms(site: LoopbackSite) -> int:
     """Returns how often an entry began to lead only its zone, from the logs."""
     return len(
@@ -75,11 +87,7 @@
     Args:
         cut_off: Names of the entries; the first one is the best candidate.
     """
-    site = LoopbackSite(
-        len(ENTRY_ZONES), len(TARGET_ZONES), {"entry-0": 1.5, "entry-3": 0.6}
-    )
-    site.entry_zones = list(ENTRY_ZONES)
-    site.target_zones = list(TARGET_ZONES)
+    site = make_site()
     links = SiteLinks(site)
     result = ContestedZone(statuses={"entry-1": [], "entry-4": []})
     clock = asyncio.get_running_loop().time
@@ -139,3 +147,59 @@
     It waits instead; once no other entry reaches the targets, it leads them.
     """
     check_contest(case, ("entry-3",))
+
+
+def list_leaders(site: LoopbackSite) -> set[tuple[int, str]]:
+    """Returns the terms of leaders of the whole site, with their names."""
+    records = {e.name: e.log_records() for e in site.entries.values()}
+    return {(term, name) for _, term, name in read_terms(records).leaderships}
+
+
+async def refuse_leader_at_store() -> tuple[list[int], list[str]]:
+    """Cuts entries off from each other, and the larger part from the store.
+
+    All reach the targets.
+
+    Returns:
+        Statuses of jobs sent to an entry of the larger part, and the names of
+        the other entries that began to lead the whole site. They get jobs, too.
+    """
+    site = make_site()
+    links = SiteLinks(site)
+    statuses: list[int] = []
+
+    async def send(entry: str):
+        status = await submit(site, entry)
+        if entry == "entry-1":
+            statuses.append(status)
+
+    async with site:
+        while site.leader_name() != "entry-0":
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(1.5)
+        before = list_leaders(site)
+        minority = links.entries_of("b")
+        links.cut(minority, links.entries_of("a"), How.RESET)
+        links.cut(links.entries_of("a"), {STORE}, How.RESET)
+        async with asyncio.TaskGroup() as callers:
+            for _ in range(int(CONTEST_S / TASK_INTERVAL_S)):
+                for entry in ("entry-1", "entry-3", "entry-4"):
+                    callers.create_task(send(entry))
+                await asyncio.sleep(TASK_INTERVAL_S)
+        leaders = [
+            name
+            for term, name in list_leaders(site) - before
+            if name in minority
+        ]
+    return statuses, leaders
+
+
+def test_minority_leads_while_the_store_refuses_the_leader(case):
+    """Guards against two leaders of the site that take turns.
+
+    The row of the leader was stale for the minority, as the store refused it.
+    """
+    statuses, leaders = asyncio.run(refuse_leader_at_store())
+    case.assertEqual(leaders, [])
+    answered = statuses.count(200) / len(statuses)
+    case.assertGreaterEqual(answered, MIN_ANSWERED, statuses)
