--- a/anvilford/node/_callers.py
+++ b/anvilford/node/_callers.py
@@ -9,6 +9,7 @@
 import math
 import random
 import string
+from collections.abc import Callable
 
 import attrs
 
@@ -16,6 +17,9 @@
 from anvilford.http1 import Response
 from anvilford.node import _clock as clock
 from anvilford.node._coordination import LeadershipCoordinator
+from anvilford.node._coordination import REASON_NOT_LEADING
+from anvilford.node._coordination import REASONS_NOT_STARTED
+from anvilford.node._progress import HELD_UP_S
 from anvilford.node._sync import SiteView
 from anvilford.node._withdrawals import JobWithdrawals
 from anvilford.node._withdrawals import LEADER_CHECK_INTERVAL_S
@@ -48,6 +52,9 @@
 # Callers that close their connection this close to their deadline are expected
 # to resubmit the job.
 DEADLINE_TOLERANCE_S = 0.1
+# Time in which the loop reads whether the caller of a request that waited has
+# closed its connection meanwhile.
+CLOSE_READ_S = 0.05
 # Additional time for the leader's reply to an offer.
 PLACER_REPLY_MARGIN_S = 0.5
 
@@ -74,6 +81,8 @@
         failed_placer_token: Process token of the leader that last failed to
             place the job; it gets no further offer until the leader changes.
             Empty if there is none.
+        caller_is_lost: True once the caller may have given the job to another
+            entry. The job is offered to no further leader then.
     """
 
     may_have_started: bool = False
@@ -82,6 +91,7 @@
     run_targets_known: bool = True
     offer_count: int = 0
     failed_placer_token: str = ""
+    caller_is_lost: bool = False
 
 
 class CallerRequestHandler:
@@ -185,6 +195,12 @@
                 return self._refuse(job_id, "unsupported " + feature, 503, 0)
         if route.needs_advice:
             return self._refuse(job_id, "unsupported advice", 503, 0)
+        if clock.now() - request.arrived_at > HELD_UP_S:
+            await asyncio.wait((request.disconnected,), timeout=CLOSE_READ_S)
+            if request.disconnected.done():
+                return self._refuse(job_id, "caller_left", 503, 0)
+        if clock.now() >= request.arrived_at + _parse_deadline_s(request):
+            return self._refuse(job_id, "read_late", 503, 1000)
         if self.rejects_new_jobs:
             return self._refuse(job_id, "entry_stopping", 503, 0)
         with self.withdrawals.request_in_progress(job_id):
@@ -202,7 +218,7 @@
         goes on for `DISCONNECT_GRACE_S`, because the caller is expected to
         resubmit it.
         """
-        arrived_at = clock.now()
+        arrived_at = request.arrived_at
         wait_s = _parse_deadline_s(request)
         progress = _PlacementProgress()
         placement = asyncio.ensure_future(
@@ -214,6 +230,7 @@
             placement,
             request.disconnected,
             arrived_at + wait_s + DEADLINE_TOLERANCE_S,
+            lambda: self._lose_caller(job_id, progress),
         )
         if not placement.done():
             left_early = (
@@ -223,9 +240,10 @@
                 cause = "caller_left"
             else:
                 cause = "caller_lost"
-                self.coordinator.report_unanswered_job(job_id)
+                self._lose_caller(job_id, progress)
                 await self._wait_for_lost_caller(placement)
             if not placement.done():
+                progress.caller_is_lost = True
                 placement.cancel()
                 self.withdrawals.withdraw(job_id)
             else:
@@ -271,6 +289,7 @@
         placement: asyncio.Future,
         disconnected: asyncio.Future,
         caller_waits_until: float,
+        lose_caller: Callable[[], None],
     ) -> None:
         """Waits until a job or the connection of its caller ends.
 
@@ -282,6 +301,7 @@
             placement: Ends with the outcome of the job.
             disconnected: Ends when the connection is closed or reset.
             caller_waits_until: Time after which the caller has given up.
+            lose_caller: Called at that time.
         """
         events = (placement, disconnected)
         timeout = caller_waits_until - clock.now()
@@ -291,10 +311,21 @@
                 timeout=max(timeout, 0.0),
                 return_when=asyncio.FIRST_COMPLETED,
             )
+            if not placement.done() and not disconnected.done():
+                lose_caller()
             timeout = LEADER_CHECK_INTERVAL_S
             if self.withdrawals.may_have_other_leader:
                 return
 
+    def _lose_caller(self, job_id: str, progress: _PlacementProgress) -> None:
+        """Ends the permission for a job whose caller may send it elsewhere.
+
+        The leader decides whether it goes on until it is sent again.
+        """
+        progress.caller_is_lost, was_lost = True, progress.caller_is_lost
+        if not was_lost and not self.withdrawals.has_other_request(job_id):
+            self.coordinator.report_unanswered_job(job_id)
+
     async def _wait_for_lost_caller(self, placement: asyncio.Future) -> None:
         """Waits until a job without its caller ends, for a limited time.
 
@@ -323,7 +354,7 @@
             route: Route that matched the request.
             job_id: Id of the job.
             spec: The job.
-            arrived_at: Time at which the request was received.
+            arrived_at: Time at which the request arrived.
             deadline: Time until which the caller waits.
             progress: State of the job; updated after each offer.
 
@@ -331,8 +362,10 @@
             Outcome of the job. If no leader is found in time, `LOST` if tasks
             may have started and `REFUSED` if not.
         """
-        first_offer_deadline = arrived_at + LEADER_WAIT_S
+        first_offer_deadline = clock.now() + LEADER_WAIT_S
         while True:
+            if progress.caller_is_lost:
+                return self._outcome_without_placer(progress)
             now = clock.now()
             leader = self.coordinator.leader
             if (
@@ -363,6 +396,9 @@
                 progress.possible_run_targets,
                 progress.run_targets_known,
                 self.coordinator.fence,
+                self.coordinator.answered_at,
+                self.coordinator.local_member.token,
+                self.coordinator.heartbeat_number,
             )
             progress.offer_count += 1
             self.coordinator.forget_withdrawal(job_id)
@@ -376,7 +412,7 @@
                 {*progress.possible_run_targets, *outcome.placed}
             )
             if (
-                clock.now() > arrived_at + LEADER_WAIT_S
+                clock.now() > first_offer_deadline
                 and not progress.may_have_started
             ):
                 return self._outcome_without_placer(progress)
@@ -398,7 +434,7 @@
             driver = self.coordinator.driver
             if driver is None:
                 progress.failed_placer_token = leader.member.token
-                return Outcome(OutcomeKind.MOVED, "not_leading")
+                return Outcome(OutcomeKind.MOVED, REASON_NOT_LEADING)
             outcome = await driver.place(offer)
             if outcome.kind is OutcomeKind.MOVED:
                 progress.may_have_started = True
@@ -412,7 +448,7 @@
             if answer.ok.kind is OutcomeKind.MOVED:
                 progress.failed_placer_token = leader.member.token
                 progress.may_have_started = progress.may_have_started or (
-                    answer.ok.reason != "not_leading"
+                    answer.ok.reason not in REASONS_NOT_STARTED
                 )
             return answer.ok
         if not isinstance(answer.error, PeerRefused):
--- a/anvilford/node/_coordination.py
+++ b/anvilford/node/_coordination.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import logging
 from collections.abc import Awaitable
 from collections.abc import Callable
@@ -35,7 +36,11 @@
 from anvilford.node._sync import SiteView
 from anvilford.node._unanswered import UnansweredJobs
 from anvilford.peers import PeerLinks
+from anvilford.placement import ANSWER_AGE_S
 from anvilford.placement import CrashHistory
+from anvilford.placement import Offer
+from anvilford.placement import Outcome
+from anvilford.placement import OutcomeKind
 from anvilford.placement import TargetRecord
 from anvilford.protocol import Heartbeat
 from anvilford.protocol import HeartbeatReply
@@ -77,6 +82,11 @@
 # taken over, or have lost the lead since.
 APPOINT_AGAIN_AFTER_S = 10.0
 
+# Reasons of a `MOVED` outcome that show that the leader has not started the job.
+REASON_NOT_LEADING = "not_leading"
+REASON_LATE_OFFER = "late_offer"
+REASONS_NOT_STARTED = (REASON_NOT_LEADING, REASON_LATE_OFFER)
+
 _logger = logging.getLogger(__name__)
 
 
@@ -109,6 +119,7 @@
             started to lead.
         unanswered_jobs: Jobs that callers may send again to any entry, as far
             as this member knows.
+        heartbeat_number: Number of the last heartbeat that this process sent.
         leader_hears_site: Whether the leader lately heard all known members,
             as it replied last.
     """
@@ -157,6 +168,8 @@
         self._withdrawn_jobs = UnansweredJobs()
         # Token of the latest process of each member that this leader has heard.
         self._process_tokens: dict[str, str] = {}
+        # Number of the latest heartbeat that was read of each of them.
+        self._heartbeat_numbers: dict[str, int] = {}
         self._leader_changed = asyncio.Event()
         self._wake = asyncio.Event()
         self._leader_contact_at = clock.now()
@@ -168,6 +181,8 @@
         self._next_heartbeat: tuple[Leader, asyncio.Task] | None = None
         # Token of the leader's process and `sent_at` of its last reply.
         self._last_answer = ("", 0.0)
+        self._last_answer_received_at = 0.0
+        self.heartbeat_number = 0
         self._raise_fence_at = 0.0
         # Zones whose lost targets are left to their leaders, and until when.
         self._left_zones: set[str] = set()
@@ -199,10 +214,11 @@
         Args:
             timeout: Longest time to wait, in seconds.
         """
-        try:
-            await asyncio.wait_for(self._leader_changed.wait(), timeout)
-        except TimeoutError:
-            return  # The caller checks its own deadline.
+        # Not `asyncio.wait_for`, which loses a cancellation that comes together
+        # with the event (Python 3.11).
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout):
+                await self._leader_changed.wait()
 
     @property
     def leader_is_unresponsive(self) -> bool:
@@ -211,14 +227,29 @@
         Jobs should be held back meanwhile. If the leader is gone, a successor
         starts a held-back job immediately. A job offered to the previous leader
         would have to wait, because the successor cannot know whether it has
-        started.
+        started. Without a recent answer, an offer proves nothing and would be
+        rejected.
         """
         since = self._heartbeat_pending_since
-        return (
+        return not self._has_fresh_answer or (
             since is not None
             and clock.now() - since > LEADER_UNRESPONSIVE_AFTER_S
         )
 
+    @property
+    def answered_at(self) -> float:
+        """Time of the leader's last answer, on its clock; 0 for none."""
+        token, sent_at = self._last_answer
+        leader = self.leader
+        return sent_at if leader and token == leader.member.token else 0.0
+
+    @property
+    def _has_fresh_answer(self) -> bool:
+        if self.leader is None or self.leader.member == self.local_member:
+            return self.leader is not None
+        age = clock.now() - self._last_answer_received_at
+        return self.answered_at > 0 and age <= ANSWER_AGE_S
+
     def report_unanswered_job(self, job_id: str) -> None:
         """Records that a caller of this entry may send a job again.
 
@@ -240,7 +271,8 @@
             self._send_withdrawals(self.leader, (job_id,))
 
     def forget_withdrawal(self, job_id: str) -> None:
-        """Ends the reports of a withdrawn job that is offered again."""
+        """Ends the reports of a withdrawn or lost job that is offered again."""
+        self._local_unanswered_jobs.remove(job_id)
         self._withdrawn_jobs.remove(job_id)
 
     def _send_withdrawals(self, leader: Leader, job_ids: Iterable[str]) -> None:
@@ -296,15 +328,44 @@
         token = self._process_tokens.get(member.name)
         self._process_tokens[member.name] = member.token
         if token not in (None, member.token):
+            self._heartbeat_numbers.pop(member.name, None)
             self.driver.stop_jobs_of(member.name)
 
+    def _is_outdated(self, name: str, process: str, number: int) -> bool:
+        """Returns whether a member has sent a heartbeat after a message.
+
+        The network may hold a message back while later ones arrive over another
+        connection. The member may have withdrawn since what the message offers.
+
+        Args:
+            name: Name of the member.
+            process: Token of the process that sent the message.
+            number: Number of the last heartbeat that it sent before.
+        """
+        return process != self._process_tokens.get(
+            name
+        ) or number < self._heartbeat_numbers.get(name, 0)
+
     def receive_heartbeat(self, message: Heartbeat) -> HeartbeatReply:
         """Records a member's heartbeat and returns the reply."""
         now = clock.now()
         if self._is_leading:
             # It may step down if it was suspended.
             self._stop_jobs_of_earlier_process(message.member)
-        if self._is_leading:
+        name = message.member.name
+        if self._is_leading and not self._is_outdated(
+            name, message.member.token, message.number
+        ):
+            self._heartbeat_numbers[name] = message.number
+            if not message.answered_at and (
+                name in self.driver.waiting_entries()
+            ):
+                # The member has followed another leader since it last did this
+                # one, which may run its jobs.
+                self.driver.stop_jobs_of(name)
+        if self._is_leading and not self._is_outdated(
+            name, message.member.token, message.number
+        ):
             # The heartbeat itself may have been sent long before it was read.
             followed_at = min(message.answered_at, now)
             self.heartbeats.record_heartbeat(message.member, now, followed_at)
@@ -335,6 +396,33 @@
             else (),
         )
 
+    async def receive_offer(self, offer: Offer) -> Outcome:
+        """Places the job of a member that is proved to follow this leader.
+
+        The offer may be late: its entry may have offered the job to another
+        leader since.
+        """
+        self.raise_fence_above(offer.fence)
+        if self.driver is None:
+            return Outcome(OutcomeKind.MOVED, REASON_NOT_LEADING)
+        now = clock.now()
+        if self._is_outdated(
+            offer.entry, offer.process, offer.heartbeat_number
+        ) or not self.heartbeats.permissions.admit(
+            offer.entry, min(offer.answered_at, now), now
+        ):
+            self.counters.increment("late_offers")
+            _logger.warning(
+                "offer is not proved to be from a member that follows",
+                extra={
+                    "job": offer.job_id,
+                    "entry": offer.entry,
+                    "answered_ms_ago": int((now - offer.answered_at) * 1000),
+                },
+            )
+            return Outcome(OutcomeKind.MOVED, REASON_LATE_OFFER)
+        return await self.driver.place(offer)
+
     def raise_fence_above(self, fence: int) -> None:
         """Reacts to a fencing token that a member followed, if it is higher.
 
@@ -438,10 +526,9 @@
     async def _wait_for_wake(self, seconds: float) -> None:
         """Waits until an event requires a step, at most the given seconds."""
         self._wake.clear()
-        try:
-            await asyncio.wait_for(self._wake.wait(), seconds)
-        except TimeoutError:
-            return  # Usually no event arrives before the timeout.
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._wake.wait()
 
     # Methods used while this member follows another one.
 
@@ -538,7 +625,11 @@
                     self._set_leader(
                         Leader(reply.term, leader.member, leader.is_partial)
                     )
+                was_unresponsive = self.leader_is_unresponsive
                 self._last_answer = (leader.member.token, reply.sent_at)
+                self._last_answer_received_at = clock.now()
+                if was_unresponsive:
+                    self._wake_waiting_offers()
                 if not reply.leaving:
                     self._leader_contact_at = clock.now()
                     self.contest.clear()
@@ -590,6 +681,7 @@
         if reported_to != leader.fence:
             reported_at = 0.0
         now = clock.now()
+        self.heartbeat_number += 1
         self._send_withdrawals(
             leader, self._withdrawn_jobs.list_since(reported_at)
         )
@@ -599,6 +691,7 @@
             self.membership.members_digest,
             sent_at if token == leader.member.token else 0.0,
             self._local_unanswered_jobs.list_since(reported_at),
+            self.heartbeat_number,
         )
         answer = await self.links.call(
             leader.member.address, heartbeat, HEARTBEAT_TIMEOUT_S
@@ -718,6 +811,7 @@
         self.has_written_row = False
         self._site_check_task = None
         self._process_tokens.clear()
+        self._heartbeat_numbers.clear()
         self.heartbeats.reset(
             [self.local_member, *self.membership.other_members], now
         )
@@ -728,6 +822,7 @@
         self._may_appoint_at = now + APPOINT_AFTER_S
         self.site.is_placing = True
         self.driver = self.create_driver(leader.fence, leader.is_partial)
+        self.driver.placer.limit_leases(self.heartbeats.permissions.oldest)
         self.driver.start(
             self._targets_in_scope(self.site.targets),
             self._targets_in_scope(self.site.recently_removed_targets()),
@@ -953,12 +1048,19 @@
         """Stops the jobs of members that no longer send heartbeats."""
         self.driver.placer.record_contact(self.local_member.name, now)
         self.heartbeats.expire(now)
-        self.driver.placer.record_proofs(self.heartbeats.proofs())
+        self.driver.placer.limit_leases(
+            self.heartbeats.permissions.oldest,
+            self.heartbeats.oldest_proof_of_all,
+        )
+        # The members have to know them for as long as they go on.
+        self.unanswered_jobs.add(self.driver.placer.kept_jobs)
         self.leader_hears_site = self.heartbeats.hears_site
         if not self.leader_hears_site:
             self.site.record_missing_members()
             self.driver.placer.record_missing_members(now)
-        for entry in self.driver.waiting_entries() - self.heartbeats.live_names:
+        for entry in self.driver.waiting_entries():
+            if entry in self.heartbeats.permissions:
+                continue
             self.driver.stop_jobs_of(entry)
             if self.driver is None:
                 return  # The member has stepped down after a suspension.
--- a/anvilford/node/_main.py
+++ b/anvilford/node/_main.py
@@ -29,6 +29,7 @@
 from anvilford.node._coordination import LeadershipCoordinator
 from anvilford.node._driver import PlacerDriver
 from anvilford.node._leader_row import LeaderRow
+from anvilford.node._progress import LoopProgress
 from anvilford.node._settings import load_node_settings
 from anvilford.node._settings import NodeSettings
 from anvilford.node._speed_row import SpeedRow
@@ -39,8 +40,6 @@
 from anvilford.peers import PeerServer
 from anvilford.placement import CrashHistory
 from anvilford.placement import Offer
-from anvilford.placement import Outcome
-from anvilford.placement import OutcomeKind
 from anvilford.placement import PlacementOptions
 from anvilford.platform import StoreClient
 from anvilford.platform import TargetClient
@@ -193,8 +192,14 @@
             )
         )
         limits = ListenerLimits()
+        progress = stack.enter_context(LoopProgress())
         self.caller_listener = await stack.enter_async_context(
-            HttpListener(settings.callers, self.caller_handler.handle, limits)
+            HttpListener(
+                settings.callers,
+                self.caller_handler.handle,
+                limits,
+                progress.earliest_arrival,
+            )
         )
         for address, handler in (
             (settings.ready, self._answer_ready),
@@ -223,6 +228,7 @@
             max_lease=settings.max_lease_ms / 1000,
             stop_time=settings.stop_time_ms / 1000,
             remote_penalty=float(settings.remote_penalty),
+            resubmit_pause=settings.resubmit_pause_ms / 1000,
             list_complete_at=(
                 math.inf if is_partial else self.site.removals_known_at
             ),
@@ -287,11 +293,7 @@
         coordination = self.coordinator
         match message:
             case Offer():
-                coordination.raise_fence_above(message.fence)
-                driver = coordination.driver
-                if driver is None:
-                    return Outcome(OutcomeKind.MOVED, "not_leading")
-                return await driver.place(message)
+                return await coordination.receive_offer(message)
             case Heartbeat():
                 return coordination.receive_heartbeat(message)
             case LeaderQuery(member):
--- a/anvilford/placement/_placer.py
+++ b/anvilford/placement/_placer.py
@@ -3,8 +3,8 @@
 Only `Placer` starts tasks. These rules keep a task from running twice at the
 same time:
 
-- A run ends at the latest with its target's lease, which lasts at most
-  `max_lease`. A placer extends the lease of a target only while all runs on it
+- A run ends at the latest with its target's lease, which lasts no longer than the
+  permission of any entry (`_permissions.py` has the rule). A placer extends the lease of a target only while all runs on it
   belong to its own jobs in progress, since another placer that cannot reach the
   target counts on the end of the lease. A run whose stop is not confirmed yet
   belongs to none.
@@ -17,6 +17,7 @@
   job no entry offers again.
 """
 
+import math
 import random
 from collections.abc import Collection
 from collections.abc import Iterable
@@ -30,7 +31,6 @@
 from anvilford.placement._crashes import CRASHES_TO_GIVE_UP
 from anvilford.placement._crashes import CrashHistory
 from anvilford.placement._fleet import Fleet
-from anvilford.placement._fleet import UNSEEN_RUNS_WINDOW_S
 from anvilford.placement._model import Offer
 from anvilford.placement._model import Outcome
 from anvilford.placement._model import OutcomeKind
@@ -64,6 +64,11 @@
 # Weight of a new delay in the moving average. With one delay each 20 ms or
 # later, a processor that is short of time is noticed within 0.1 s.
 EVENT_DELAY_WEIGHT = 0.3
+# How long before its runs have to end a job without a caller is stopped. A stop is
+# repeated each 0.1 s.
+KEPT_STOP_S = 0.3
+# Most jobs that go on without a caller. The members remember more of them.
+MAX_KEPT_JOBS = 500
 # Time reserved for the transfer of the answer to the caller.
 ANSWER_MARGIN_S = 0.006
 
@@ -127,6 +132,8 @@
             self.crashes,
         )
         self._waiting: dict[str, Job] = {}
+        # Jobs in progress whose callers are gone, by id.
+        self._kept: dict[str, Job] = {}
         # End of jobs that ended as lost after tasks had started, by id.
         self._lost_jobs: dict[str, float] = {}
         # Jobs that callers may send again to other entries, by id.
@@ -191,6 +198,7 @@
             job.job_id,
             {
                 "entry": offer.entry,
+                "proof_age_ms": self._proof_age_ms(offer.entry, now),
                 "queue": job.policy.name,
                 "tasks": len(job.tasks),
                 "objective_ms": int(job.objective * 1000),
@@ -202,6 +210,15 @@
             self._waiting[job.job_id] = job
         self._complete_if_done(job, now)
 
+    def _proof_age_ms(self, entry: str, now: float) -> int | None:
+        """Returns how long ago an entry is known to have followed, for the log.
+
+        Returns:
+            Age in milliseconds; None if the entry has not been heard.
+        """
+        followed_at = self._entry_contacts.get(entry)
+        return None if followed_at is None else int((now - followed_at) * 1000)
+
     def _recognize_repeated_offer(self, offer: Offer, now: float) -> Offer:
         """Returns the offer, marked as repeated if the job may run elsewhere."""
         expected = self._expected_offers.get(offer.job_id)
@@ -231,9 +248,11 @@
         The entry may have offered the job to another placer meanwhile.
         """
         job.entries.add(offer.entry)
+        job.lost_entries.discard(offer.entry)
+        self._update_kept(job, now)
         job.deadline = max(job.deadline, now + offer.remaining)
         if offer.again:
-            job.unseen_runs_until = now + UNSEEN_RUNS_WINDOW_S
+            job.unseen_runs_until = now + self.options.permission_lifetime
             job.add_possible_targets(
                 offer.placed if offer.placed_is_known else None
             )
@@ -243,6 +262,7 @@
             job.job_id,
             {
                 "entry": offer.entry,
+                "proof_age_ms": self._proof_age_ms(offer.entry, now),
                 "again": offer.again,
                 "placed_elsewhere": job.placed_elsewhere,
             },
@@ -265,16 +285,48 @@
                 elsewhere.
             now: Current time in seconds.
         """
-        until = now + UNSEEN_RUNS_WINDOW_S
+        until = now + self.options.permission_lifetime
         for job_id in job_ids:
             known = self._expected_offers.get(job_id)
             placed = known.placed if known else ()
             self._expect_offer(job_id, _ExpectedOffer(until, placed))
             job = self.jobs.get(job_id)
-            if job is not None and not job.started and entry not in job.entries:
+            if job is None:
+                continue
+            if entry in job.entries:
+                job.lost_entries.add(entry)
+                self._update_kept(job, now)
+            elif not job.started:
                 job.unseen_runs_until = until
                 job.placed_elsewhere = None
 
+    @property
+    def kept_jobs(self) -> list[str]:
+        """Ids of the jobs in progress whose callers are gone."""
+        return list(self._kept)
+
+    def _update_kept(self, job: Job, now: float) -> None:
+        """Updates whether a job goes on without a caller.
+
+        Its caller may send it to any entry. Runs end as they would have without
+        this, unless `limit_leases` extends that.
+        """
+        if not job.entries <= job.lost_entries:
+            self._kept.pop(job.job_id, None)
+            job.kept_since, job.kept_until = 0.0, math.inf
+        elif not job.kept_since:
+            self._kept[job.job_id] = job
+            job.kept_since, job.kept_until = now, self.fleet.leases_end_by
+
+    def _stop_kept_jobs(self, now: float) -> None:
+        """Stops jobs without a caller in time before their runs have to end."""
+        for job in list(self._kept.values()):
+            if now > job.kept_until - KEPT_STOP_S or (
+                len(self._kept) > MAX_KEPT_JOBS
+            ):
+                lost = Outcome(OutcomeKind.LOST, "caller_lost")
+                self._end_job(job, lost, now)
+
     def record_event_delay(self, seconds: float) -> None:
         """Records how late the owner handled an event.
 
@@ -287,17 +339,26 @@
         """Records that an entry followed this placer at a time in seconds."""
         self._entry_contacts[entry] = followed_at
 
-    def record_proofs(self, followed_at: dict[str, float]) -> None:
-        """Records until when entries are proved to have followed this placer.
+    def limit_leases(
+        self, oldest_proof: float, oldest_of_all: float = -math.inf
+    ) -> None:
+        """Lets no lease outlast the permission of any entry.
 
-        Leases end `UNSEEN_RUNS_WINDOW_S` after the proof of each entry that has
-        jobs on the target, however late this process is in stopping these.
+        A job whose caller is gone has no permission. It goes on only once each
+        entry of the site has followed this placer since it learned of it, and as
+        long as all of them do: no other placer gets the job as new then.
 
         Args:
-            followed_at: Time in seconds, by entry; a missing one does not limit
-                leases.
+            oldest_proof: Time of the oldest proof that an entry with jobs here
+                followed this placer, in seconds.
+            oldest_of_all: The same of all entries of the site, with jobs or
+                without; minus infinity while one of them is missing.
         """
-        self.fleet.entry_proofs = followed_at
+        lifetime = self.options.permission_lifetime
+        self.fleet.leases_end_by = oldest_proof + lifetime
+        for job in self._kept.values():
+            if oldest_of_all >= job.kept_since:
+                job.kept_until = max(job.kept_until, oldest_of_all + lifetime)
 
     def record_missing_members(self, now: float) -> None:
         """Records that entries are missing; they may follow another placer."""
@@ -314,8 +375,11 @@
         if job is None:
             return
         job.entries.discard(entry)
+        job.lost_entries.discard(entry)
         if not job.entries:
             self._end_job(job, Outcome(OutcomeKind.LOST, reason), now)
+            return
+        self._update_kept(job, now)
 
     def stop_jobs_of(self, entry: str, now: float) -> None:
         """Stops all jobs of an entry that may have left for another placer.
@@ -328,7 +392,7 @@
         for job in list(self.jobs.values()):
             if entry in job.entries:
                 placed = self._possible_targets(job, now)
-                until = now + UNSEEN_RUNS_WINDOW_S
+                until = now + self.options.permission_lifetime
                 expected = _ExpectedOffer(until, placed, placed_is_known=True)
                 self._expect_offer(job.job_id, expected)
                 self._end_job(
@@ -353,6 +417,7 @@
             self.effects.append(Settle(job.job_id, moved))
         self.jobs.clear()
         self._waiting.clear()
+        self._kept.clear()
         self.fleet.clear()
 
     def _possible_targets(self, job: Job, now: float) -> tuple[str, ...]:
@@ -405,7 +470,7 @@
             now: Current time in seconds.
             left_zones: As for `Fleet.raise_fence`.
         """
-        self._earlier_runs_end_by = now + UNSEEN_RUNS_WINDOW_S
+        self._earlier_runs_end_by = now + self.options.permission_lifetime
         for job in self.jobs.values():
             if job.lease_ended_at:
                 self._expect_unseen_runs(job)
@@ -439,6 +504,7 @@
 
     def tick(self, now: float) -> None:
         """Handles timeouts; to be called every 20 ms while there are jobs."""
+        self._stop_kept_jobs(now)
         self.fleet.tick(now)
         self.crashes.drop_old_losses(now)
         for job in list(self._waiting.values()):
@@ -464,7 +530,7 @@
         """
         found = self.fleet.adopt_runs(job, now)
         if job.has_earlier_runs and not job.unseen_runs_until:
-            job.unseen_runs_until = now + UNSEEN_RUNS_WINDOW_S
+            job.unseen_runs_until = now + self.options.permission_lifetime
             job.placed_elsewhere = None
         return found
 
@@ -486,7 +552,7 @@
             offer.spec,
             now - offer.waited,
             now + offer.remaining,
-            now + UNSEEN_RUNS_WINDOW_S if offer.again else 0.0,
+            now + self.options.permission_lifetime if offer.again else 0.0,
             offer.placed if offer.placed_is_known else None,
             {offer.entry},
             has_run_before=offer.job_id in self._lost_jobs,
@@ -646,7 +712,9 @@
     def _is_discovery_over(self, job: Job, now: float) -> bool:
         """Returns whether `RUN_DISCOVERY_S` have passed since the offer."""
         return now > (
-            job.unseen_runs_until - UNSEEN_RUNS_WINDOW_S + RUN_DISCOVERY_S
+            job.unseen_runs_until
+            - self.options.permission_lifetime
+            + RUN_DISCOVERY_S
         )
 
     def dispatch(self, now: float) -> None:
@@ -658,7 +726,7 @@
         is_claiming = self.fleet.is_claiming(now)
         jobs_by_service: dict[str, list[Job]] = {}
         for job in self._waiting.values():
-            if job.is_held:
+            if job.is_held or job.kept_since:
                 continue
             is_new = not job.started and not job.unseen_runs_until
             if is_new and is_claiming:
@@ -902,6 +970,7 @@
         """Removes a job, stops its runs and reports its outcome."""
         self.jobs.pop(job.job_id, None)
         self._waiting.pop(job.job_id, None)
+        self._kept.pop(job.job_id, None)
         self.fleet.stop_job(job, now)
         if outcome.kind in (OutcomeKind.COMPLETED, OutcomeKind.FAILED):
             self.outcomes[job.job_id] = (now, outcome)
