Keep to the leader with the higher token of two that begin in one term

A cut between two members leaves each with a majority that shares all others (test_two_members_lead_in_one_term); a leader that raises its term, or appoints a member, beside an election takes the same term, too. Tokens of one term differ, so that targets obey one of the two.

What was wrong beside it: a member followed the one whose announcement came last. If that was the one with the lower token, it claimed all targets again, as the member's heartbeat showed that it had followed the higher one. Now a member stays with the higher of two leaders of a term of the same kind; if it does not answer, the search finds the other one. The test fails without the change.

--- a/anvilford/leadership/tests/test_election.py
+++ b/anvilford/leadership/tests/test_election.py
@@ -181,3 +181,21 @@
         for name in names
     }
     case.assertEqual(len(fences), len(names))
+
+
+def test_two_members_lead_in_one_term(case):
+    """Both have a majority, since members that answer promise nothing.
+
+    Known: a cut between two members leaves each with all others. Their tokens
+    differ, so that targets obey one of them; this guards against equal ones.
+    """
+    shared = [reply(m) for m in MEMBERS[2:]]
+    states = [
+        ElectionState(m, True, 3, MEMBERS, shared, True, 0.7, True)
+        for m in MEMBERS[:2]
+    ]
+    for state in states:
+        case.assertEqual(decide_action(state), Lead(is_partial=False))
+    first, second = (Leader(s.term + 1, s.local_member) for s in states)
+    case.assertEqual(first.term, second.term)
+    case.assertNotEqual(first.fence, second.fence)
--- a/anvilford/node/_coordination.py
+++ b/anvilford/node/_coordination.py
@@ -494,9 +494,24 @@
                 announcement = LeaderAnnounced(self.leader)
                 self.links.send(leader.member.address, announcement)
             return
-        if leader.term >= self.term:
+        if leader.term >= self.term and not self._follows_higher(leader):
             self._follow(leader)
 
+    def _follows_higher(self, leader: Leader) -> bool:
+        """Whether this member follows another leader of the term, which prevails.
+
+        Two may begin in one term, since members that answer queries of both
+        promise nothing. Targets obey the higher token, and the other leader
+        would claim them all again for a member that has followed this one.
+        """
+        followed = self.leader
+        return (
+            followed is not None
+            and followed.term == leader.term
+            and followed.is_partial == leader.is_partial
+            and followed.fence > leader.fence
+        )
+
     # Main loop.
 
     async def run(self) -> None:
--- a/anvilford/node/tests/test_contest.py
+++ b/anvilford/node/tests/test_contest.py
@@ -275,3 +275,31 @@
     busy = idle = FakeTargets(is_silent=True)
     result = asyncio.run(probe_targets(TARGETS, poll, PROBE_FENCE, 0, 0.0))
     case.assertIs(result, Contest.UNANSWERED)
+
+
+def test_member_goes_over_to_the_lower_leader_of_a_term(case, coordinator):
+    """Guards against claims that follow two leaders of one term.
+
+    The member followed the one whose announcement came last. If that was the
+    one with the lower token, it claimed all targets again, as the member had
+    followed the other one.
+    """
+    leaders = [Leader(4, OTHER_MEMBER), Leader(4, LOST_LEADER.member)]
+    lower, higher = sorted(leaders, key=lambda leader: leader.fence)
+
+    async def scenario():
+        for announced, expected in (
+            (lower, lower),
+            (higher, higher),
+            (lower, higher),
+            (attrs.evolve(lower, term=5), attrs.evolve(lower, term=5)),
+        ):
+            coordinator.receive_announcement(announced)
+            case.assertEqual(coordinator.leader, expected)
+        # The leader of the site goes before that of a zone.
+        coordinator._follow(attrs.evolve(higher, term=6, is_partial=True))
+        of_site = attrs.evolve(lower, term=6)
+        coordinator.receive_announcement(of_site)
+        case.assertEqual(coordinator.leader, of_site)
+
+    asyncio.run(scenario())
--- a/anvilford/node/tests/test_permissions.py
+++ b/anvilford/node/tests/test_permissions.py
@@ -101,6 +101,7 @@
         Counters(),
         create_driver,
         mock.AsyncMock(),
+        mock.AsyncMock(),
         node.crashes,
     )
     random.seed(1)
--- a/anvilford/node/tests/test_rows.py
+++ b/anvilford/node/tests/test_rows.py
@@ -106,7 +106,9 @@
         store.read = mock.AsyncMock(return_value=answer)
         with mock.patch.object(clock, "now", lambda: now):
             result = await search.collect_state()
-            return search.select_action(result, True) == Lead(False)
+            return search.select_action(result, True) == Lead(
+                False, by_row=True
+            )
 
     async def search_all():
         return [await search_once(*arguments) for arguments in answers]
@@ -246,7 +248,9 @@
         async with asyncio.timeout(8.0):
             while True:
                 result = await search.collect_state()
-                if search.select_action(result, True) == Lead(False):
+                if search.select_action(result, True) == Lead(
+                    False, by_row=True
+                ):
                     return
                 await asyncio.sleep(SEARCH_INTERVAL_S)
 
