--- a/anvilford/node/tests/test_coordination.py
+++ b/anvilford/node/tests/test_coordination.py
@@ -13,6 +13,7 @@
 from anvilford.leadership import Member
 from anvilford.leadership import Opinion
 from anvilford.node import _clock as clock
+from anvilford.node._contest import Contest
 from anvilford.node._coordination import APPOINT_AFTER_S
 from anvilford.node._coordination import APPOINT_AGAIN_AFTER_S
 from anvilford.node._coordination import LeadershipCoordinator
@@ -120,6 +121,7 @@
     site.recently_removed_targets.return_value = ()
     driver = mock.Mock(name="driver")
     driver.waiting_entries.return_value = set()
+    driver.fenced_zones.return_value = {"b"}
     driver.placer.kept_jobs = []
     yield LeadershipCoordinator(
         LOCAL_MEMBER,
@@ -130,6 +132,7 @@
         Counters(),
         mock.Mock(name="make_driver", return_value=driver),
         _probe_other_zones,
+        mock.AsyncMock(return_value=Contest.UNANSWERED),
         CrashHistory(),
     )
 
