--- a/testkit/site_simulation/_run.py
+++ b/testkit/site_simulation/_run.py
@@ -37,10 +37,12 @@
 # Time before the first jobs, in which a leader is found, and calm time after
 # them.
 WARM_UP_S = 4.0
-CALM_S = 6.0
+CALM_S = 8.0
 # Time after the last job, within which all runs end.
 COOL_DOWN_S = 12.0
 MAX_CLOCK_ERROR = 0.02
+# Range of the mean time between the beginnings of two events.
+EVENT_PAUSE_S = (0.6, 4.0)
 # Numbers of entries by zone.
 LAYOUTS = ((2, 2, 2), (1, 3, 1), (3, 3, 3), (1, 3, 3, 1), (1, 1, 1))
 TASKS_PER_TARGET = 4
@@ -136,11 +138,11 @@
             breaks = (*breaks, Break.SILENT)
         traffic = Traffic(
             per_s=1.0,
-            mean_s=self.rng.choice((0.1, 0.25, 0.5)),
+            mean_s=self.rng.choice((0.1, 0.3, 0.6)),
             max_tasks=self.rng.randint(1, 3),
-            long_share=self.rng.choice((0.0, 0.1, 0.3)),
-            long_ratio=self.rng.uniform(3.0, 8.0),
-            broken_share=self.rng.choice((0.05, 0.2, 0.4)),
+            long_share=self.rng.choice((0.0, 0.2, 0.6)),
+            long_ratio=self.rng.uniform(3.0, 6.0),
+            broken_share=self.rng.choice((0.05, 0.3, 0.6)),
             breaks=breaks,
         )
         self.layout = self.rng.choice(LAYOUTS)
@@ -201,7 +203,7 @@
             self.journal.add_event,
             self.add_target,
         )
-        await events.run(end, self.rng.uniform(0.6, 4.0))
+        await events.run(end, self.rng.uniform(*EVENT_PAUSE_S))
         await traffic
         await asyncio.sleep(COOL_DOWN_S)
         for target in self.targets:
@@ -240,7 +242,7 @@
     calls = site.callers.calls
     runs = list_runs(site.targets)
     overlaps = find_overlaps(runs)
-    calm_until = START_TIME_S + WARM_UP_S + CALM_S - 2.0
+    calm_until = START_TIME_S + WARM_UP_S + CALM_S
     lines = site.journal.lines
     return SimulationReport(
         site.options,
@@ -248,7 +250,7 @@
         [
             call
             for call in calls
-            if call.sent_at < calm_until
+            if call.ended_at < calm_until
             and call.how in ("answer", "deadline", "closed")
         ],
         sum(map(len, runs.values())),
--- a/testkit/site_simulation/_store.py
+++ b/testkit/site_simulation/_store.py
@@ -141,7 +141,7 @@
         async def answer() -> Snapshot:
             return self.store.read(table)
 
-        return await self._call(answer(), timeout)
+        return await self._call(answer, timeout)
 
     async def watch(
         self,
@@ -154,8 +154,11 @@
     ) -> Snapshot | StoreFailed:
         """As `StoreClient.watch`."""
         del idle_timeout, progress
-        watch = self.store.watch(table, after, wait_ms / 1000)
-        return await self._call(watch, timeout)
+
+        async def answer() -> Snapshot:
+            return await self.store.watch(table, after, wait_ms / 1000)
+
+        return await self._call(answer, timeout)
 
     async def write(
         self,
@@ -172,7 +175,7 @@
                 await asyncio.sleep(self.store.rng.uniform(0.0, LATE_WRITE_S))
             return self.store.write(table, key, value, expected_version)
 
-        result = await self._call(answer(), timeout, is_write=True)
+        result = await self._call(answer, timeout, is_write=True)
         if result == StoreFailed("timeout"):
             return StoreFailed("timeout", may_have_taken_effect=True)
         return result
@@ -185,18 +188,16 @@
         """Returns the answer of the store, or how the call failed.
 
         Args:
-            work: Coroutine of the store.
+            work: Does the work of the store.
             timeout: Time limit in seconds.
             is_write: Whether the store does the work although it is silent.
         """
         await asyncio.sleep(DELAY_S / 2)
         mode = self._mode
         if mode in (StoreMode.REFUSES, StoreMode.BUSY):
-            work.close()
             reason = "status 503" if mode is StoreMode.BUSY else "refused"
             return StoreFailed(reason)
         if mode is StoreMode.SILENT and not is_write:
-            work.close()
             await asyncio.sleep(timeout)
             return StoreFailed("timeout")
         answered = asyncio.get_running_loop().create_future()
@@ -210,7 +211,7 @@
     async def _answer(self, work, mode: StoreMode, answered) -> None:
         if mode is StoreMode.SLOW:
             await asyncio.sleep(self.store.rng.uniform(0.1, 0.5))
-        result = await work
+        result = await work()
         await asyncio.sleep(DELAY_S / 2)
         # A connection on which an answer was lost delivers nothing further.
         if not answered.done() and self._mode is not StoreMode.SILENT:
