--- a/testkit/site_simulation/_events.py
+++ b/testkit/site_simulation/_events.py
@@ -14,7 +14,7 @@
 from testkit.site_simulation._targets import SimulatedTarget
 
 # Range of the time for which an event lasts, in seconds.
-DURATION_S = (0.3, 7.0)
+DURATION_S = (0.3, 5.0)
 
 
 class Events:
@@ -42,14 +42,14 @@
         self.note = note
         self.add_target = add_target
         self._kinds = (
-            (self._cut_zone, 4),
+            (self._cut_zone, 5),
             (self._cut_entry, 3),
             (self._cut_pair, 2),
             (self._cut_target, 3),
             (self._take_store_away, 3),
-            (self._cut_leader, 3),
-            (self._suspend_entry, 2),
-            (self._suspend_leader, 2),
+            (self._cut_leader, 5),
+            (self._suspend_entry, 1),
+            (self._suspend_leader, 3),
             (self._kill_entry, 2),
             (self._drain_target, 2),
             (self._crash_target, 2),
--- a/testkit/site_simulation/_run.py
+++ b/testkit/site_simulation/_run.py
@@ -42,7 +42,7 @@
 COOL_DOWN_S = 12.0
 MAX_CLOCK_ERROR = 0.02
 # Range of the mean time between the beginnings of two events.
-EVENT_PAUSE_S = (0.6, 4.0)
+EVENT_PAUSE_S = (0.8, 3.0)
 # Numbers of entries by zone.
 LAYOUTS = ((2, 2, 2), (1, 3, 1), (3, 3, 3), (1, 3, 3, 1), (1, 1, 1))
 TASKS_PER_TARGET = 4
@@ -138,10 +138,10 @@
             breaks = (*breaks, Break.SILENT)
         traffic = Traffic(
             per_s=1.0,
-            mean_s=self.rng.choice((0.1, 0.3, 0.6)),
-            max_tasks=self.rng.randint(1, 3),
-            long_share=self.rng.choice((0.0, 0.2, 0.6)),
-            long_ratio=self.rng.uniform(3.0, 6.0),
+            mean_s=self.rng.choice((0.15, 0.3, 0.6)),
+            max_tasks=self.rng.randint(1, 2),
+            long_share=self.rng.choice((0.2, 0.6)),
+            long_ratio=self.rng.uniform(4.0, 8.0),
             broken_share=self.rng.choice((0.05, 0.3, 0.6)),
             breaks=breaks,
         )
