Simulated sites: planned stops of entries, and targets whose rows expire

A leader that stops as planned hands its jobs over, and a target whose row has expired still runs tasks that an old list names. Neither was among the events.

--- a/testkit/site_simulation/_entry.py
+++ b/testkit/site_simulation/_entry.py
@@ -27,6 +27,8 @@
 
 MAX_LEASE_MS = 1000
 STOP_TIME_MS = 50
+# Time from the signal to stop to the end of the process.
+STOP_GRACE_S = 10.0
 PROBE_TIMEOUT_S = 0.1
 PROBE_COUNT = 2
 
@@ -63,6 +65,7 @@
         node: The entry; None until it has started.
         handle_request: Handles requests of callers; None until it listens.
         requests: Tasks of the requests.
+        has_started_stop: Whether it was told to stop.
     """
 
     def __init__(self, name: str, zone: str, surroundings: Surroundings):
@@ -72,6 +75,7 @@
         self.node: EntryNode | None = None
         self.handle_request: Callable | None = None
         self.requests: set[asyncio.Task] = set()
+        self.has_started_stop = False
         self._stack = contextlib.AsyncExitStack()
 
     def start(self) -> None:
@@ -90,7 +94,7 @@
             metrics=self.name + ":3",
             store="store:1",
             cores=4.0,
-            stop_grace_s=10.0,
+            stop_grace_s=STOP_GRACE_S,
             max_lease_ms=MAX_LEASE_MS,
             stop_time_ms=STOP_TIME_MS,
             remote_penalty=1.0,
@@ -135,6 +139,21 @@
 
         task.add_done_callback(finish)
 
+    @property
+    def is_serving(self) -> bool:
+        """Whether all components have started."""
+        return self.handle_request is not None
+
+    @property
+    def has_stopped(self) -> bool:
+        """Whether a planned stop is complete."""
+        return self.node is not None and self.node._stopped.is_set()
+
+    def begin_stop(self) -> None:
+        """Tells the process to finish its jobs and to end."""
+        self.has_started_stop = True
+        call_inside(self, self.node._begin_stop)
+
     def kill(self) -> None:
         """Ends the process at once."""
         self.is_dead = True
@@ -153,6 +172,9 @@
     async def __aexit__(self, *_: object) -> None:
         return None
 
+    def close_idle_connections(self) -> None:
+        """Does nothing; each request has a connection of its own."""
+
 
 @contextlib.contextmanager
 def simulated_components(loop: asyncio.AbstractEventLoop) -> Iterator[None]:
--- a/testkit/site_simulation/_events.py
+++ b/testkit/site_simulation/_events.py
@@ -7,6 +7,7 @@
 
 from testkit.site_simulation._callers import Callers
 from testkit.site_simulation._entry import EntryProcess
+from testkit.site_simulation._entry import STOP_GRACE_S
 from testkit.site_simulation._entry import Surroundings
 from testkit.site_simulation._loop import VirtualLoop
 from testkit.site_simulation._network import Block
@@ -51,7 +52,9 @@
             (self._suspend_entry, 1),
             (self._suspend_leader, 3),
             (self._kill_entry, 2),
+            (self._stop_entry, 1),
             (self._drain_target, 2),
+            (self._hide_target, 1),
             (self._crash_target, 2),
             (self._delay_orders, 2),
             (self._burst, 1),
@@ -89,8 +92,7 @@
             entry
             for entry in self._entries
             if not entry.is_dead
-            and entry.node is not None
-            and getattr(entry.node, "coordinator", None) is not None
+            and entry.is_serving
             and entry.node.coordinator.driver is not None
         ]
         return self.rng.choice(leaders) if leaders else None
@@ -219,6 +221,24 @@
         self.note(f"{entry.name} restarts")
         EntryProcess(entry.name, entry.zone, self.around).start()
 
+    async def _stop_entry(self, duration_s: float) -> None:
+        entry = self.rng.choice(self._entries)
+        if entry.is_dead or entry.has_started_stop or not entry.is_serving:
+            return
+        self.note(f"{entry.name} stops as planned")
+        loop = asyncio.get_running_loop()
+        kill_at = loop.time() + STOP_GRACE_S
+        entry.begin_stop()
+        while not entry.has_stopped and loop.time() < kill_at:
+            await asyncio.sleep(0.05)
+        if entry.is_dead:
+            return  # Another event has killed it, and starts it again.
+        self.note(f"{entry.name} has ended, restarts after {duration_s:.2f} s")
+        entry.kill()
+        await asyncio.sleep(duration_s)
+        self.note(f"{entry.name} restarts")
+        EntryProcess(entry.name, entry.zone, self.around).start()
+
     async def _drain_target(self, duration_s: float) -> None:
         target = self.rng.choice(self._targets)
         if target.model.record.draining or target.model.is_down:
@@ -238,6 +258,19 @@
         self.note(f"target {target.name} has exited")
         self.note(f"target {self.add_target(zone).name} joins")
 
+    async def _hide_target(self, duration_s: float) -> None:
+        target = self.rng.choice(self._targets)
+        if target.model.record.draining or not target.is_listed:
+            return
+        self.note(f"row of {target.name} expires for {duration_s:.2f} s")
+        target.unlist()
+        await asyncio.sleep(duration_s)
+        if not target.has_exited and not target.model.record.draining:
+            target.is_listed = True
+            if not target.model.is_down:
+                target.write_row()
+            self.note(f"row of {target.name} is back")
+
     async def _crash_target(self, duration_s: float) -> None:
         target = self.rng.choice(self._targets)
         if target.model.record.draining or target.model.is_down:
