--- a/testkit/cuts/_run.py
+++ b/testkit/cuts/_run.py
@@ -17,8 +17,8 @@
 from testkit.cuts._callers import DEFAULT_BREAKS
 from testkit.cuts._day import Burst
 from testkit.cuts._day import Disruption
-from testkit.cuts._day import format_day
 from testkit.cuts._day import stretch_day
+from testkit.cuts._day_file import format_day
 from testkit.cuts._disrupt import Disruptor
 from testkit.cuts._links import SiteLinks
 from testkit.cuts._report import CutReport
