Rig: a store that turns some entries away and serves the others

The rig could cut the store off with a zone, an entry or targets only. Attempts to connect wait as before in the other kinds. Logs of a play can be kept in any case.

--- a/testkit/cuts/__init__.py
+++ b/testkit/cuts/__init__.py
@@ -7,6 +7,7 @@
 from testkit.cuts._day import LateOrders
 from testkit.cuts._day import LeaderCut
 from testkit.cuts._day import Stall
+from testkit.cuts._day import StoreCut
 from testkit.cuts._day import TargetCrash
 from testkit.cuts._day import TargetCut
 from testkit.cuts._day import ZoneCut
@@ -41,6 +42,7 @@
     "LateOrders",
     "LeaderCut",
     "Stall",
+    "StoreCut",
     "TargetCrash",
     "TargetCut",
     "TargetRows",
--- a/testkit/cuts/_day.py
+++ b/testkit/cuts/_day.py
@@ -166,9 +166,35 @@
     is_reborn: bool = False
 
 
+@attrs.frozen
+class StoreCut:
+    """The store turns some entries away and serves the others for a while.
+
+    Attributes:
+        at: Start in seconds after the start of traffic.
+        length: Duration in seconds.
+        share: Share of the entries.
+        how: What happens to their connections to the store.
+        with_leader: Whether the leader is one of them.
+    """
+
+    at: float
+    length: float
+    share: float = 0.3
+    how: How = How.REFUSED
+    with_leader: bool = False
+
+
 Cut = ZoneCut | LeaderCut | EntryCut
 Disruption = (
-    Burst | Cut | LateOrders | Stall | EntryKill | TargetCrash | TargetCut
+    Burst
+    | Cut
+    | LateOrders
+    | Stall
+    | EntryKill
+    | TargetCrash
+    | TargetCut
+    | StoreCut
 )
 
 
--- a/testkit/cuts/_day_file.py
+++ b/testkit/cuts/_day_file.py
@@ -18,6 +18,9 @@
                "reborn" in how they restart as new incarnations in the middle of it
     applied_late  a share "x" of the orders to targets gets no answer and is carried
                out 2 to 12 s later
+    platform_down  with how "nodes", the store turns a "share" (0.3) of the entries
+               away and serves the others: "refused", "reset", "503" or silent; with
+               "leader", the leader is one of them
 
 Cuts are silent unless how holds "reset". With "one_way" only the bytes of the side
 that is cut off are lost, with "one_way in" only those to it. Steps of an entry's
@@ -34,6 +37,7 @@
 from testkit.cuts._day import LateOrders
 from testkit.cuts._day import LeaderCut
 from testkit.cuts._day import Stall
+from testkit.cuts._day import StoreCut
 from testkit.cuts._day import TargetCrash
 from testkit.cuts._day import TargetCut
 from testkit.cuts._day import ZoneCut
@@ -84,6 +88,14 @@
             length = length if is_dark else 0.0
             count = fault.get("count", 1)
             return EntryKill(at, length, "leader" in rest, count, is_dark)
+    return _parse_target_fault(fault, rest, how)
+
+
+def _parse_target_fault(fault: dict, rest: set[str], how: How) -> Disruption:
+    """Returns the disruption of targets or of the store for a fault."""
+    at, length = fault["at"], fault["for_s"]
+    words = fault.get("how", "").split()
+    match fault, rest:
         case {"kind": "srv_crash"}, _ if set(words) <= {"dark"}:
             how = How.DROP if "dark" in rest else How.RESET
             return TargetCrash(at, length, fault.get("share", 0.15), how)
@@ -91,12 +103,25 @@
             from_share = fault.get("x", 0.3) if "some" in rest else None
             share, is_reborn = fault.get("share", 0.2), "reborn" in rest
             return TargetCut(at, length, share, how, from_share, is_reborn)
+        case {"kind": "platform_down"}, _ if (
+            "nodes"
+            in rest
+            <= {
+                "nodes",
+                "leader",
+            }
+        ):
+            share = fault.get("share", 0.3)
+            return StoreCut(at, length, share, how, "leader" in rest)
     raise ValueError(f"cannot be given to processes: {fault}")
 
 
 def _parse_how(words: list[str]) -> tuple[set[str], How]:
     """Returns the words of `how` that do not say what connections do."""
     rest = set(words) - {"reset", "drop", "one_way", "in", "out"}
+    for how in (How.REFUSED, How.UNAVAILABLE):
+        if how.value in rest:
+            return rest - {how.value}, how
     if "reset" in words:
         return rest, How.RESET
     if "one_way" in words:
@@ -151,6 +176,10 @@
             fields |= {"kind": "srv_cut", "share": share}
             fields |= {"how": " ".join(words)}
             fields |= {"x": from_share} if some else {}
+        case StoreCut(share=share, how=how, with_leader=with_leader):
+            words = ["nodes", *["leader"] * with_leader, how.value]
+            fields |= {"kind": "platform_down", "share": share}
+            fields |= {"how": " ".join(words)}
     return (
         "{ " + ", ".join(f"{k} = {_toml(v)}" for k, v in fields.items()) + " }"
     )
--- a/testkit/cuts/_disrupt.py
+++ b/testkit/cuts/_disrupt.py
@@ -18,6 +18,7 @@
 from testkit.cuts._day import LateOrders
 from testkit.cuts._day import LeaderCut
 from testkit.cuts._day import Stall
+from testkit.cuts._day import StoreCut
 from testkit.cuts._day import TargetCrash
 from testkit.cuts._day import TargetCut
 from testkit.cuts._day import ZoneCut
@@ -115,7 +116,9 @@
         """The leader in the store, or the first entry."""
         return self.site.leader_name() or next(iter(self.site.entries))
 
-    def _start_cut(self, cut: Cut | TargetCut) -> tuple[LinkCut, str]:
+    def _start_cut(
+        self, cut: Cut | TargetCut | StoreCut
+    ) -> tuple[LinkCut, str]:
         """Starts a cut; returns it and what is cut off."""
         match cut:
             case ZoneCut(zone=zone):
@@ -129,6 +132,11 @@
                 names = self.links.entries_of(zone)
             case TargetCut():
                 return self._cut_targets(cut)
+            case StoreCut():
+                count = math.ceil(cut.share * len(self.site.entries))
+                names = self._choose_entries(cut.with_leader, count)
+                link_cut = self.links.cut(names, [STORE], cut.how)
+                return link_cut, f"{' '.join(names)} from the store"
         text = " ".join([*names, "(with store)" if with_store else ""])
         link_cut = self.links.cut_entries(names, cut.how, with_store)
         return link_cut, text.strip()
--- a/testkit/cuts/_entry.py
+++ b/testkit/cuts/_entry.py
@@ -1,13 +1,15 @@
 """Runs an entry whose connections to some addresses are cut or delayed.
 
 The file beside the settings, with the suffix ".links", is a JSON object: "reset"
-lists addresses whose open connections are aborted, "held" has the directions
-("in", "out") in which the bytes of others are held back, "delays" the mean delay
-in seconds of answers. Attempts to open a connection to an address of the first two
-wait until it is in neither.
+lists addresses whose open connections are aborted, "refused" others that also refuse
+new ones, "replaced" has the addresses to which new ones lead instead, "held" the
+directions ("in", "out") in which the bytes of others are held back, "delays" the mean
+delay in seconds of answers. Attempts to open a connection to an address of "reset" or
+"held" wait until it is in neither.
 """
 
 import asyncio
+import errno
 import functools
 import json
 import pathlib
@@ -60,6 +62,8 @@
         super().__init__()
         self.links_path = pathlib.Path(sys.argv[1]).with_suffix(".links")
         self.reset: frozenset[str] = frozenset()
+        self.refused: frozenset[str] = frozenset()
+        self.replaced: dict[str, str] = {}
         self.held: dict[str, list[str]] = {}
         self.delays: dict[str, float] = {}
         self._changed_ns = 0
@@ -74,15 +78,20 @@
         self._changed_ns = changed_ns
         links = json.loads(self.links_path.read_text(encoding="utf-8"))
         self.reset = frozenset(links["reset"])
+        self.refused = frozenset(links["refused"])
+        replaced_before, self.replaced = self.replaced, links["replaced"]
+        changed = replaced_before.keys() ^ self.replaced.keys()
         self.held = links["held"]
         self.delays = links["delays"]
         for connection, address in list(self._open.items()):
+            if address in changed:
+                connection.reset()
             self._apply(connection, address)
             if connection.is_over:
                 del self._open[connection]
 
     def _apply(self, connection: HeldConnection, address: str) -> None:
-        if address in self.reset:
+        if address in self.reset or address in self.refused:
             connection.reset()
         else:
             connection.hold(self.held.get(address, ()))
@@ -92,6 +101,11 @@
         address = f"{host}:{port}"
         while address in self.reset or address in self.held:
             await asyncio.sleep(READ_INTERVAL_S)
+        if address in self.refused:
+            raise ConnectionRefusedError(errno.ECONNREFUSED, address)
+        replacement = self.replaced.get(address)
+        if replacement is not None:
+            host, _, port = replacement.rpartition(":")
         delay = self.delays.get(address)
         connection = None
 
@@ -104,7 +118,9 @@
 
         await super().create_connection(create_protocol, host, port, **kwargs)
         self._open[connection] = address
-        # A cut may have begun while the connection was opened.
+        # A cut may have begun or ended while the connection was opened.
+        if self.replaced.get(address) != replacement:
+            connection.reset()
         self._apply(connection, address)
         return connection.transport, connection.inner
 
--- a/testkit/cuts/_links.py
+++ b/testkit/cuts/_links.py
@@ -24,12 +24,17 @@
         ONE_WAY_OUT: The same for bytes from the side that is cut off only. As
             on a network, none can be opened in either direction.
         ONE_WAY_IN: The same for bytes to the side that is cut off.
+        REFUSED: They are reset, and new ones are refused at once.
+        UNAVAILABLE: For the store only. They are reset, and new ones lead to
+            one that answers every request with status 503.
     """
 
     RESET = "reset"
     DROP = "drop"
     ONE_WAY_OUT = "one_way out"
     ONE_WAY_IN = "one_way in"
+    REFUSED = "refused"
+    UNAVAILABLE = "503"
 
     @property
     def held(self) -> frozenset[str]:
@@ -42,6 +47,10 @@
         return frozenset({"in", "out"})
 
 
+# Cuts that end open connections.
+_ENDING = (How.RESET, How.REFUSED, How.UNAVAILABLE)
+
+
 @attrs.frozen(eq=False)
 class LinkCut:
     """Cuts all links between two sets of machines.
@@ -70,19 +79,23 @@
     """Cuts and delays the outgoing connections of the entries of a site.
 
     Both sides of a cut are told of it, so that neither reaches the other one.
-    Cuts may overlap; a reset goes before the others. An entry hears of a cut
+    Cuts may overlap; a reset goes before a refusal, then bytes that are held
+    back, and status 503 comes last. An entry hears of a cut
     within some 10 ms, or when it goes on after a suspension.
 
     Attributes:
         site: The site, not entered yet; its entries run `testkit.cuts._entry`.
         delay_s: Mean delay of answers from other zones, in seconds.
         cuts: Cuts in force.
+        unavailable_address: Address of a store that answers with status 503;
+            needed for cuts of that kind only.
     """
 
     def __init__(self, site: LoopbackSite, delay_s: float = 0.0):
         self.site = site
         self.delay_s = delay_s
         self.cuts: list[LinkCut] = []
+        self.unavailable_address = ""
         site.entry_module = "testkit.cuts._entry"
         site.before_start = self.heal
 
@@ -189,18 +202,27 @@
 
     def _blocked_links(self, entry: str, addresses: dict[str, str]) -> dict:
         """Returns the addresses that an entry cannot reach, by how."""
-        reset: set[str] = set()
         held: dict[str, set[str]] = collections.defaultdict(set)
+        others: dict[How, set[str]] = collections.defaultdict(set)
         for cut in self.cuts:
             for other, address in addresses.items():
                 directions = cut.held_directions(entry, other)
-                if directions and cut.how is How.RESET:
-                    reset.add(address)
+                if directions and cut.how in _ENDING:
+                    others[cut.how].add(address)
                 elif directions:
                     held[address] |= directions
+        reset = others[How.RESET]
+        refused = others[How.REFUSED] - reset
+        replaced = others[How.UNAVAILABLE] - reset - refused - held.keys()
         return {
             "reset": sorted(reset),
-            "held": {a: sorted(held[a]) for a in held if a not in reset},
+            "refused": sorted(refused),
+            "replaced": dict.fromkeys(
+                sorted(replaced), self.unavailable_address
+            ),
+            "held": {
+                a: sorted(held[a]) for a in held if a not in reset | refused
+            },
         }
 
     def _addresses(self) -> dict[str, str]:
--- a/testkit/cuts/_random_day.py
+++ b/testkit/cuts/_random_day.py
@@ -20,6 +20,7 @@
 from testkit.cuts._links import How
 from testkit.cuts._sites import CutSite
 
+PLAIN_HOWS = (How.RESET, How.DROP, How.ONE_WAY_OUT, How.ONE_WAY_IN)
 # Range of the cuts. The product's waits are 0.25 to 20 s.
 CUT_S = (1.0, 40.0)
 # Range of the cuts of a series, and of the pauses between them.
@@ -81,7 +82,7 @@
 
     def _draw_cut(self) -> Callable[[float, float], Cut]:
         """Returns a function that makes a cut of a drawn kind."""
-        how = self.rng.choice(list(How))
+        how = self.rng.choice(PLAIN_HOWS)
         zone = self.rng.choice(list(self.site.entries))
         with_store = self.rng.random() < 0.5
         match self.rng.randrange(10):
@@ -166,7 +167,7 @@
                 how = rng.choice((How.RESET, How.DROP))
                 return TargetCrash(at, seconds, share, how)
             case 6 | 7 | 8:
-                seconds, how = self._draw_cut_s(), rng.choice(list(How))
+                seconds, how = self._draw_cut_s(), rng.choice(PLAIN_HOWS)
                 from_share = rng.choice(
                     (None, round(rng.uniform(*FROM_SHARES), 2))
                 )
--- a/testkit/cuts/_run.py
+++ b/testkit/cuts/_run.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from standins.rows import RowStore
 from standins.site import LoopbackSite
 from testkit.cuts._callers import Break
 from testkit.cuts._callers import CallerConnections
@@ -217,6 +218,7 @@
     seed: int,
     options: CutOptions,
     logs: pathlib.Path | None = None,
+    keeps_logs: bool = False,
 ) -> CutReport:
     """Plays the disruptions of a day and returns what was seen.
 
@@ -225,6 +227,7 @@
         seed: Determines jobs and stalls, but not the timing of processes.
         options: How the day is played.
         logs: Folder for the logs of the entries if a task overlapped.
+        keeps_logs: Whether it receives them in any case.
     """
     model = options.model
     site = LoopbackSite(len(model.entry_zones), len(model.target_zones))
@@ -233,8 +236,11 @@
     play = _Play(site, seed, options, options.select(disruptions))
     async with contextlib.AsyncExitStack() as stack:
         await stack.enter_async_context(site)
+        unavailable = await stack.enter_async_context(RowStore())
+        unavailable.faults.is_down = True
+        play.links.unavailable_address = unavailable.address
         await play.run()
-        if logs is not None and play.report.overlaps:
+        if logs is not None and (play.report.overlaps or keeps_logs):
             _keep_logs(site, logs)
             lines = [str(options), *play.report.events, *play.report.overlaps]
             (logs / "events.txt").write_text("\n".join(lines), "utf-8")
--- a/testkit/cuts/tests/test_day.py
+++ b/testkit/cuts/tests/test_day.py
@@ -13,6 +13,7 @@
 from testkit.cuts import load_day
 from testkit.cuts import parse_day
 from testkit.cuts import Stall
+from testkit.cuts import StoreCut
 from testkit.cuts import TargetCrash
 from testkit.cuts import TargetCut
 from testkit.cuts import ZoneCut
@@ -88,6 +89,18 @@
             'kind = "srv_cut", how = "reborn reset"',
             TargetCut(1.5, 2.5, 0.2, How.RESET, None, True),
         ),
+        (
+            'kind = "platform_down", how = "nodes refused"',
+            StoreCut(1.5, 2.5, 0.3, How.REFUSED, False),
+        ),
+        (
+            'kind = "platform_down", how = "nodes leader 503", share = 0.5',
+            StoreCut(1.5, 2.5, 0.5, How.UNAVAILABLE, True),
+        ),
+        (
+            'kind = "platform_down", how = "nodes reset", share = 0.5',
+            StoreCut(1.5, 2.5, 0.5, How.RESET, False),
+        ),
     ):
         case.assertEqual(parse_fault(text), disruption, text)
         again = parse_day(format_day('again', [disruption]))
@@ -109,6 +122,8 @@
         'kind = "node_cut", how = "all"',
         'kind = "core_cut"',
         'kind = "node_freeze", how = "renewed"',
+        'kind = "platform_down", how = "503"',
+        'kind = "platform_down", how = "nodes revoke"',
     ):
         with case.assertRaises(ValueError, msg=text):
             parse_fault(text)
--- a/testkit/cuts/tests/test_disrupt.py
+++ b/testkit/cuts/tests/test_disrupt.py
@@ -17,6 +17,7 @@
 from testkit.cuts import How
 from testkit.cuts import LateOrders
 from testkit.cuts import SiteLinks
+from testkit.cuts import StoreCut
 from testkit.cuts import TargetCrash
 from testkit.cuts import TargetCut
 from testkit.cuts._disrupt import CUT_READ_S
@@ -163,6 +164,21 @@
         case.assertEqual(sum(changed), reborn)
 
 
+def test_store_cuts(case):
+    """Guards against entries that lose more than the store, or all of them."""
+    for cut, count in (
+        (StoreCut(0.0, LENGTH_S, 0.3, How.REFUSED, True), 2),
+        (StoreCut(0.0, LENGTH_S, 1.0, How.UNAVAILABLE, False), ENTRIES),
+    ):
+        (link_cut,), _ = asyncio.run(
+            play([cut], lambda _, links: list(links.cuts), LENGTH_S / 2)
+        )
+        case.assertEqual(len(link_cut.inside), count)
+        case.assertIn("e2", link_cut.inside)
+        case.assertEqual(link_cut.outside, {"store"})
+        case.assertEqual(link_cut.how, cut.how)
+
+
 def test_connections_of_a_restarted_target_are_reset(case):
     """Guards against a new process that receives orders held back by a cut."""
     crash = TargetCrash(0.0, LENGTH_S, 0.1, How.DROP)
--- a/testkit/cuts/tests/test_links.py
+++ b/testkit/cuts/tests/test_links.py
@@ -102,6 +102,39 @@
     case.assertEqual(read_links(links, "e3"), "")
 
 
+def read_fields(links: SiteLinks, entry: str) -> dict:
+    """Returns what an entry reads of its links, without delays."""
+    path = links.site.entries[entry].settings_path.with_suffix(".links")
+    fields = json.loads(path.read_text(encoding="utf-8"))
+    del fields["delays"]
+    return fields
+
+
+def test_store_turns_some_entries_away(case, links):
+    """Guards against entries that are served during such a cut, or others not.
+
+    Of two cuts of one link, the harder one counts.
+    """
+    links.unavailable_address = "other"
+    plain = {"reset": [], "refused": [], "replaced": {}, "held": {}}
+    for how, change in (
+        (How.REFUSED, {"refused": ["store"]}),
+        (How.UNAVAILABLE, {"replaced": {"store": "other"}}),
+        (How.DROP, {"held": {"store": ["in", "out"]}}),
+        (How.RESET, {"reset": ["store"]}),
+    ):
+        cut = links.cut(["e0", "e2"], ["store"], how)
+        case.assertEqual(read_fields(links, "e2"), plain | change)
+        case.assertEqual(read_fields(links, "e1"), plain)
+        links.heal(cut)
+        case.assertEqual(read_fields(links, "e2"), plain)
+    for how in (How.UNAVAILABLE, How.DROP, How.REFUSED, How.RESET):
+        links.cut(["e0"], ["store"], how)
+        fields = read_fields(links, "e0")
+        case.assertEqual(sum(bool(v) for v in fields.values()), 1, how)
+    case.assertEqual(fields, plain | {"reset": ["store"]})
+
+
 def test_zones_that_do_not_exist(case, links):
     """Guards against a day of another site that is played without its cuts."""
     with case.assertRaises(ValueError):
--- a/testkit/cuts/tests/test_play.py
+++ b/testkit/cuts/tests/test_play.py
@@ -1,6 +1,8 @@
 """Test of a play with real entry processes."""
 
 import asyncio
+import pathlib
+import tempfile
 
 from testkit import function_tests
 from testkit.cuts import Break
@@ -11,6 +13,7 @@
 from testkit.cuts import LateOrders
 from testkit.cuts import play_day
 from testkit.cuts import Stall
+from testkit.cuts import StoreCut
 from testkit.cuts import TargetCrash
 from testkit.cuts import TargetCut
 from testkit.cuts import ZoneCut
@@ -66,3 +69,30 @@
     case.assertGreater(report.answers[200], 20)
     case.assertEqual(sum("started" in text for text in report.events), 2)
     case.assertEqual(sum(" restart" in text for text in report.events), 1)
+
+
+STORE_CUTS = [
+    StoreCut(0.5, 3.0, 0.4, How.REFUSED, True),
+    StoreCut(1.0, 3.0, 0.4, How.UNAVAILABLE),
+    EntryKill(2.0, 1.0, True, 1, True),
+]
+
+
+def test_play_with_a_store_that_serves_some_entries(case):
+    """Guards against entries that are served by a store that is cut off.
+
+    Only those that it turns away see status 503 or refused connections.
+    """
+    options = CutOptions(site="trama-norte", load=0.4, delay_s=0.005)
+    with tempfile.TemporaryDirectory() as folder:
+        logs = pathlib.Path(folder)
+        report = asyncio.run(play_day(STORE_CUTS, 1, options, logs, True))
+        texts = [path.read_text("utf-8") for path in logs.glob("*.log")]
+        events = (logs / "events.txt").read_text("utf-8")
+    case.assertEqual(report.overlaps, [])
+    case.assertGreater(report.answers[200], 20)
+    case.assertIn("from the store, refused", events)
+    turned_away = sum("store call failed" in text for text in texts)
+    case.assertGreater(turned_away, 0)
+    case.assertLess(turned_away, len(texts))
+    case.assertTrue(any("503" in text for text in texts))
