--- a/standins/runner.py
+++ b/standins/runner.py
@@ -60,6 +60,8 @@
         rng: Chooses them.
         clock_rate: Rate of the target's clock; above 1 it is fast.
         clock_offset_s: What it is ahead by at the monotonic time 0, in seconds.
+        state: State that it reports, "ready" or "draining"; "left" once its row
+            is to be gone. Only `testkit.cuts` follows it.
     """
 
     def __init__(self, name: str, zone: str, service: str, cpu: int = 16000):
@@ -73,6 +75,7 @@
         self.rng = random.Random(name)
         self.clock_rate = 1.0
         self.clock_offset_s = 0.0
+        self.state = "ready"
         self._orders = 0
         self._store: RowStore | None = None
         self._tasks: set[asyncio.Task] = set()
--- a/testkit/cuts/__init__.py
+++ b/testkit/cuts/__init__.py
@@ -2,6 +2,7 @@
 
 from testkit.cuts._callers import Break
 from testkit.cuts._day import Burst
+from testkit.cuts._day import Drain
 from testkit.cuts._day import EntryCut
 from testkit.cuts._day import EntryKill
 from testkit.cuts._day import LateOrders
@@ -34,6 +35,7 @@
     "CutOptions",
     "CutReport",
     "CutSite",
+    "Drain",
     "EntryCut",
     "EntryKill",
     "How",
--- a/testkit/cuts/_day.py
+++ b/testkit/cuts/_day.py
@@ -185,6 +185,26 @@
     with_leader: bool = False
 
 
+@attrs.frozen
+class Drain:
+    """Targets drain, leave the list while their runs last, and exit.
+
+    Attributes:
+        at: Start in seconds after the start of traffic.
+        length: Time until they exit, in seconds. Their rows say that they drain
+            for the first part of it, and are gone for the rest.
+        share: Share of the targets.
+        listed_share: Share of the time for which the rows are there.
+        is_back: Whether they start again under their ids, as new incarnations.
+    """
+
+    at: float
+    length: float
+    share: float = 0.1
+    listed_share: float = 0.5
+    is_back: bool = False
+
+
 Cut = ZoneCut | LeaderCut | EntryCut
 Disruption = (
     Burst
@@ -195,6 +215,7 @@
     | TargetCrash
     | TargetCut
     | StoreCut
+    | Drain
 )
 
 
--- a/testkit/cuts/_day_file.py
+++ b/testkit/cuts/_day_file.py
@@ -21,6 +21,9 @@
     platform_down  with how "nodes", the store turns a "share" (0.3) of the entries
                away and serves the others: "refused", "reset", "503" or silent; with
                "leader", the leader is one of them
+    scale_in   a "share" (0.1) of the targets drain and exit after for_s; their rows are
+               gone after a share "x" (0.5) of it; with how "again" they start again
+               under their ids
 
 Cuts are silent unless how holds "reset". With "one_way" only the bytes of the side
 that is cut off are lost, with "one_way in" only those to it. Steps of an entry's
@@ -32,6 +35,7 @@
 
 from testkit.cuts._day import Burst
 from testkit.cuts._day import Disruption
+from testkit.cuts._day import Drain
 from testkit.cuts._day import EntryCut
 from testkit.cuts._day import EntryKill
 from testkit.cuts._day import LateOrders
@@ -113,6 +117,9 @@
         ):
             share = fault.get("share", 0.3)
             return StoreCut(at, length, share, how, "leader" in rest)
+        case {"kind": "scale_in"}, _ if set(words) <= {"again"}:
+            share, listed_share = fault.get("share", 0.1), fault.get("x", 0.5)
+            return Drain(at, length, share, listed_share, "again" in rest)
     raise ValueError(f"cannot be given to processes: {fault}")
 
 
@@ -166,6 +173,17 @@
             words = ["leader"] * with_leader + ["power"] * is_dark
             fields |= {"kind": "node_kill", "count": disruption.count}
             fields |= {"how": " ".join(words)}
+        case _:
+            fields |= _target_fields(disruption)
+    return (
+        "{ " + ", ".join(f"{k} = {_toml(v)}" for k, v in fields.items()) + " }"
+    )
+
+
+def _target_fields(disruption: Disruption) -> dict[str, object]:
+    """Returns the fields of a disruption of targets or of the store."""
+    fields: dict[str, object] = {}
+    match disruption:
         case TargetCrash(share=share, how=how):
             fields |= {"kind": "srv_crash", "share": share}
             fields |= {"how": "dark"} if how is How.DROP else {}
@@ -180,9 +198,10 @@
             words = ["nodes", *["leader"] * with_leader, how.value]
             fields |= {"kind": "platform_down", "share": share}
             fields |= {"how": " ".join(words)}
-    return (
-        "{ " + ", ".join(f"{k} = {_toml(v)}" for k, v in fields.items()) + " }"
-    )
+        case Drain(share=share, listed_share=listed_share, is_back=is_back):
+            fields |= {"kind": "scale_in", "share": share, "x": listed_share}
+            fields |= {"how": "again"} if is_back else {}
+    return fields
 
 
 def _toml(value: object) -> str:
--- a/testkit/cuts/_disrupt.py
+++ b/testkit/cuts/_disrupt.py
@@ -13,6 +13,7 @@
 from testkit.cuts._day import Burst
 from testkit.cuts._day import Cut
 from testkit.cuts._day import Disruption
+from testkit.cuts._day import Drain
 from testkit.cuts._day import EntryCut
 from testkit.cuts._day import EntryKill
 from testkit.cuts._day import LateOrders
@@ -30,6 +31,8 @@
 SHORTEST_STALL_S = 0.02
 # Time after which all entries have read a cut; they read the links every 10 ms.
 CUT_READ_S = 0.05
+# Time between the exit of a target that drained and its next start.
+EXIT_S = 0.3
 
 
 class Disruptor:
@@ -92,6 +95,8 @@
                 await self._kill(disruption)
             case TargetCrash():
                 await self._crash(disruption)
+            case Drain():
+                await self._drain(disruption)
             case _:
                 cut, text = self._start_cut(disruption)
                 self.log(
@@ -153,8 +158,10 @@
         return self.links.cut(names, outside, cut.how), text
 
     def _choose_targets(self, share: float) -> list[FakeTargetServer]:
+        """Returns a share of all targets, of those that do not drain."""
         count = math.ceil(share * len(self.site.targets))
-        return self.rng.sample(self.site.targets, count)
+        ready = [s for s in self.site.targets if s.state == "ready"]
+        return self.rng.sample(ready, min(count, len(ready)))
 
     def _choose_entries(self, with_leader: bool, count: int) -> list[str]:
         names = list(self.site.entries)
@@ -203,6 +210,34 @@
         await self._restart(names)
         self.links.heal(cut)
 
+    async def _drain(self, drain: Drain) -> None:
+        """Lets targets drain and exit; `TargetRows` writes their rows."""
+        servers = self._choose_targets(drain.share)
+        names = [server.name for server in servers]
+        text = " ".join(names)
+        self.log(f"{text} drain for {drain.length:.2f} s; {self.leader} leads")
+        self._set_states(servers, "draining")
+        listed_s = drain.length * drain.listed_share
+        await asyncio.sleep(listed_s)
+        self._set_states(servers, "left")
+        self.log(f"rows of {text} are gone")
+        await asyncio.sleep(drain.length - listed_s)
+        self.log(f"{text} exit; {self.leader} leads")
+        cut = self.links.cut(names, None, How.REFUSED)
+        for server in servers:
+            server.target.crash(server.now())
+        if drain.is_back:
+            await asyncio.sleep(EXIT_S)
+            await self._restart(names)
+            self._set_states(servers, "ready")
+            self.links.heal(cut)
+
+    def _set_states(
+        self, servers: Iterable[FakeTargetServer], state: str
+    ) -> None:
+        for server in servers:
+            server.state = state
+
     async def _restart(self, names: Iterable[str]) -> None:
         self.log(f"{' '.join(sorted(names))} restart")
         # Otherwise orders that a cut held back would reach the new process.
--- a/testkit/cuts/_rows.py
+++ b/testkit/cuts/_rows.py
@@ -1,6 +1,7 @@
 """Rows of the targets in the store.
 
-They lapse while a target is cut off, and are written anew after its restart.
+They lapse while a target is cut off, and are written anew after its restart or once
+it drains. The row of a target that has left is removed.
 """
 
 import asyncio
@@ -52,6 +53,10 @@
     def _update(self, server: FakeTargetServer, now: float) -> None:
         name, store = server.name, self.links.site.store
         row = store.get("servers", name)
+        if server.state == "left":
+            if row:
+                store.delete("servers", name)
+            return
         if self.links.is_cut_off(name, STORE):
             self._returns_at.pop(name, None)
             cut_since = self._cut_since.setdefault(name, now)
@@ -60,9 +65,11 @@
             return
         self._cut_since.pop(name, None)
         if row and row["born"] == server.incarnation:
+            if row["state"] != server.state:
+                server.register(store, server.state)
             return
         if name not in self._returns_at:
             self._returns_at[name] = now + self.draw_return_s()
         if now >= self._returns_at[name]:
             del self._returns_at[name]
-            server.register(store)
+            server.register(store, server.state)
--- a/testkit/cuts/tests/test_day.py
+++ b/testkit/cuts/tests/test_day.py
@@ -4,6 +4,7 @@
 
 from testkit import function_tests
 from testkit.cuts import Burst
+from testkit.cuts import Drain
 from testkit.cuts import EntryCut
 from testkit.cuts import EntryKill
 from testkit.cuts import format_day
@@ -101,6 +102,11 @@
             'kind = "platform_down", how = "nodes reset", share = 0.5',
             StoreCut(1.5, 2.5, 0.5, How.RESET, False),
         ),
+        ('kind = "scale_in"', Drain(1.5, 2.5, 0.1, 0.5, False)),
+        (
+            'kind = "scale_in", how = "again", share = 0.3, x = 0.2',
+            Drain(1.5, 2.5, 0.3, 0.2, True),
+        ),
     ):
         case.assertEqual(parse_fault(text), disruption, text)
         again = parse_day(format_day('again', [disruption]))
@@ -123,6 +129,7 @@
         'kind = "core_cut"',
         'kind = "node_freeze", how = "renewed"',
         'kind = "platform_down", how = "503"',
+        'kind = "scale_in", how = "spot"',
         'kind = "platform_down", how = "nodes revoke"',
     ):
         with case.assertRaises(ValueError, msg=text):
--- a/testkit/cuts/tests/test_disrupt.py
+++ b/testkit/cuts/tests/test_disrupt.py
@@ -1,6 +1,7 @@
 """Tests of disruptions of entries and targets that are test doubles."""
 
 import asyncio
+import collections
 import pathlib
 import random
 import tempfile
@@ -13,6 +14,7 @@
 from standins.site import EntryProcess
 from standins.site import LoopbackSite
 from testkit import function_tests
+from testkit.cuts import Drain
 from testkit.cuts import EntryKill
 from testkit.cuts import How
 from testkit.cuts import LateOrders
@@ -164,6 +166,35 @@
         case.assertEqual(sum(changed), reborn)
 
 
+def see_states(site: LoopbackSite, _: SiteLinks) -> tuple:
+    """Returns the states of the targets, and which of them are down."""
+    return (
+        [server.state for server in site.targets],
+        [server.target.is_down for server in site.targets],
+    )
+
+
+def test_targets_that_drain(case):
+    """Guards against targets that exit before their time, or drain twice.
+
+    A second drain takes other targets.
+    """
+    drains = [
+        Drain(0.0, LENGTH_S, 0.2, 0.5, True),
+        Drain(0.02, 2 * LENGTH_S, 0.3, 0.9, True),
+    ]
+    for at, states, down in (
+        (0.1, {"draining": 5, "ready": 5}, 0),
+        (0.3, {"left": 2, "draining": 3, "ready": 5}, 0),
+        (0.5, {"left": 2, "draining": 3, "ready": 5}, 2),
+    ):
+        seen, site = asyncio.run(play(drains, see_states, at))
+        case.assertEqual(collections.Counter(seen[0]), states, at)
+        case.assertEqual(sum(seen[1]), down, at)
+        is_back = see_states(site, SiteLinks(site))
+        case.assertEqual(is_back, (["ready"] * TARGETS, [False] * TARGETS))
+
+
 def test_store_cuts(case):
     """Guards against entries that lose more than the store, or all of them."""
     for cut, count in (
--- a/testkit/cuts/tests/test_play.py
+++ b/testkit/cuts/tests/test_play.py
@@ -7,10 +7,12 @@
 from testkit import function_tests
 from testkit.cuts import Break
 from testkit.cuts import CutOptions
+from testkit.cuts import Drain
 from testkit.cuts import EntryCut
 from testkit.cuts import EntryKill
 from testkit.cuts import How
 from testkit.cuts import LateOrders
+from testkit.cuts import LeaderCut
 from testkit.cuts import play_day
 from testkit.cuts import Stall
 from testkit.cuts import StoreCut
@@ -96,3 +98,23 @@
     case.assertGreater(turned_away, 0)
     case.assertLess(turned_away, len(texts))
     case.assertTrue(any("503" in text for text in texts))
+
+
+DRAINS = [
+    Drain(0.5, 3.0, 0.15, 0.3, True),
+    Drain(1.0, 4.0, 0.15, 0.3, False),
+    LeaderCut(1.5, 2.0, How.DROP),
+]
+
+
+def test_play_with_targets_that_drain(case):
+    """Guards against targets that drain, leave or return without being seen."""
+    options = CutOptions(site="trama-norte", load=0.4, delay_s=0.005)
+    with tempfile.TemporaryDirectory() as folder:
+        logs = pathlib.Path(folder)
+        report = asyncio.run(play_day(DRAINS, 1, options, logs, True))
+        text = "".join(path.read_text("utf-8") for path in logs.glob("*.log"))
+    case.assertEqual(report.overlaps, [])
+    case.assertGreater(report.answers[200], 20)
+    case.assertEqual(sum("rows of" in text for text in report.events), 2)
+    case.assertIn('"draining": true', text)
--- a/testkit/cuts/tests/test_rows.py
+++ b/testkit/cuts/tests/test_rows.py
@@ -101,3 +101,29 @@
             listed(rows, 20.0)
             listed(rows, 20.0 + RETURN_S)
             case.assertEqual(site.store.get("servers", "ta")["born"], born)
+
+
+def test_rows_of_targets_that_drain(case, rows):
+    """Guards against a target that drains and stays listed as ready.
+
+    Its row says so, and returns to the list only with the next process. Behind a
+    cut the store hears of neither.
+    """
+    server = rows.links.site.targets[0]
+    store = rows.links.site.store
+    listed(rows, 10.0)
+    cut = cut_off(rows, "ta")
+    server.state = "draining"
+    case.assertEqual(listed(rows, 10.1), "ta tb")
+    case.assertEqual(store.get("servers", "ta")["state"], "ready")
+    rows.links.heal(cut)
+    case.assertEqual(listed(rows, 10.2), "ta tb")
+    case.assertEqual(store.get("servers", "ta")["state"], "draining")
+    server.state = "left"
+    case.assertEqual(listed(rows, 10.3), "tb")
+    case.assertEqual(listed(rows, 60.0), "tb")
+    server.state = "ready"
+    server.incarnation += 1
+    case.assertEqual(listed(rows, 61.0), "tb")
+    case.assertEqual(listed(rows, 61.0 + RETURN_S), "ta tb")
+    case.assertEqual(store.get("servers", "ta")["state"], "ready")
