Rig: messages that a network keeps and delivers late

The written bytes of a connection that was closed while it was held stay, arrive when it no longer is, and are followed by the end.

--- a/testkit/cuts/__init__.py
+++ b/testkit/cuts/__init__.py
@@ -5,6 +5,7 @@
 from testkit.cuts._day import Drain
 from testkit.cuts._day import EntryCut
 from testkit.cuts._day import EntryKill
+from testkit.cuts._day import LateMessages
 from testkit.cuts._day import LateOrders
 from testkit.cuts._day import LeaderCut
 from testkit.cuts._day import Stall
@@ -41,6 +42,7 @@
     "How",
     "LAPSE_S",
     "LONGEST_RETURN_S",
+    "LateMessages",
     "LateOrders",
     "LeaderCut",
     "Stall",
--- a/testkit/cuts/_day.py
+++ b/testkit/cuts/_day.py
@@ -185,6 +185,23 @@
     with_leader: bool = False
 
 
+@attrs.frozen
+class LateMessages:
+    """Bytes between the leader and other entries arrive late for a while.
+
+    Attributes:
+        at: Start in seconds after the start of traffic.
+        length: Longest time for which they are held back, in seconds.
+        share: Share of the other entries.
+        how: What happens to the connections.
+    """
+
+    at: float
+    length: float
+    share: float = 0.5
+    how: How = How.LATE
+
+
 @attrs.frozen
 class Drain:
     """Targets drain, leave the list while their runs last, and exit.
@@ -215,6 +232,7 @@
     | TargetCrash
     | TargetCut
     | StoreCut
+    | LateMessages
     | Drain
 )
 
--- a/testkit/cuts/_day_file.py
+++ b/testkit/cuts/_day_file.py
@@ -21,11 +21,13 @@
     platform_down  with how "nodes", the store turns a "share" (0.3) of the entries
                away and serves the others: "refused", "reset", "503" or silent; with
                "leader", the leader is one of them
+    peer_late  bytes between the leader and a "share" (0.5) of the other entries arrive
+               for_s late, also those of closed connections; "late in": to the leader
     scale_in   a "share" (0.1) of the targets drain and exit after for_s; their rows are
                gone after a share "x" (0.5) of it; with how "again" they start again
                under their ids
 
-Cuts are silent unless how holds "reset". With "one_way" only the bytes of the side
+Cuts are silent unless how holds "reset" or, for all but the store, "late". With "one_way" only the bytes of the side
 that is cut off are lost, with "one_way in" only those to it. Steps of an entry's
 clock cannot be played: it takes root to give a process a clock of its own.
 """
@@ -38,6 +40,7 @@
 from testkit.cuts._day import Drain
 from testkit.cuts._day import EntryCut
 from testkit.cuts._day import EntryKill
+from testkit.cuts._day import LateMessages
 from testkit.cuts._day import LateOrders
 from testkit.cuts._day import LeaderCut
 from testkit.cuts._day import Stall
@@ -117,6 +120,8 @@
         ):
             share = fault.get("share", 0.3)
             return StoreCut(at, length, share, how, "leader" in rest)
+        case {"kind": "peer_late"}, _ if not rest:
+            return LateMessages(at, length, fault.get("share", 0.5), how)
         case {"kind": "scale_in"}, _ if set(words) <= {"again"}:
             share, listed_share = fault.get("share", 0.1), fault.get("x", 0.5)
             return Drain(at, length, share, listed_share, "again" in rest)
@@ -126,9 +131,10 @@
 def _parse_how(words: list[str]) -> tuple[set[str], How]:
     """Returns the words of `how` that do not say what connections do."""
     rest = set(words) - {"reset", "drop", "one_way", "in", "out"}
-    for how in (How.REFUSED, How.UNAVAILABLE):
+    for how in (How.REFUSED, How.UNAVAILABLE, How.LATE):
         if how.value in rest:
-            return rest - {how.value}, how
+            is_late_in = how is How.LATE and "in" in words
+            return rest - {how.value}, How.LATE_IN if is_late_in else how
     if "reset" in words:
         return rest, How.RESET
     if "one_way" in words:
@@ -198,6 +204,8 @@
             words = ["nodes", *["leader"] * with_leader, how.value]
             fields |= {"kind": "platform_down", "share": share}
             fields |= {"how": " ".join(words)}
+        case LateMessages(share=share, how=how):
+            fields |= {"kind": "peer_late", "share": share, "how": how.value}
         case Drain(share=share, listed_share=listed_share, is_back=is_back):
             fields |= {"kind": "scale_in", "share": share, "x": listed_share}
             fields |= {"how": "again"} if is_back else {}
--- a/testkit/cuts/_disrupt.py
+++ b/testkit/cuts/_disrupt.py
@@ -16,6 +16,7 @@
 from testkit.cuts._day import Drain
 from testkit.cuts._day import EntryCut
 from testkit.cuts._day import EntryKill
+from testkit.cuts._day import LateMessages
 from testkit.cuts._day import LateOrders
 from testkit.cuts._day import LeaderCut
 from testkit.cuts._day import Stall
@@ -122,7 +123,7 @@
         return self.site.leader_name() or next(iter(self.site.entries))
 
     def _start_cut(
-        self, cut: Cut | TargetCut | StoreCut
+        self, cut: Cut | TargetCut | StoreCut | LateMessages
     ) -> tuple[LinkCut, str]:
         """Starts a cut; returns it and what is cut off."""
         match cut:
@@ -137,6 +138,13 @@
                 names = self.links.entries_of(zone)
             case TargetCut():
                 return self._cut_targets(cut)
+            case LateMessages(share=share):
+                leader = self.leader
+                others = [n for n in self.site.entries if n != leader]
+                count = math.ceil(share * len(others))
+                others = sorted(self.rng.sample(others, count))
+                link_cut = self.links.cut([leader], others, cut.how)
+                return link_cut, f"{leader} from {' '.join(others)}"
             case StoreCut():
                 count = math.ceil(cut.share * len(self.site.entries))
                 names = self._choose_entries(cut.with_leader, count)
--- a/testkit/cuts/_entry.py
+++ b/testkit/cuts/_entry.py
@@ -3,7 +3,8 @@
 The file beside the settings, with the suffix ".links", is a JSON object: "reset"
 lists addresses whose open connections are aborted, "refused" others that also refuse
 new ones, "replaced" has the addresses to which new ones lead instead, "held" the
-directions ("in", "out") in which the bytes of others are held back, "delays" the mean
+directions ("in", "out") in which the bytes of others are held back, "late" those of
+them of which bytes arrive also if their connections were closed, "delays" the mean
 delay in seconds of answers. Attempts to open a connection to an address of "reset" or
 "held" wait until it is in neither.
 """
@@ -65,6 +66,7 @@
         self.refused: frozenset[str] = frozenset()
         self.replaced: dict[str, str] = {}
         self.held: dict[str, list[str]] = {}
+        self.late: frozenset[str] = frozenset()
         self.delays: dict[str, float] = {}
         self._changed_ns = 0
         self._open: dict[HeldConnection, str] = {}
@@ -82,6 +84,7 @@
         replaced_before, self.replaced = self.replaced, links["replaced"]
         changed = replaced_before.keys() ^ self.replaced.keys()
         self.held = links["held"]
+        self.late = frozenset(links["late"])
         self.delays = links["delays"]
         for connection, address in list(self._open.items()):
             if address in changed:
@@ -94,7 +97,8 @@
         if address in self.reset or address in self.refused:
             connection.reset()
         else:
-            connection.hold(self.held.get(address, ()))
+            directions = self.held.get(address, ())
+            connection.hold(directions, address in self.late)
 
     async def create_connection(self, factory, host=None, port=None, **kwargs):
         """Opens a connection once its address can be reached."""
--- a/testkit/cuts/_held.py
+++ b/testkit/cuts/_held.py
@@ -39,11 +39,13 @@
 
     What is held back is passed on, in order, once it no longer is. If this side
     closes the connection before, the bytes are lost, and the other side hears
-    of the end no sooner than the bytes would have passed.
+    of the end no sooner than the bytes would have passed. Bytes that are late
+    arrive then, before the end, as from a network that kept them.
 
     Attributes:
         inner: Protocol that receives what arrives.
         held: Directions that are held back: "in", "out".
+        is_late: Whether the bytes of a closed connection arrive all the same.
         is_closed: True if this side closed the connection while it was held.
         transport: Transport for `inner`; None until the connection is open.
     """
@@ -51,6 +53,7 @@
     def __init__(self, inner: asyncio.Protocol):
         self.inner = inner
         self.held: frozenset[str] = frozenset()
+        self.is_late = False
         self.is_closed = False
         self.transport: HeldTransport | None = None
         self._written: list[bytes] = []
@@ -99,16 +102,20 @@
         if not self.held:
             end()
             return
+        written = self._written
         self._discard()
+        if self.is_late:
+            self._written = written
         loop = asyncio.get_running_loop()
         loop.call_soon(self.inner.connection_lost, None)
 
-    def hold(self, directions: Iterable[str]) -> None:
+    def hold(self, directions: Iterable[str], is_late: bool = False) -> None:
         """Sets the directions that are held back, and passes on the others."""
         self.held = frozenset(directions)
+        self.is_late = is_late
         if self.is_closed:
             if not self.held:
-                self.transport.transport.abort()
+                self._end_late()
             return
         if "out" not in self.held:
             written, self._written = self._written, []
@@ -118,6 +125,16 @@
             callback, arguments = self._received.pop(0)
             callback(*arguments)
 
+    def _end_late(self) -> None:
+        """Ends a connection that was closed while it was held."""
+        if not self._written:
+            self.transport.transport.abort()
+            return
+        written, self._written = self._written, []
+        for data in written:
+            self.transport.transport.write(data)
+        self.transport.transport.close()
+
     def reset(self) -> None:
         """Aborts the connection for both sides, without what was held back."""
         was_closed = self.is_closed
@@ -128,7 +145,7 @@
 
     def _discard(self) -> None:
         self.is_closed = True
-        self._written.clear()
+        self._written = []
         self._received.clear()
 
     @property
--- a/testkit/cuts/_links.py
+++ b/testkit/cuts/_links.py
@@ -24,6 +24,9 @@
         ONE_WAY_OUT: The same for bytes from the side that is cut off only. As
             on a network, none can be opened in either direction.
         ONE_WAY_IN: The same for bytes to the side that is cut off.
+        LATE: They hang, and the bytes arrive at the end of the cut, also those
+            of connections that the sender has closed meanwhile.
+        LATE_IN: The same for bytes to the side that is cut off only.
         REFUSED: They are reset, and new ones are refused at once.
         UNAVAILABLE: For the store only. They are reset, and new ones lead to
             one that answers every request with status 503.
@@ -33,6 +36,8 @@
     DROP = "drop"
     ONE_WAY_OUT = "one_way out"
     ONE_WAY_IN = "one_way in"
+    LATE = "late"
+    LATE_IN = "late in"
     REFUSED = "refused"
     UNAVAILABLE = "503"
 
@@ -42,7 +47,7 @@
         match self:
             case How.ONE_WAY_OUT:
                 return frozenset({"out"})
-            case How.ONE_WAY_IN:
+            case How.ONE_WAY_IN | How.LATE_IN:
                 return frozenset({"in"})
         return frozenset({"in", "out"})
 
@@ -204,6 +209,7 @@
         """Returns the addresses that an entry cannot reach, by how."""
         held: dict[str, set[str]] = collections.defaultdict(set)
         others: dict[How, set[str]] = collections.defaultdict(set)
+        late: set[str] = set()
         for cut in self.cuts:
             for other, address in addresses.items():
                 directions = cut.held_directions(entry, other)
@@ -211,6 +217,8 @@
                     others[cut.how].add(address)
                 elif directions:
                     held[address] |= directions
+                    if cut.how in (How.LATE, How.LATE_IN):
+                        late.add(address)
         reset = others[How.RESET]
         refused = others[How.REFUSED] - reset
         replaced = others[How.UNAVAILABLE] - reset - refused - held.keys()
@@ -223,6 +231,7 @@
             "held": {
                 a: sorted(held[a]) for a in held if a not in reset | refused
             },
+            "late": sorted(late),
         }
 
     def _addresses(self) -> dict[str, str]:
--- a/testkit/cuts/tests/test_day.py
+++ b/testkit/cuts/tests/test_day.py
@@ -9,6 +9,7 @@
 from testkit.cuts import EntryKill
 from testkit.cuts import format_day
 from testkit.cuts import How
+from testkit.cuts import LateMessages
 from testkit.cuts import LateOrders
 from testkit.cuts import LeaderCut
 from testkit.cuts import load_day
@@ -102,6 +103,18 @@
             'kind = "platform_down", how = "nodes reset", share = 0.5',
             StoreCut(1.5, 2.5, 0.5, How.RESET, False),
         ),
+        (
+            'kind = "peer_late", how = "late", share = 0.4',
+            LateMessages(1.5, 2.5, 0.4, How.LATE),
+        ),
+        (
+            'kind = "peer_late", how = "late in"',
+            LateMessages(1.5, 2.5, 0.5, How.LATE_IN),
+        ),
+        (
+            'kind = "core_cut", how = "leader late"',
+            LeaderCut(1.5, 2.5, How.LATE, False),
+        ),
         ('kind = "scale_in"', Drain(1.5, 2.5, 0.1, 0.5, False)),
         (
             'kind = "scale_in", how = "again", share = 0.3, x = 0.2',
@@ -130,6 +143,7 @@
         'kind = "node_freeze", how = "renewed"',
         'kind = "platform_down", how = "503"',
         'kind = "scale_in", how = "spot"',
+        'kind = "peer_late", how = "late leader"',
         'kind = "platform_down", how = "nodes revoke"',
     ):
         with case.assertRaises(ValueError, msg=text):
--- a/testkit/cuts/tests/test_disrupt.py
+++ b/testkit/cuts/tests/test_disrupt.py
@@ -17,6 +17,7 @@
 from testkit.cuts import Drain
 from testkit.cuts import EntryKill
 from testkit.cuts import How
+from testkit.cuts import LateMessages
 from testkit.cuts import LateOrders
 from testkit.cuts import SiteLinks
 from testkit.cuts import StoreCut
@@ -210,6 +211,18 @@
         case.assertEqual(link_cut.how, cut.how)
 
 
+def test_late_messages(case):
+    """Guards against messages of others than the leader that are held back."""
+    for how in (How.LATE, How.LATE_IN):
+        late = LateMessages(0.0, LENGTH_S, 0.5, how)
+        (link_cut,), _ = asyncio.run(
+            play([late], lambda _, links: list(links.cuts), LENGTH_S / 2)
+        )
+        case.assertEqual((link_cut.inside, link_cut.how), ({"e2"}, how))
+        case.assertEqual(len(link_cut.outside), 2)
+        case.assertLess(link_cut.outside, {"e0", "e1", "e3"})
+
+
 def test_connections_of_a_restarted_target_are_reset(case):
     """Guards against a new process that receives orders held back by a cut."""
     crash = TargetCrash(0.0, LENGTH_S, 0.1, How.DROP)
--- a/testkit/cuts/tests/test_entry.py
+++ b/testkit/cuts/tests/test_entry.py
@@ -18,7 +18,10 @@
 
 # Longer than the interval at which the loop reads its links.
 PAUSE_S = 0.05
-PLAIN = {"reset": [], "refused": [], "replaced": {}, "held": {}, "delays": {}}
+PLAIN = {
+    **dict.fromkeys(("reset", "refused", "late"), ()),
+    **dict.fromkeys(("replaced", "held", "delays"), {}),
+}
 CALL = "GET /v1/rows-get?table=t"
 
 
--- a/testkit/cuts/tests/test_held.py
+++ b/testkit/cuts/tests/test_held.py
@@ -34,7 +34,8 @@
     """Plays steps on a connection and returns what both sides saw.
 
     Args:
-        steps: Words: "hold:in,out" sets what is held back, "write" sends "w"
+        steps: Words: "hold:in,out" sets what is held back, "late:in,out" the same
+            for bytes that arrive late, "write" sends "w"
             from this side and "answer" "a" from the other, "close" and "abort"
             end the connection on this side, "leave" on the other, "reset" cuts
             it, and "|" notes what both sides have seen so far.
@@ -55,6 +56,8 @@
         match step.partition(":"):
             case "hold", _, directions:
                 connection.hold(d for d in directions.split(",") if d)
+            case "late", _, directions:
+                connection.hold((d for d in directions.split(",") if d), True)
             case "write", _, _:
                 recorder.transport.write(b"w")
             case "answer", _, _:
@@ -95,5 +98,10 @@
         ("hold:in,out write answer reset |", "!/!"),
         ("hold:in,out abort write reset |", "!/!"),
         ("close |", "!/!"),
+        ("late:in,out write answer | hold: |", "/ a/w"),
+        ("late:in,out write write close | hold: |", "!/ !/ww!"),
+        ("late:out write abort | hold: |", "!/ !/w!"),
+        ("late:in,out write close reset |", "!/!"),
+        ("late:in,out answer close | hold: |", "!/ !/!"),
     ):
         case.assertEqual(asyncio.run(play_steps(steps)), seen, steps)
--- a/testkit/cuts/tests/test_links.py
+++ b/testkit/cuts/tests/test_links.py
@@ -70,6 +70,11 @@
             "e2:in e3:in store:in tb:in tc:in",
             "e0:out e1:out ta:out",
         ),
+        (
+            lambda: zone_cut("a", How.LATE_IN),
+            "e2:in e3:in store:in tb:in tc:in",
+            "e0:out e1:out ta:out",
+        ),
         (lambda: links.cut_entry("e0"), "e1 e2 e3 store", "e0"),
         (
             lambda: entry_cut(["e0", "e1"], How.RESET, False),
@@ -116,12 +121,13 @@
     Of two cuts of one link, the harder one counts.
     """
     links.unavailable_address = "other"
-    plain = {"reset": [], "refused": [], "replaced": {}, "held": {}}
+    plain = {"reset": [], "refused": [], "replaced": {}, "held": {}, "late": []}
     for how, change in (
         (How.REFUSED, {"refused": ["store"]}),
         (How.UNAVAILABLE, {"replaced": {"store": "other"}}),
         (How.DROP, {"held": {"store": ["in", "out"]}}),
         (How.RESET, {"reset": ["store"]}),
+        (How.LATE, {"held": {"store": ["in", "out"]}, "late": ["store"]}),
     ):
         cut = links.cut(["e0", "e2"], ["store"], how)
         case.assertEqual(read_fields(links, "e2"), plain | change)
