--- a/testkit/cuts/__main__.py
+++ b/testkit/cuts/__main__.py
@@ -53,6 +53,12 @@
     add("day", type=pathlib.Path, nargs="?", help="day file")
     add("--random-day", action="store_true", help="draw a day for each seed")
     add("--all-kinds", action="store_true", help="in drawn days: crashes, too")
+    add(
+        "--mixes",
+        action="store_true",
+        help="in drawn days: store cuts, drains, late messages and short"
+        " suspensions around changes of the leader, too",
+    )
     add("--length", type=float, default=60.0, help="of drawn days, seconds")
     add("--longest-cut", type=float, default=40.0, help="of drawn days")
     add("--seed", type=int, default=1, help="first seed")
@@ -100,7 +106,12 @@
         if parsed.random_day:
             site = SITES[parsed.site]
             day = draw_day(
-                site, seed, parsed.length, parsed.longest_cut, parsed.all_kinds
+                site,
+                seed,
+                parsed.length,
+                parsed.longest_cut,
+                parsed.all_kinds,
+                parsed.mixes,
             )
             print(format_day(f"seed-{seed}", day), flush=True)
         else:
--- a/testkit/cuts/_random_day.py
+++ b/testkit/cuts/_random_day.py
@@ -18,6 +18,7 @@
 from testkit.cuts._day import TargetCut
 from testkit.cuts._day import ZoneCut
 from testkit.cuts._links import How
+from testkit.cuts._random_mix import MixDrawer
 from testkit.cuts._sites import CutSite
 
 PLAIN_HOWS = (How.RESET, How.DROP, How.ONE_WAY_OUT, How.ONE_WAY_IN)
@@ -183,6 +184,7 @@
     length_s: float = 60.0,
     longest_cut_s: float = CUT_S[1],
     all_kinds: bool = False,
+    mixes: bool = False,
 ) -> list[Disruption]:
     """Returns the disruptions of a day that a seed determines, by time.
 
@@ -193,12 +195,18 @@
         longest_cut_s: Longest cut in seconds.
         all_kinds: Whether entries and targets crash, too, targets are cut off,
             and orders are late. The other disruptions stay the same.
+        mixes: Whether it also has store cuts, drains, late messages and short
+            suspensions around changes of the leader.
     """
     drawer = DayDrawer(site, random.Random(f"day {seed}"), longest_cut_s)
     drawer.draw(length_s)
     if all_kinds:
         drawer.rng = random.Random(f"crashes {seed}")
         drawer.add_crashes(length_s)
+    if mixes:
+        mix = MixDrawer(site, random.Random(f"mixes {seed}"))
+        mix.draw(length_s)
+        drawer.disruptions += mix.disruptions
     rounded = [
         attrs.evolve(d, at=round(d.at, 2), length=round(d.length, 2))
         for d in drawer.disruptions
--- a/testkit/cuts/tests/test_options.py
+++ b/testkit/cuts/tests/test_options.py
@@ -77,5 +77,7 @@
     case.assertEqual(parse_options(["day.toml"]).options, CutOptions())
     case.assertFalse(parsed.all_kinds)
     case.assertTrue(parse_options(["--random-day", "--all-kinds"]).all_kinds)
+    case.assertFalse(parsed.mixes)
+    case.assertTrue(parse_options(["--random-day", "--mixes"]).mixes)
     once = parse_options(["day.toml", "--no-resends"]).options
     case.assertEqual(once.tries, 1)
--- a/testkit/cuts/tests/test_random_day.py
+++ b/testkit/cuts/tests/test_random_day.py
@@ -1,19 +1,24 @@
 """Tests of days that are drawn from a seed."""
 
+import collections
 import hashlib
 import itertools
 
 from testkit import function_tests
 from testkit.cuts import Burst
+from testkit.cuts import Drain
 from testkit.cuts import draw_day
 from testkit.cuts import EntryCut
 from testkit.cuts import EntryKill
 from testkit.cuts import format_day
+from testkit.cuts import How
+from testkit.cuts import LateMessages
 from testkit.cuts import LateOrders
 from testkit.cuts import LeaderCut
 from testkit.cuts import parse_day
 from testkit.cuts import SITES
 from testkit.cuts import Stall
+from testkit.cuts import StoreCut
 from testkit.cuts import TargetCrash
 from testkit.cuts import TargetCut
 from testkit.cuts import ZoneCut
@@ -105,3 +110,32 @@
     case.assertEqual({c.is_reborn for c in cuts}, {False, True})
     case.assertEqual({c.from_share is None for c in cuts}, {False, True})
     case.assertGreater(max(c.length for c in cuts), 20.0)
+
+
+def test_mixes_are_added_to_days(case):
+    """Guards against kinds that never come with a change of the leader.
+
+    They leave the other disruptions as they are.
+    """
+    changes = (LeaderCut, ZoneCut, EntryCut, EntryKill, Stall)
+    near: collections.Counter = collections.Counter()
+    for seed in SEEDS:
+        plain = draw_day(SITE, seed, all_kinds=True)
+        day = draw_day(SITE, seed, all_kinds=True, mixes=True)
+        case.assertEqual(draw_day(SITE, seed, 60.0, 40.0, True, True), day)
+        case.assertEqual([d for d in day if d in plain], plain, seed)
+        case.assertEqual(parse_day(format_day("again", day)), day, seed)
+        new = [d for d in day if d not in plain]
+        groups = [d for d in new if isinstance(d, changes)]
+        for d in new:
+            near[type(d)] += any(
+                d.at <= c.at + c.length and c.at <= d.at + d.length
+                for c in groups
+                if c is not d
+            )
+            if isinstance(d, LateMessages | StoreCut):
+                near[d.how] += 1
+    for kind in (StoreCut, Drain, LateMessages, Stall, *changes):
+        case.assertGreater(near[kind], 100, kind)
+    for how in set(How) - {How.ONE_WAY_IN, How.ONE_WAY_OUT}:
+        case.assertGreater(near[how], 50, how)
