--- a/testkit/cuts/_run.py
+++ b/testkit/cuts/_run.py
@@ -226,7 +226,8 @@
         disruptions: Disruptions of the day.
         seed: Determines jobs and stalls, but not the timing of processes.
         options: How the day is played.
-        logs: Folder for the logs of the entries if a task overlapped.
+        logs: Folder for the logs of the entries if a task overlapped, or two
+            leaders of the whole site had one term.
         keeps_logs: Whether it receives them in any case.
     """
     model = options.model
@@ -240,7 +241,8 @@
         unavailable.faults.is_down = True
         play.links.unavailable_address = unavailable.address
         await play.run()
-        if logs is not None and (play.report.overlaps or keeps_logs):
+        is_odd = play.report.overlaps or play.report.terms.shared
+        if logs is not None and (is_odd or keeps_logs):
             _keep_logs(site, logs)
             lines = [str(options), *play.report.events, *play.report.overlaps]
             (logs / "events.txt").write_text("\n".join(lines), "utf-8")
