Rig: late bytes of closed connections may be overtaken by newer connections

A network that keeps bytes need not deliver those of two connections in order, so that an offer may arrive after a later withdrawal (found in a review of the rule). The late bytes of a connection that was closed behind a cut now arrive within 0.4 s after the end of the cut, each connection by itself; the rig delivered them at once, before the next connection was open. A further cut holds them back again. Test: they arrive once.

--- a/testkit/cuts/_entry.py
+++ b/testkit/cuts/_entry.py
@@ -23,6 +23,8 @@
 from testkit.cuts._held import HeldConnection
 
 READ_INTERVAL_S = 0.01
+# Longest time after a cut until late bytes of closed connections arrive.
+LATE_SPREAD_S = 0.4
 
 
 class DelayedProtocol(asyncio.Protocol):
@@ -116,6 +118,7 @@
         def create_protocol() -> asyncio.Protocol:
             nonlocal connection
             connection = HeldConnection(factory())
+            connection.late_spread_s = LATE_SPREAD_S
             if delay:
                 return DelayedProtocol(connection, delay)
             return connection
--- a/testkit/cuts/_held.py
+++ b/testkit/cuts/_held.py
@@ -1,6 +1,7 @@
 """A connection whose bytes can be held back, as on a network that drops them."""
 
 import asyncio
+import random
 from collections.abc import Callable
 from collections.abc import Iterable
 
@@ -40,12 +41,14 @@
     What is held back is passed on, in order, once it no longer is. If this side
     closes the connection before, the bytes are lost, and the other side hears
     of the end no sooner than the bytes would have passed. Bytes that are late
-    arrive then, before the end, as from a network that kept them.
+    arrive then, before the end, as from a network that kept them, or up to
+    `late_spread_s` later, so that newer connections may overtake them.
 
     Attributes:
         inner: Protocol that receives what arrives.
         held: Directions that are held back: "in", "out".
         is_late: Whether the bytes of a closed connection arrive all the same.
+        late_spread_s: Longest further time until they arrive, in seconds.
         is_closed: True if this side closed the connection while it was held.
         transport: Transport for `inner`; None until the connection is open.
     """
@@ -54,8 +57,11 @@
         self.inner = inner
         self.held: frozenset[str] = frozenset()
         self.is_late = False
+        self.late_spread_s = 0.0
         self.is_closed = False
         self.transport: HeldTransport | None = None
+        # Whether the late bytes are on their way.
+        self._is_ending = False
         self._written: list[bytes] = []
         self._received: list[tuple[Callable, tuple]] = []
 
@@ -114,7 +120,7 @@
         self.held = frozenset(directions)
         self.is_late = is_late
         if self.is_closed:
-            if not self.held:
+            if not self.held and not self._is_ending:
                 self._end_late()
             return
         if "out" not in self.held:
@@ -130,6 +136,14 @@
         if not self._written:
             self.transport.transport.abort()
             return
+        self._is_ending = True
+        delay_s = random.uniform(0.0, self.late_spread_s)
+        asyncio.get_running_loop().call_later(delay_s, self._write_late)
+
+    def _write_late(self) -> None:
+        self._is_ending = False
+        if self.held:
+            return  # A further cut began meanwhile.
         written, self._written = self._written, []
         for data in written:
             self.transport.transport.write(data)
--- a/testkit/cuts/tests/test_held.py
+++ b/testkit/cuts/tests/test_held.py
@@ -79,6 +79,44 @@
     return " ".join(notes)
 
 
+async def deliver_late(pause_s: float) -> str:
+    """Closes a connection whose bytes are held, and ends the cut twice.
+
+    Args:
+        pause_s: Time between the first end and a further cut of 0.1 s.
+
+    Returns:
+        What the other side saw after the second end and the spread of 0.1 s.
+    """
+    loop = asyncio.get_running_loop()
+    other = Recorder()
+    server = await loop.create_server(lambda: other, "127.0.0.1", 0)
+    recorder = Recorder()
+    connection = HeldConnection(recorder)
+    connection.late_spread_s = 0.1
+    port = server.sockets[0].getsockname()[1]
+    await loop.create_connection(lambda: connection, "127.0.0.1", port)
+    await asyncio.sleep(PAUSE_S)
+    connection.hold(("in", "out"), True)
+    recorder.transport.write(b"w")
+    recorder.transport.close()
+    connection.hold((), True)
+    connection.hold((), True)
+    await asyncio.sleep(pause_s)
+    connection.hold(("out",), True)
+    await asyncio.sleep(0.1)
+    connection.hold((), True)
+    await asyncio.sleep(0.1 + PAUSE_S)
+    server.close()
+    return other.seen
+
+
+def test_late_bytes_arrive_once(case):
+    """Guards against late bytes that are lost or doubled by a further cut."""
+    for pause_s in (0.0, 0.05, 0.2):
+        case.assertEqual(asyncio.run(deliver_late(pause_s)), "w!", pause_s)
+
+
 def test_bytes_are_held_back(case):
     """Guards against cuts that deliver bytes, or whose ends are seen early.
 
