Rig: late bytes arrive within 0.25 s of the end of a cut

A leader takes an offer whose proof is at most 0.35 s older than its newest ones, so that later ones are rejected in any case.

--- a/testkit/cuts/_entry.py
+++ b/testkit/cuts/_entry.py
@@ -24,7 +24,7 @@
 
 READ_INTERVAL_S = 0.01
 # Longest time after a cut until late bytes of closed connections arrive.
-LATE_SPREAD_S = 0.4
+LATE_SPREAD_S = 0.25
 
 
 class DelayedProtocol(asyncio.Protocol):
