--- a/testkit/cuts/__init__.py
+++ b/testkit/cuts/__init__.py
@@ -2,17 +2,20 @@
 
 from testkit.cuts._callers import Break
 from testkit.cuts._day import Burst
+from testkit.cuts._day import Drain
 from testkit.cuts._day import EntryCut
 from testkit.cuts._day import EntryKill
-from testkit.cuts._day import format_day
+from testkit.cuts._day import LateMessages
 from testkit.cuts._day import LateOrders
 from testkit.cuts._day import LeaderCut
-from testkit.cuts._day import load_day
-from testkit.cuts._day import parse_day
 from testkit.cuts._day import Stall
+from testkit.cuts._day import StoreCut
 from testkit.cuts._day import TargetCrash
 from testkit.cuts._day import TargetCut
 from testkit.cuts._day import ZoneCut
+from testkit.cuts._day_file import format_day
+from testkit.cuts._day_file import load_day
+from testkit.cuts._day_file import parse_day
 from testkit.cuts._entry import use_cut_loop
 from testkit.cuts._links import How
 from testkit.cuts._links import LinkCut
@@ -33,14 +36,17 @@
     "CutOptions",
     "CutReport",
     "CutSite",
+    "Drain",
     "EntryCut",
     "EntryKill",
     "How",
     "LAPSE_S",
     "LONGEST_RETURN_S",
+    "LateMessages",
     "LateOrders",
     "LeaderCut",
     "Stall",
+    "StoreCut",
     "TargetCrash",
     "TargetCut",
     "TargetRows",
--- a/testkit/cuts/_random_day.py
+++ b/testkit/cuts/_random_day.py
@@ -18,8 +18,10 @@
 from testkit.cuts._day import TargetCut
 from testkit.cuts._day import ZoneCut
 from testkit.cuts._links import How
+from testkit.cuts._random_mix import MixDrawer
 from testkit.cuts._sites import CutSite
 
+PLAIN_HOWS = (How.RESET, How.DROP, How.ONE_WAY_OUT, How.ONE_WAY_IN)
 # Range of the cuts. The product's waits are 0.25 to 20 s.
 CUT_S = (1.0, 40.0)
 # Range of the cuts of a series, and of the pauses between them.
@@ -81,7 +83,7 @@
 
     def _draw_cut(self) -> Callable[[float, float], Cut]:
         """Returns a function that makes a cut of a drawn kind."""
-        how = self.rng.choice(list(How))
+        how = self.rng.choice(PLAIN_HOWS)
         zone = self.rng.choice(list(self.site.entries))
         with_store = self.rng.random() < 0.5
         match self.rng.randrange(10):
@@ -166,7 +168,7 @@
                 how = rng.choice((How.RESET, How.DROP))
                 return TargetCrash(at, seconds, share, how)
             case 6 | 7 | 8:
-                seconds, how = self._draw_cut_s(), rng.choice(list(How))
+                seconds, how = self._draw_cut_s(), rng.choice(PLAIN_HOWS)
                 from_share = rng.choice(
                     (None, round(rng.uniform(*FROM_SHARES), 2))
                 )
@@ -182,6 +184,7 @@
     length_s: float = 60.0,
     longest_cut_s: float = CUT_S[1],
     all_kinds: bool = False,
+    mixes: bool = False,
 ) -> list[Disruption]:
     """Returns the disruptions of a day that a seed determines, by time.
 
@@ -192,12 +195,18 @@
         longest_cut_s: Longest cut in seconds.
         all_kinds: Whether entries and targets crash, too, targets are cut off,
             and orders are late. The other disruptions stay the same.
+        mixes: Whether it also has store cuts, drains, late messages and short
+            suspensions around changes of the leader.
     """
     drawer = DayDrawer(site, random.Random(f"day {seed}"), longest_cut_s)
     drawer.draw(length_s)
     if all_kinds:
         drawer.rng = random.Random(f"crashes {seed}")
         drawer.add_crashes(length_s)
+    if mixes:
+        mix = MixDrawer(site, random.Random(f"mixes {seed}"))
+        mix.draw(length_s)
+        drawer.disruptions += mix.disruptions
     rounded = [
         attrs.evolve(d, at=round(d.at, 2), length=round(d.length, 2))
         for d in drawer.disruptions
--- a/testkit/cuts/tests/test_day.py
+++ b/testkit/cuts/tests/test_day.py
@@ -4,15 +4,18 @@
 
 from testkit import function_tests
 from testkit.cuts import Burst
+from testkit.cuts import Drain
 from testkit.cuts import EntryCut
 from testkit.cuts import EntryKill
 from testkit.cuts import format_day
 from testkit.cuts import How
+from testkit.cuts import LateMessages
 from testkit.cuts import LateOrders
 from testkit.cuts import LeaderCut
 from testkit.cuts import load_day
 from testkit.cuts import parse_day
 from testkit.cuts import Stall
+from testkit.cuts import StoreCut
 from testkit.cuts import TargetCrash
 from testkit.cuts import TargetCut
 from testkit.cuts import ZoneCut
@@ -88,6 +91,35 @@
             'kind = "srv_cut", how = "reborn reset"',
             TargetCut(1.5, 2.5, 0.2, How.RESET, None, True),
         ),
+        (
+            'kind = "platform_down", how = "nodes refused"',
+            StoreCut(1.5, 2.5, 0.3, How.REFUSED, False),
+        ),
+        (
+            'kind = "platform_down", how = "nodes leader 503", share = 0.5',
+            StoreCut(1.5, 2.5, 0.5, How.UNAVAILABLE, True),
+        ),
+        (
+            'kind = "platform_down", how = "nodes reset", share = 0.5',
+            StoreCut(1.5, 2.5, 0.5, How.RESET, False),
+        ),
+        (
+            'kind = "peer_late", how = "late", share = 0.4',
+            LateMessages(1.5, 2.5, 0.4, How.LATE),
+        ),
+        (
+            'kind = "peer_late", how = "late in"',
+            LateMessages(1.5, 2.5, 0.5, How.LATE_IN),
+        ),
+        (
+            'kind = "core_cut", how = "leader late"',
+            LeaderCut(1.5, 2.5, How.LATE, False),
+        ),
+        ('kind = "scale_in"', Drain(1.5, 2.5, 0.1, 0.5, False)),
+        (
+            'kind = "scale_in", how = "again", share = 0.3, x = 0.2',
+            Drain(1.5, 2.5, 0.3, 0.2, True),
+        ),
     ):
         case.assertEqual(parse_fault(text), disruption, text)
         again = parse_day(format_day('again', [disruption]))
@@ -109,6 +141,10 @@
         'kind = "node_cut", how = "all"',
         'kind = "core_cut"',
         'kind = "node_freeze", how = "renewed"',
+        'kind = "platform_down", how = "503"',
+        'kind = "scale_in", how = "spot"',
+        'kind = "peer_late", how = "late leader"',
+        'kind = "platform_down", how = "nodes revoke"',
     ):
         with case.assertRaises(ValueError, msg=text):
             parse_fault(text)
