Offer no job again at once to the closed placer of this entry

What callers saw: nothing known; an entry may stand still for up to a caller's deadline at the end of a planned stop.

Cause: a closed placer hands an offer back without suspending, and the job was offered to it again at once, in a loop that never left the event loop, until the deadline of its caller.

Now such a leader gets no further offer until it changes, as one in another process.

--- a/anvilford/node/_callers.py
+++ b/anvilford/node/_callers.py
@@ -439,6 +439,7 @@
             outcome = await driver.place(offer)
             if outcome.kind is OutcomeKind.MOVED:
                 progress.may_have_started = True
+                progress.failed_placer_token = leader.member.token
             return outcome
         answer = await self.links.call(
             leader.member.address,
--- a/anvilford/node/tests/test_callers.py
+++ b/anvilford/node/tests/test_callers.py
@@ -360,3 +360,23 @@
         case.assertEqual(len(site.withdrawn_at), 1)
 
     asyncio.run(scenario())
+
+
+def test_closed_placer_of_this_entry_blocks_the_event_loop(case):
+    """Guards against an entry that stands still at the end of a planned stop.
+
+    Its placer is closed and hands each offer back without waiting. The job was
+    offered again at once, until the deadline of its caller.
+    """
+
+    async def scenario():
+        site = SilentLeaderSite([])
+        place = mock.AsyncMock(
+            return_value=Outcome(OutcomeKind.MOVED, "placer_closed")
+        )
+        site.coordinator.leader = Leader(2, MEMBER)
+        site.coordinator.driver = mock.Mock(place=place)
+        case.assertEqual(await site.submit(deadline_ms=300), 504)
+        case.assertLess(place.await_count, 10)
+
+    asyncio.run(scenario())
