--- a/anvilford/node/tests/test_permission_gaps.py
+++ b/anvilford/node/tests/test_permission_gaps.py
@@ -208,6 +208,7 @@
             Counters(),
             mock.Mock(),
             mock.AsyncMock(),
+            mock.AsyncMock(),
             CrashHistory(),
         )
         leader = Leader(3, OTHER_MEMBER)
