--- a/anvilford/node/_callers.py
+++ b/anvilford/node/_callers.py
@@ -323,8 +323,10 @@
         The leader decides whether it goes on until it is sent again. It is not
         told while the caller of another request waits here.
         """
-        progress.caller_is_lost, was_lost = True, progress.caller_is_lost
-        if not was_lost and not self.withdrawals.has_other_request(job_id):
+        if progress.caller_is_lost:
+            return
+        progress.caller_is_lost = True
+        if not self.withdrawals.has_other_request(job_id):
             self.coordinator.report_unanswered_job(job_id)
 
     async def _wait_for_lost_caller(self, placement: asyncio.Future) -> None:
--- a/anvilford/node/_coordination.py
+++ b/anvilford/node/_coordination.py
@@ -343,9 +343,10 @@
             process: Token of the process that sent the message.
             number: Number of the last heartbeat that it sent before.
         """
-        return process != self._process_tokens.get(
-            name
-        ) or number < self._heartbeat_numbers.get(name, 0)
+        is_same_process = process == self._process_tokens.get(name)
+        return not is_same_process or (
+            number < self._heartbeat_numbers.get(name, 0)
+        )
 
     def receive_heartbeat(self, message: Heartbeat) -> HeartbeatReply:
         """Records a member's heartbeat and returns the reply."""
@@ -353,32 +354,10 @@
         if self._is_leading:
             # It may step down if it was suspended.
             self._stop_jobs_of_earlier_process(message.member)
-        name = message.member.name
-        if self._is_leading and not self._is_outdated(
-            name, message.member.token, message.number
-        ):
-            self._heartbeat_numbers[name] = message.number
-            if not message.answered_at and (
-                name in self.driver.waiting_entries()
-            ):
-                # The member has followed another leader since it last did this
-                # one, which may run its jobs.
-                self.driver.stop_jobs_of(name)
         if self._is_leading and not self._is_outdated(
-            name, message.member.token, message.number
+            message.member.name, message.member.token, message.number
         ):
-            # The heartbeat itself may have been sent long before it was read.
-            followed_at = min(message.answered_at, now)
-            self.heartbeats.record_heartbeat(message.member, now, followed_at)
-            self.driver.placer.record_contact(message.member.name, followed_at)
-            self._expect_resent_jobs(
-                message.unanswered_jobs, message.member.name
-            )
-            if not self.leader.is_partial:
-                # The reply includes the members heard so far, so that they
-                # know each other if this leader ends right after its start.
-                self.membership.members = self.heartbeats.known_members()
-            self.raise_fence_above(message.fence)
+            self._apply_heartbeat(message, now)
         digest = self.membership.members_digest
         sends_members = self._is_leading and message.members_digest != digest
         return HeartbeatReply(
@@ -397,6 +376,27 @@
             else (),
         )
 
+    def _apply_heartbeat(self, message: Heartbeat, now: float) -> None:
+        """Records what a heartbeat tells this leader of its sender."""
+        name = message.member.name
+        self._heartbeat_numbers[name] = message.number
+        if not message.answered_at and name in self.driver.waiting_entries():
+            # The member has followed another leader since it last did this one,
+            # which may run its jobs.
+            self.driver.stop_jobs_of(name)
+            if not self._is_leading:
+                return  # It has stepped down after a suspension.
+        # The heartbeat itself may have been sent long before it was read.
+        followed_at = min(message.answered_at, now)
+        self.heartbeats.record_heartbeat(message.member, now, followed_at)
+        self.driver.placer.record_contact(name, followed_at)
+        self._expect_resent_jobs(message.unanswered_jobs, name)
+        if not self.leader.is_partial:
+            # The reply includes the members heard so far, so that they know each
+            # other if this leader ends right after its start.
+            self.membership.members = self.heartbeats.known_members()
+        self.raise_fence_above(message.fence)
+
     async def receive_offer(self, offer: Offer) -> Outcome:
         """Places the job of a member that is proved to follow this leader.
 
--- a/anvilford/placement/_permissions.py
+++ b/anvilford/placement/_permissions.py
@@ -44,8 +44,6 @@
 # jobs are stopped, which targets confirm within milliseconds, well before the
 # leases have to end.
 PROOF_TIMEOUT_S = 0.7
-
-
 # Age up to which an entry offers jobs by an answer of the leader. Leases always
 # leave room for such an offer. Heartbeats are sent twice as often.
 ANSWER_AGE_S = 0.35
--- a/anvilford/placement/_placer.py
+++ b/anvilford/placement/_placer.py
@@ -3,11 +3,11 @@
 Only `Placer` starts tasks. These rules keep a task from running twice at the
 same time:
 
-- A run ends at the latest with its target's lease, which lasts no longer than the
-  permission of any entry (`_permissions.py` has the rule). A placer extends the lease of a target only while all runs on it
-  belong to its own jobs in progress, since another placer that cannot reach the
-  target counts on the end of the lease. A run whose stop is not confirmed yet
-  belongs to none.
+- A run ends at the latest with its target's lease, which lasts no longer than
+  the permission of any entry (`_permissions.py` has the rule). A placer extends
+  the lease of a target only while all runs on it belong to its own jobs in
+  progress, since another placer that cannot reach the target counts on the end
+  of the lease. A run whose stop is not confirmed yet belongs to none.
 - A target accepts commands only with the highest fencing token that it has
   seen, so that only one placer at a time controls it.
 - After a start without an answer, the placer probes the target and stops the
