Add the grace time to the lease of a task, as the settings say

What callers saw: status 200 with reason task_failed, "lease expired", instead of deadline, for a task that outlasts its caller's deadline, on a busy machine.

Cause: the lease given to a target was the time left to the deadline, rounded down, without targets.grace_ms, which docs/settings.md adds to it. So the target ended the task in the moment of the deadline, and its answer raced with the timer.

--- a/anvilford/daemon/_runtime.py
+++ b/anvilford/daemon/_runtime.py
@@ -350,7 +350,12 @@
             target=start.target_id,
             operation=start.task.operation,
         ) as traceparent:
-            lease_ms = int(max(0.0, start.deadline - self.loop.time()) * 1000)
+            # The grace time lets the deadline end the job before the lease ends
+            # the task, which would report a failure.
+            remaining_s = max(0.0, start.deadline - self.loop.time())
+            lease_ms = (
+                int(remaining_s * 1000) + self.target_client.settings.grace_ms
+            )
             outcome = await self.target_client.start(
                 start, lease_ms, traceparent
             )
