--- a/testkit/cuts/tests/test_play.py
+++ b/testkit/cuts/tests/test_play.py
@@ -94,7 +94,15 @@
     case.assertEqual(report.overlaps, [])
     case.assertGreater(report.answers[200], 20)
     case.assertIn("from the store, refused", events)
-    turned_away = sum("store call failed" in text for text in texts)
+    # Calls may also time out on a busy machine, at any entry.
+    turned_away = sum(
+        any(
+            "store call failed" in line
+            and ("status 503" in line or "connection refused" in line)
+            for line in text.splitlines()
+        )
+        for text in texts
+    )
     case.assertGreater(turned_away, 0)
     case.assertLess(turned_away, len(texts))
     case.assertTrue(any("503" in text for text in texts))
