--- a/anvilford/node/_callers.py
+++ b/anvilford/node/_callers.py
@@ -19,6 +19,7 @@
 from anvilford.node._coordination import LeadershipCoordinator
 from anvilford.node._coordination import REASON_NOT_LEADING
 from anvilford.node._coordination import REASONS_NOT_STARTED
+from anvilford.node._progress import HELD_UP_S
 from anvilford.node._sync import SiteView
 from anvilford.node._withdrawals import JobWithdrawals
 from anvilford.node._withdrawals import LEADER_CHECK_INTERVAL_S
@@ -51,6 +52,9 @@
 # Callers that close their connection this close to their deadline are expected
 # to resubmit the job.
 DEADLINE_TOLERANCE_S = 0.1
+# Time in which the loop reads whether the caller of a request that waited has
+# closed its connection meanwhile.
+CLOSE_READ_S = 0.05
 # Additional time for the leader's reply to an offer.
 PLACER_REPLY_MARGIN_S = 0.5
 
@@ -191,6 +195,12 @@
                 return self._refuse(job_id, "unsupported " + feature, 503, 0)
         if route.needs_advice:
             return self._refuse(job_id, "unsupported advice", 503, 0)
+        if clock.now() - request.arrived_at > HELD_UP_S:
+            await asyncio.wait((request.disconnected,), timeout=CLOSE_READ_S)
+            if request.disconnected.done():
+                return self._refuse(job_id, "caller_left", 503, 0)
+        if clock.now() >= request.arrived_at + _parse_deadline_s(request):
+            return self._refuse(job_id, "read_late", 503, 1000)
         if self.rejects_new_jobs:
             return self._refuse(job_id, "entry_stopping", 503, 0)
         with self.withdrawals.request_in_progress(job_id):
@@ -208,7 +218,7 @@
         goes on for `DISCONNECT_GRACE_S`, because the caller is expected to
         resubmit it.
         """
-        arrived_at = clock.now()
+        arrived_at = request.arrived_at
         wait_s = _parse_deadline_s(request)
         progress = _PlacementProgress()
         placement = asyncio.ensure_future(
@@ -233,6 +243,7 @@
                 self._lose_caller(job_id, progress)
                 await self._wait_for_lost_caller(placement)
             if not placement.done():
+                progress.caller_is_lost = True
                 placement.cancel()
                 self.withdrawals.withdraw(job_id)
             else:
@@ -311,8 +322,8 @@
 
         The leader decides whether it goes on until it is sent again.
         """
-        if not progress.caller_is_lost:
-            progress.caller_is_lost = True
+        progress.caller_is_lost, was_lost = True, progress.caller_is_lost
+        if not was_lost and not self.withdrawals.has_other_request(job_id):
             self.coordinator.report_unanswered_job(job_id)
 
     async def _wait_for_lost_caller(self, placement: asyncio.Future) -> None:
@@ -343,7 +354,7 @@
             route: Route that matched the request.
             job_id: Id of the job.
             spec: The job.
-            arrived_at: Time at which the request was received.
+            arrived_at: Time at which the request arrived.
             deadline: Time until which the caller waits.
             progress: State of the job; updated after each offer.
 
@@ -351,7 +362,7 @@
             Outcome of the job. If no leader is found in time, `LOST` if tasks
             may have started and `REFUSED` if not.
         """
-        first_offer_deadline = arrived_at + LEADER_WAIT_S
+        first_offer_deadline = clock.now() + LEADER_WAIT_S
         while True:
             if progress.caller_is_lost:
                 return self._outcome_without_placer(progress)
@@ -386,6 +397,8 @@
                 progress.run_targets_known,
                 self.coordinator.fence,
                 self.coordinator.answered_at,
+                self.coordinator.local_member.token,
+                self.coordinator.heartbeat_number,
             )
             progress.offer_count += 1
             self.coordinator.forget_withdrawal(job_id)
@@ -399,7 +412,7 @@
                 {*progress.possible_run_targets, *outcome.placed}
             )
             if (
-                clock.now() > arrived_at + LEADER_WAIT_S
+                clock.now() > first_offer_deadline
                 and not progress.may_have_started
             ):
                 return self._outcome_without_placer(progress)
--- a/anvilford/node/tests/test_callers.py
+++ b/anvilford/node/tests/test_callers.py
@@ -56,7 +56,7 @@
         MEMBER.name, mock.Mock(), coordinator, mock.Mock(), Counters()
     )
     headers = {} if is_noticed else {DEADLINE_HEADER: "200"}
-    request = mock.Mock(spec=Request, headers=headers)
+    request = mock.Mock(spec=Request, headers=headers, arrived_at=clock.now())
     request.disconnected = asyncio.get_running_loop().create_future()
     if is_noticed:
         asyncio.get_running_loop().call_later(
@@ -197,6 +197,7 @@
             method="POST",
             target="/jobs/" + self.job.job_id,
             headers={DEADLINE_HEADER: str(deadline_ms)},
+            arrived_at=clock.now(),
         )
         request.disconnected = asyncio.get_running_loop().create_future()
         if is_lost:
