--- a/anvilford/node/_coordination.py
+++ b/anvilford/node/_coordination.py
@@ -22,6 +22,8 @@
 from anvilford.leadership import Opinion
 from anvilford.leadership import Wait
 from anvilford.node import _clock as clock
+from anvilford.node._contest import Contest
+from anvilford.node._contest import ContestCheck
 from anvilford.node._driver import PlacerDriver
 from anvilford.node._leader_row import LeaderRow
 from anvilford.node._members import HeartbeatTracker
@@ -69,6 +71,10 @@
 # higher one. It lets the jobs of the leader of a cut-off zone end before the
 # targets are claimed again.
 FENCE_RAISE_DELAY_S = 1.0
+# Time after which a leader claims targets that it has left to the leader of a zone
+# that is cut off. If all entries of the zone are gone, nobody else uses them;
+# otherwise their leader loses its runs.
+LEFT_ZONES_RETRY_S = 60.0
 # A leader with a much better member appoints it when it has led for this long:
 # members without a heartbeat no longer count as live then.
 APPOINT_AFTER_S = 1.0
@@ -105,6 +111,7 @@
         heartbeats: Heartbeats that this member receives while it leads.
         membership: Members and term known to this member.
         search: Searches for a leader.
+        contest: Checks targets before this member leads without a majority.
         waiting_jobs: Number of jobs that have not started, by queue; updated
             by each heartbeat reply, or by the placer while this member leads.
         fence: Highest fencing token of the leaders that this member followed.
@@ -127,6 +134,7 @@
         counters: Counters,
         create_driver: Callable[[int, bool], PlacerDriver],
         probe_other_zones: Callable[[], Awaitable[bool]],
+        probe_targets: Callable[[int, int, bool, float], Awaitable[Contest]],
         crashes: CrashHistory,
     ):
         self.local_member = local_member
@@ -146,6 +154,7 @@
         self.search = LeaderSearch(
             self.membership, links, leader_row, probe_other_zones
         )
+        self.contest = ContestCheck(probe_targets)
         self.fence = 0
         self.has_written_row = False
         self.unanswered_jobs = UnansweredJobs()
@@ -175,6 +184,11 @@
         self._last_answer_received_at = 0.0
         self.heartbeat_number = 0
         self._raise_fence_at = 0.0
+        # Zones whose lost targets are left to their leaders, and until when.
+        self._left_zones: set[str] = set()
+        self._claims_left_zones_at = 0.0
+        # Whether a target refused a claim of this leader since its last raise.
+        self._was_refused_claim = False
         self._row_write_due_at = 0.0
         self._may_appoint_at = 0.0
         # The member that was appointed last, and when it may be appointed again.
@@ -315,6 +329,7 @@
         self._process_tokens[member.name] = member.token
         if token not in (None, member.token):
             self._heartbeat_numbers.pop(member.name, None)
+            self.heartbeats.permissions.withdraw(member.name)
             self.driver.stop_jobs_of(member.name)
 
     def _is_outdated(self, name: str, process: str, number: int) -> bool:
@@ -480,9 +495,24 @@
                 announcement = LeaderAnnounced(self.leader)
                 self.links.send(leader.member.address, announcement)
             return
-        if leader.term >= self.term:
+        if leader.term >= self.term and not self._follows_higher(leader):
             self._follow(leader)
 
+    def _follows_higher(self, leader: Leader) -> bool:
+        """Whether this member follows another leader of the term, which prevails.
+
+        Two may begin in one term, since members that answer queries of both
+        promise nothing. Targets obey the higher token, and the other leader
+        would claim them all again for a member that has followed this one.
+        """
+        followed = self.leader
+        return (
+            followed is not None
+            and followed.term == leader.term
+            and followed.is_partial == leader.is_partial
+            and followed.fence > leader.fence
+        )
+
     # Main loop.
 
     async def run(self) -> None:
@@ -618,6 +648,7 @@
                     self._wake_waiting_offers()
                 if not reply.leaving:
                     self._leader_contact_at = clock.now()
+                    self.contest.clear()
                     return True
                 self._clear_resigned_leader(leader, "leaving")
             case HeartbeatReply(term=term):
@@ -711,6 +742,8 @@
         match self.search.select_action(result, self._can_lead()):
             case Follow(leader):
                 self._follow(leader)
+            case Lead(is_partial) as lead if self._must_probe(lead):
+                await self._lead_if_uncontested(is_partial)
             case Lead(is_partial):
                 self._start_leading(
                     Leader(self.term + 1, self.local_member, is_partial)
@@ -729,6 +762,49 @@
                 return True
         return False
 
+    def _must_probe(self, lead: Lead) -> bool:
+        """Whether targets must show no other leader before this member leads.
+
+        That is so without a majority for a member that has lost targets, and
+        for one that goes by the row: the store may refuse the leader of the
+        others, so that its row is stale although it is at work.
+        """
+        if lead.by_row:
+            return bool(self.site.targets)
+        return lead.is_partial and self.contest.has_lost
+
+    async def _lead_if_uncontested(self, is_partial: bool) -> None:
+        """Leads if the targets show no other leader at work.
+
+        Without a majority, this member cannot tell otherwise whether one leads
+        the others and reaches the targets. The two would take them from each
+        other in turn. The probe goes on during further searches.
+
+        Args:
+            is_partial: Whether this member would lead only its zone.
+        """
+        if self.contest.is_due:
+            # Leaders that this member follows next claim above this token.
+            token = Leader(self.term + 1, self.local_member)
+            self.membership.raise_term(token.term)
+            self.fence = max(self.fence, token.fence)
+            self.contest.start(token.fence, is_partial)
+        result = await self.contest.wait(SEARCH_INTERVAL_S)
+        if result is None or self.leader is not None:
+            return
+        _logger.info(
+            "targets probed for another leader",
+            extra={
+                "result": result.value,
+                "term": self.term,
+                "is_partial": is_partial,
+            },
+        )
+        if result is Contest.FREE:
+            self._start_leading(
+                Leader(self.term + 1, self.local_member, is_partial)
+            )
+
     async def _claim_row(self) -> None:
         """Leads if the row can be written, as no other member is known."""
         leader = Leader(self.term + 1, self.local_member)
@@ -745,6 +821,8 @@
         """Starts a placer and announces this member as the leader."""
         now = clock.now()
         self._close_driver()
+        self.contest.clear()
+        self.contest.led_fence = leader.fence
         self.membership.term = leader.term
         self.has_written_row = False
         self._site_check_task = None
@@ -812,7 +890,11 @@
             return  # The member has stepped down after a suspension.
         if leader.is_partial:
             await self._hand_back_zone()
-        elif self._raise_fence_at and now >= self._raise_fence_at:
+        elif (
+            self._raise_fence_at
+            and now >= self._raise_fence_at
+            and not self._leaves_lost_targets(now)
+        ):
             self._claim_or_step_down()
         elif now >= self._row_write_due_at and not self.is_stopping:
             self._start_row_write()
@@ -908,6 +990,42 @@
             and self.heartbeats.has_majority
         )
 
+    def _leaves_lost_targets(self, now: float) -> bool:
+        """Whether the targets that this leader has lost stay with another one.
+
+        They do if another one has taken them since this one claimed them, and
+        if they are in zones of which it hears no member. A zone that is cut off
+        has a leader of its own, for entries that this leader does not serve;
+        the two would take the targets from each other in turn. A member that is
+        heard again ends that.
+        """
+        zones = self.driver.fenced_zones()
+        if self._left_zones and not zones:
+            # The targets that were left are gone or new incarnations.
+            self._left_zones = set()
+            self._raise_fence_at = 0.0
+            return True
+        leaves = (
+            self._may_claim_site
+            and not self._was_refused_claim
+            and bool(zones)
+            and zones <= self._zones_to_leave(now)
+        )
+        if leaves and zones != self._left_zones:
+            self._left_zones = zones
+            self._claims_left_zones_at = now + LEFT_ZONES_RETRY_S
+            _logger.warning(
+                "leaving lost targets to the leader of their zone",
+                extra={"zones": sorted(zones), **self.heartbeats.counts},
+            )
+        return leaves
+
+    def _zones_to_leave(self, now: float) -> set[str]:
+        """Returns zones whose lost targets this leader does not claim again."""
+        if self._left_zones and now >= self._claims_left_zones_at:
+            return set()
+        return self.heartbeats.silent_zones()
+
     def _claim_or_step_down(self) -> None:
         """Claims all targets with a higher token, or steps down."""
         if self._may_claim_site:
@@ -924,11 +1042,19 @@
             "claiming all targets with a higher fence",
             extra={"fence": leader.fence, **self.heartbeats.counts},
         )
+        self.contest.clear()
+        self.contest.led_fence = leader.fence
         self._set_leader(leader)
         self.site.require_current_targets()
         self.update_targets()
+        now = clock.now()
+        left_zones = self._left_zones & self._zones_to_leave(now)
+        self._was_refused_claim = False
+        self._left_zones = left_zones
+        if left_zones:
+            self._raise_fence_at = now  # Checked again at each step.
         if self.driver is not None:
-            self.driver.raise_fence(leader.fence)
+            self.driver.raise_fence(leader.fence, left_zones)
         if not self._is_leading:
             return  # The member has stepped down after a suspension.
         self._send_to_members(LeaderAnnounced(leader))
@@ -961,16 +1087,28 @@
             self.membership.members = self.heartbeats.known_members()
         self.waiting_jobs = self.driver.placer.count_waiting_jobs()
 
-    def on_fence_lost(self, driver: PlacerDriver) -> None:
+    def on_fence_lost(
+        self, driver: PlacerDriver, was_owned: bool = True
+    ) -> None:
         """Reacts to a target that obeys a higher fencing token.
 
         Another placer is active. A leader that is stopping or serves only its
         zone steps down; another one raises its term after a delay, or steps
         down if it does not hear a majority of the members by then.
+
+        Args:
+            driver: The driver whose order the target refused.
+            was_owned: Whether the target had obeyed this driver's token, so
+                that another placer has claimed it since. Otherwise an earlier
+                one may have, which is gone.
         """
         if driver is not self.driver:
             return
         self.heartbeats.contested_at = clock.now()
+        if was_owned:
+            self.contest.record_loss()
+        else:
+            self._was_refused_claim = True
         if self.is_stopping or self.leader.is_partial:
             self._step_down("fence_lost")
         elif not self._raise_fence_at:
@@ -1000,6 +1138,8 @@
         """Closes the placer, if this member leads."""
         driver, self.driver = self.driver, None
         self._raise_fence_at = 0.0
+        self._left_zones = set()
+        self._was_refused_claim = False
         self.site.is_placing = False
         if driver is not None:
             driver.close()
--- a/anvilford/node/_members.py
+++ b/anvilford/node/_members.py
@@ -10,9 +10,8 @@
 from anvilford.placement import EntryPermissions
 from anvilford.placement import PROOF_TIMEOUT_S
 
-# The jobs of a member without a heartbeat for this long are stopped. Related
-# times: callers resubmit a job 1.3 s after its connection broke, and the lease
-# of a run lasts 1.02 s.
+# The jobs of a member without a heartbeat for this long are stopped, well before
+# its permission ends (`placement/_permissions.py`).
 MEMBER_LIVE_TIMEOUT_S = 0.6
 # Members that were silent for this long may follow another leader: two of their
 # heartbeats are due meanwhile. Shorter than the time after which their jobs are
@@ -245,12 +244,14 @@
     def oldest_proof_of_all(self) -> float:
         """Oldest of the last proofs of all known members, in seconds.
 
-        Minus infinity while one of them has none.
+        Minus infinity while one of them has none, and while no other member is
+        known: there may be some.
         """
-        proofs = [
+        if len(self._last_heartbeats) < 2:
+            return -math.inf
+        return min(
             self.permissions.proof(name) for name in self._last_heartbeats
-        ]
-        return min(proofs, default=-math.inf)
+        )
 
     def live_members(self) -> list[Member]:
         """Returns the members that count as live."""
@@ -260,6 +261,12 @@
             if name in self.live_names
         ]
 
+    def silent_zones(self) -> set[str]:
+        """Returns the zones of known members none of which counts as live."""
+        return {last.member.zone for last in self._last_heartbeats.values()} - {
+            member.zone for member in self.live_members()
+        }
+
     @property
     def has_majority(self) -> bool:
         """Whether more than half of the known members count as live."""
--- a/testkit/cuts/_held.py
+++ b/testkit/cuts/_held.py
@@ -1,6 +1,7 @@
 """A connection whose bytes can be held back, as on a network that drops them."""
 
 import asyncio
+import random
 from collections.abc import Callable
 from collections.abc import Iterable
 
@@ -39,11 +40,15 @@
 
     What is held back is passed on, in order, once it no longer is. If this side
     closes the connection before, the bytes are lost, and the other side hears
-    of the end no sooner than the bytes would have passed.
+    of the end no sooner than the bytes would have passed. Bytes that are late
+    arrive then, before the end, as from a network that kept them, or up to
+    `late_spread_s` later, so that newer connections may overtake them.
 
     Attributes:
         inner: Protocol that receives what arrives.
         held: Directions that are held back: "in", "out".
+        is_late: Whether the bytes of a closed connection arrive all the same.
+        late_spread_s: Longest further time until they arrive, in seconds.
         is_closed: True if this side closed the connection while it was held.
         transport: Transport for `inner`; None until the connection is open.
     """
@@ -51,8 +56,12 @@
     def __init__(self, inner: asyncio.Protocol):
         self.inner = inner
         self.held: frozenset[str] = frozenset()
+        self.is_late = False
+        self.late_spread_s = 0.0
         self.is_closed = False
         self.transport: HeldTransport | None = None
+        # Whether the late bytes are on their way.
+        self._is_ending = False
         self._written: list[bytes] = []
         self._received: list[tuple[Callable, tuple]] = []
 
@@ -99,16 +108,20 @@
         if not self.held:
             end()
             return
+        written = self._written
         self._discard()
+        if self.is_late:
+            self._written = written
         loop = asyncio.get_running_loop()
         loop.call_soon(self.inner.connection_lost, None)
 
-    def hold(self, directions: Iterable[str]) -> None:
+    def hold(self, directions: Iterable[str], is_late: bool = False) -> None:
         """Sets the directions that are held back, and passes on the others."""
         self.held = frozenset(directions)
+        self.is_late = is_late
         if self.is_closed:
-            if not self.held:
-                self.transport.transport.abort()
+            if not self.held and not self._is_ending:
+                self._end_late()
             return
         if "out" not in self.held:
             written, self._written = self._written, []
@@ -118,6 +131,24 @@
             callback, arguments = self._received.pop(0)
             callback(*arguments)
 
+    def _end_late(self) -> None:
+        """Ends a connection that was closed while it was held."""
+        if not self._written:
+            self.transport.transport.abort()
+            return
+        self._is_ending = True
+        delay_s = random.uniform(0.0, self.late_spread_s)
+        asyncio.get_running_loop().call_later(delay_s, self._write_late)
+
+    def _write_late(self) -> None:
+        self._is_ending = False
+        if self.held:
+            return  # A further cut began meanwhile.
+        written, self._written = self._written, []
+        for data in written:
+            self.transport.transport.write(data)
+        self.transport.transport.close()
+
     def reset(self) -> None:
         """Aborts the connection for both sides, without what was held back."""
         was_closed = self.is_closed
@@ -128,7 +159,7 @@
 
     def _discard(self) -> None:
         self.is_closed = True
-        self._written.clear()
+        self._written = []
         self._received.clear()
 
     @property
