Show a job as failed only if its task ran on two crashed targets

Cause: a start without an answer counted as a crash under its task if the target had been heard 20 ms before or closed the connection.

Change: only a target that had confirmed the start, by its answer or a report, proves that the task ran on it. A task with two suspected crashes is still given up, so that it crashes no further target; without proof its job ends as lost, and the caller gets 504. The model can crash a target after the answer to the start.

--- a/anvilford/order_model/_site.py
+++ b/anvilford/order_model/_site.py
@@ -59,6 +59,8 @@
             site.
         deadly_jobs: Ids of jobs whose tasks crash each target that starts them.
         hopeless_jobs: Ids of jobs whose tasks fail on each target.
+        deadly_delay_s: Time from the start of a deadly task to the crash. Without
+            a delay, the target crashes before it answers the start.
         crashes_are_silent: If True, a crash closes no connection; the calls to
             the target end with their timeout.
     """
@@ -70,6 +72,7 @@
     placers_missing_entries: set[str] = attrs.field(factory=set)
     deadly_jobs: set[str] = attrs.field(factory=set)
     hopeless_jobs: set[str] = attrs.field(factory=set)
+    deadly_delay_s: float = 0.0
     crashes_are_silent: bool = False
 
 
@@ -314,8 +317,11 @@
                 answer = target.start(order, need, seconds, self.now, fails)
                 is_deadly = job_id in self.faults.deadly_jobs
                 if is_deadly and isinstance(answer, Accepted):
-                    self._crash(target, [[name, order]])
-                    return
+                    delay = self.faults.deadly_delay_s
+                    if not delay:
+                        self._crash(target, [[name, order]])
+                        return
+                    self.schedule(self.now + delay, self._crash, target, [])
                 self._schedule_next_completion(target)
             case StopRun():
                 answer = target.stop(order, self.now)
--- a/anvilford/placement/_crashes.py
+++ b/anvilford/placement/_crashes.py
@@ -4,7 +4,8 @@
 connection at first: the target is only silent, and its lease ends. It is known
 to have crashed once another incarnation answers or registers, and not to have
 crashed once the same one answers. Targets also crash for other reasons: a task
-whose start may not have reached the target is no cause.
+whose start may not have reached the target is no cause, and one whose start is only
+likely to have reached it is suspected, but not proved to be one.
 """
 
 import enum
@@ -12,6 +13,9 @@
 
 import attrs
 
+from anvilford.placement._model import Outcome
+from anvilford.placement._model import OutcomeKind
+
 # Crashed targets after which a task is given up. The platform allows two.
 CRASHES_TO_GIVE_UP = 2
 # Time for which a loss is remembered. Targets return after some seconds, and
@@ -36,7 +40,7 @@
         incarnation: Incarnation that was lost.
         tasks: Names of the tasks that it may have run.
         state: What is known of the target.
-        started: Those of `tasks` that had started there, as far as is known.
+        started: Those of `tasks` that had started there, or are likely to have.
     """
 
     target_id: str
@@ -67,6 +71,8 @@
 
     def __init__(self):
         self._losses: dict[tuple[str, int], tuple[float, TargetLoss]] = {}
+        # Tasks of each lost target whose start it had confirmed to this process.
+        self._confirmed: dict[tuple[str, int], set[str]] = {}
         self._keys_by_task: dict[str, set[tuple[str, int]]] = {}
         self._changes: list[TargetLoss] = []
 
@@ -78,6 +84,7 @@
         started: Iterable[str],
         state: LossState,
         now: float,
+        confirmed: Iterable[str] = (),
     ) -> None:
         """Records that a target was lost, or what became of a lost one.
 
@@ -85,12 +92,17 @@
             target_id: Id of the target.
             incarnation: Incarnation that was lost.
             tasks: Names of the tasks that it may have run when it was lost.
-            started: Those of `tasks` that had started there, as far as is
-                known.
+            started: Those of `tasks` that had started there, or are likely to
+                have.
             state: What is known of the target.
             now: Current time in seconds.
+            confirmed: Those of `started` whose start the target had confirmed,
+                by its answer or by a report.
         """
-        known = self._losses.get((target_id, incarnation))
+        key = (target_id, incarnation)
+        if confirmed := set(confirmed):
+            self._confirmed.setdefault(key, set()).update(confirmed)
+        known = self._losses.get(key)
         loss = TargetLoss(
             target_id,
             incarnation,
@@ -163,9 +175,23 @@
         return sum(task in loss.started for loss in self._losses_under(task))
 
     def count_crashes(self, task: str) -> int:
-        """Returns how many targets crashed on which a task had started."""
+        """Returns how many targets crashed on which a task is likely to have started."""
         return len(self.crashed_targets(task))
 
+    def count_proven_crashes(self, task: str) -> int:
+        """Returns how many targets crashed that had confirmed the task's start.
+
+        A start without an answer may have come after the crash, also if the
+        target was heard a moment before. The reports of other members do not
+        tell such starts, so that only what this process saw counts.
+        """
+        return sum(
+            loss.state is LossState.CRASHED
+            and task in self._confirmed.get(key, ())
+            for key in self._keys_by_task.get(task, ())
+            for loss in (self._losses[key][1],)
+        )
+
     def crashed_targets(self, task: str) -> list[str]:
         """Returns the ids of the targets that count as crashed by a task."""
         return [
@@ -187,8 +213,22 @@
 
     def _forget(self, key: tuple[str, int]) -> None:
         _, loss = self._losses.pop(key)
+        self._confirmed.pop(key, None)
         for task in loss.tasks:
             keys = self._keys_by_task[task]
             keys.discard(key)
             if not keys:
                 del self._keys_by_task[task]
+
+
+def crash_outcome(crashes: CrashHistory, task: str) -> Outcome:
+    """Returns the outcome of a job with a task that is given up.
+
+    Targets that crash one after another for reasons of their own also leave
+    starts without an answer. Only proof that the task ran on enough crashed
+    targets shows that its job has failed; otherwise nobody knows, and the caller
+    is told that tasks may have run.
+    """
+    if crashes.count_proven_crashes(task) >= CRASHES_TO_GIVE_UP:
+        return Outcome(OutcomeKind.FAILED, "targets_crashed")
+    return Outcome(OutcomeKind.LOST, "targets_lost")
--- a/anvilford/placement/_placer.py
+++ b/anvilford/placement/_placer.py
@@ -28,6 +28,7 @@
 from anvilford.placement._choice import AMPLE_FREE_SHARE
 from anvilford.placement._choice import choose_target
 from anvilford.placement._choice import waits_for_faster_target
+from anvilford.placement._crashes import crash_outcome
 from anvilford.placement._crashes import CRASHES_TO_GIVE_UP
 from anvilford.placement._crashes import CrashHistory
 from anvilford.placement._fleet import Fleet
@@ -666,6 +667,7 @@
         for task in job.waiting:
             crashes = self.crashes.count_crashes(task.name)
             if crashes >= CRASHES_TO_GIVE_UP:
+                outcome = crash_outcome(self.crashes, task.name)
                 self._log_decision(
                     "task given up",
                     job.job_id,
@@ -676,8 +678,7 @@
                         "run": task.run,
                     },
                 )
-                reason = "targets_crashed"
-                self._end_job(job, Outcome(OutcomeKind.FAILED, reason), now)
+                self._end_job(job, outcome, now)
                 return
         if now > job.deadline:
             self._end_job(job, Outcome(OutcomeKind.LOST, "deadline"), now)
--- a/anvilford/placement/_target_list.py
+++ b/anvilford/placement/_target_list.py
@@ -329,15 +329,18 @@
         if len({run.job_id for run in unanswered}) > 1:
             lost_starts = []
         confirmed = [
-            run for run in runs if run.confirmed_at and not run.is_carried_over
+            run.task_name
+            for run in runs
+            if run.confirmed_at and not run.is_carried_over
         ]
         self.crashes.record_loss(
             target.record.target_id,
             target.record.incarnation,
             target.runs,
-            [run.task_name for run in (*confirmed, *lost_starts)],
+            [*confirmed, *(run.task_name for run in lost_starts)],
             state,
             now,
+            confirmed,
         )
         for run in lost_starts:
             if run.was_sent_to_live:
