Elect a leader without a majority once the whole site has restarted

Change: if all members that answer, a quarter at least, are other processes than those that the leader's row names, one leads after it has probed the targets, as with a stale row. A request waits up to 0.25 s for the first configuration.

The new test of the election fails before. 59 tests of election, callers and followers pass.

--- a/anvilford/leadership/_election.py
+++ b/anvilford/leadership/_election.py
@@ -28,6 +28,10 @@
 # A member that has just written the leader's row starts to lead within this
 # time. Until then, the other members wait for it.
 ROW_FRESH_S = 0.5
+# Share of the members that must answer, all of them as new processes, before one
+# concludes that the whole site has restarted. A machine that is cut off by itself
+# reaches fewer.
+RESTARTED_SHARE = 0.25
 # A leader leaves its place to a member with this many times its cores. Members
 # that differ less are worth no change of the leader.
 BETTER_CORES_RATIO = 1.25
@@ -51,6 +55,7 @@
         row_leader: Leader named in the row; None if the row names none.
         row_unchanged_s: Seconds for which the store answered without a gap and
             the leader's row was seen unchanged.
+        row_members: Members named in the row, as processes of that time.
     """
 
     local_member: Member
@@ -63,6 +68,7 @@
     other_zones_reachable: bool
     row_leader: Member | None = None
     row_unchanged_s: float = 0.0
+    row_members: Sequence[Member] = ()
 
 
 @attrs.frozen
@@ -78,9 +84,10 @@
 
     Attributes:
         is_partial: True to place jobs only on targets of the local zone.
-        by_row: True if only the stale row shows that the site has no leader.
-            The store may refuse the leader of the others, so that the member
-            may lead only if the targets show no other leader at work.
+        by_row: True if only the row shows that the site has no leader, because
+            it is stale or names earlier processes. The store may refuse the
+            leader of the others, so that the member may lead only if the targets
+            show no other leader at work.
     """
 
     is_partial: bool
@@ -199,13 +206,34 @@
     row_is_stale = (
         state.store_reachable and state.row_unchanged_s >= ROW_STALE_AFTER_S
     )
-    if has_majority or row_is_stale:
+    if has_majority or row_is_stale or _has_site_restarted(state):
         if min(candidates, key=candidate_sort_key) == local_member:
             return Lead(is_partial=False, by_row=not has_majority)
         return Wait("better_member")
     return _decide_partial_leadership(state, candidates)
 
 
+def _has_site_restarted(state: ElectionState) -> bool:
+    """Returns whether all members that answer have restarted since the row.
+
+    After a loss of power, small VMs start half a second later than large ones, and
+    a majority of the members takes as long. Not while a member is reached that
+    was there before, or while other zones cannot be reached: a leader may serve
+    the rest of the site then.
+    """
+    tokens = {member.name: member.token for member in state.row_members}
+    reached = [state.local_member, *(reply.member for reply in state.replies)]
+    return (
+        state.store_reachable
+        and state.other_zones_reachable
+        and len(reached) >= RESTARTED_SHARE * len(tokens)
+        and all(
+            tokens.get(member.name, member.token) != member.token
+            for member in reached
+        )
+    )
+
+
 def _decide_partial_leadership(
     state: ElectionState, candidates: list[Member]
 ) -> ElectionAction:
--- a/anvilford/leadership/tests/test_election.py
+++ b/anvilford/leadership/tests/test_election.py
@@ -119,6 +119,33 @@
     case.assertEqual(decide_action(stale_row), by_row)
 
 
+def test_site_that_has_restarted_waits_for_no_majority(case, state):
+    """Guards against a site without a leader until its slowest members start.
+
+    After a loss of power, all members that answer are other processes than those
+    in the row. One that has not restarted may follow a leader that lives.
+    """
+    before = [attrs.evolve(m, token="old-" + m.name) for m in MEMBERS]
+    restarted = attrs.evolve(
+        state, replies=[reply(MEMBERS[2])], row_members=before
+    )
+    by_row = Lead(is_partial=False, by_row=True)
+    case.assertEqual(decide_action(restarted), by_row)
+    for change, action in (
+        ({"store_reachable": False}, Wait("machine_cut_off")),
+        ({"other_zones_reachable": False}, Lead(is_partial=True)),
+        ({"row_members": [*before[:2], *MEMBERS[2:]]}, Wait("machine_cut_off")),
+        ({"row_members": MEMBERS}, Wait("machine_cut_off")),
+        ({"row_members": ()}, Wait("machine_cut_off")),
+        ({"replies": [reply(MEMBERS[0])]}, Wait("better_member")),
+    ):
+        changed = attrs.evolve(restarted, **change)
+        case.assertEqual(decide_action(changed), action, change)
+    many = [member(f"n{n}") for n in range(20)]
+    alone = attrs.evolve(restarted, row_members=[*before, *many])
+    case.assertEqual(decide_action(alone), Wait("machine_cut_off"))
+
+
 def test_zone_leader_is_not_followed_by_other_zones(case, state):
     """A leader that serves only its own zone is ignored in other zones.
 
--- a/anvilford/node/_callers.py
+++ b/anvilford/node/_callers.py
@@ -42,6 +42,9 @@
 # Deadline of requests that carry none. The users' requirements state 1.5 s for
 # all kinds of jobs.
 DEFAULT_DEADLINE_S = 1.5
+# Longest time that a request waits for the first configuration. A process that has
+# just started reads it within 0.05 s.
+CONFIGURATION_WAIT_S = 0.25
 # Longest time that a request waits for a leader before its first offer. A new
 # leader is found about half a second after the old one stopped answering.
 LEADER_WAIT_S = 0.9
@@ -150,6 +153,10 @@
 
     async def _answer_request(self, request: Request) -> Response:
         routing_table = self.site.routing_table
+        if routing_table is None:
+            routing_table = await self.site.wait_for_routing_table(
+                CONFIGURATION_WAIT_S
+            )
         if routing_table is None:
             return self._refuse("", "no_configuration", 503, 1000)
         path = request.target.partition("?")[0]
--- a/anvilford/node/_search.py
+++ b/anvilford/node/_search.py
@@ -211,6 +211,7 @@
             result.other_zones_reachable,
             row.leader.member if row.leader else None,
             row.unchanged_s,
+            row.members,
         )
         action = decide_action(state)
         _logger.info(
--- a/anvilford/node/_sync.py
+++ b/anvilford/node/_sync.py
@@ -371,6 +371,7 @@
 
     def __init__(self, store: StoreClient, counters: Counters):
         self.routing_table: RoutingTable | None = None
+        self._has_routing_table = asyncio.Event()
         self.removals_known_at = clock.now() + REMOVED_TARGET_RETENTION_S
         self._removed_targets: dict[str, tuple[TargetRecord, float]] = {}
         self._members_missing_at = -math.inf
@@ -493,6 +494,20 @@
                 self._outdated_since = clock.now()
             self.configuration.expect_change()
 
+    async def wait_for_routing_table(
+        self, timeout: float
+    ) -> RoutingTable | None:
+        """Returns the routing table, once there is one.
+
+        Args:
+            timeout: Longest time to wait for the first one, in seconds.
+        """
+        if self.routing_table is None:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(timeout):
+                    await self._has_routing_table.wait()
+        return self.routing_table
+
     def is_loaded(self) -> bool:
         """Returns whether both the configuration and the targets are known."""
         return self.routing_table is not None and self.target_list.is_loaded
@@ -512,6 +527,7 @@
                 if table.version <= old:
                     return
                 self.routing_table = table
+                self._has_routing_table.set()
                 outdated_s = (
                     clock.now() - self._outdated_since
                     if self._outdated_since is not None
