Placement model: measure by queue, zone and window, with bursts of one queue

Cause: the model drew all queues at one rate and reported their sum, so that who is served during a burst of one queue could not be seen. The scenarios that exist draw the same jobs as before.

--- a/anvilford/order_model/_comparison.py
+++ b/anvilford/order_model/_comparison.py
@@ -2,6 +2,7 @@
 
 import concurrent.futures
 import random
+from collections.abc import Callable
 from typing import Any
 
 from anvilford.order_model import _baselines
@@ -21,6 +22,8 @@
 # Time simulated after the last arrival, in seconds, in which the jobs that are
 # still running end.
 DRAIN_TIME_S = 6.0
+# Time between the observations of a simulation, in seconds.
+OBSERVATION_INTERVAL_S = 0.01
 
 
 def compare(scenario: Scenario, processes: int = 1) -> dict[str, Any]:
@@ -71,13 +74,43 @@
 
 
 def _run_placer(scenario: Scenario, jobs: list[Arrival], seed: int) -> Result:
+    simulation = run_simulation(scenario, jobs, seed)
+    return simulation.results_by_kind(jobs)["all"]
+
+
+def run_simulation(
+    scenario: Scenario,
+    jobs: list[Arrival],
+    seed: int,
+    observe: Callable[[PlacementSimulation], None] | None = None,
+) -> PlacementSimulation:
+    """Simulates a placer on the jobs of one seed.
+
+    Args:
+        scenario: The scenario.
+        jobs: Its jobs for the seed.
+        seed: Seed of the simulation.
+        observe: Called each `OBSERVATION_INTERVAL_S` while jobs arrive.
+    """
     simulation = PlacementSimulation(scenario.make_targets(), seed=seed)
+    simulation.job_deadline_s = scenario.deadline_s
     simulation.add_placer("p", 1)
     simulation.run(FIRST_ARRIVAL_S)
+    if scenario.lost_targets is not None:
+        lost = scenario.lost_target_ids()
+        at = FIRST_ARRIVAL_S + scenario.lost_targets.at_s
+        simulation.schedule(at, simulation.remove_targets, lost)
     for job in jobs:
-        simulation.schedule(job.arrival_time, simulation.offer, "p", job)
+        simulation.schedule(
+            job.arrival_time, simulation.offer, "p", job, False, job.zone
+        )
+    if observe is not None:
+        steps = int(scenario.length_s / OBSERVATION_INTERVAL_S)
+        for step in range(steps):
+            at = FIRST_ARRIVAL_S + step * OBSERVATION_INTERVAL_S
+            simulation.schedule(at, observe, simulation)
     simulation.run(FIRST_ARRIVAL_S + scenario.length_s + DRAIN_TIME_S)
-    return simulation.results_by_kind(jobs)["all"]
+    return simulation
 
 
 def _run_policy_packed(item: tuple[Scenario, str, int]) -> Result:
--- a/anvilford/order_model/_load.py
+++ b/anvilford/order_model/_load.py
@@ -30,6 +30,8 @@
         mean_run_time_s: Mean run time of a task at speed 1, in seconds.
         mean_cpu_millis: Mean CPU need of a task, in thousandths of a core.
         mean_worth: Worth of a job of mean size that is answered in time.
+        tail_share: Share of the runs that take seven times as long; if None,
+            3% of the jobs have about one such run.
     """
 
     policy: QueuePolicy
@@ -38,6 +40,7 @@
     mean_run_time_s: float
     mean_cpu_millis: int
     mean_worth: float
+    tail_share: float | None = None
 
 
 @attrs.frozen
@@ -50,6 +53,7 @@
         kind: Kind from which the job was drawn.
         spec: The job as it is submitted, with estimated run times.
         run_times_s: True run time of each task at speed 1, in seconds.
+        zone: Zone of the entry that offers the job.
     """
 
     arrival_time: float
@@ -57,6 +61,7 @@
     kind: JobKind
     spec: JobSpec
     run_times_s: tuple[float, ...]
+    zone: str = "a"
 
     @property
     def objective_s(self) -> float:
@@ -182,9 +187,10 @@
     )
     mean = _draw_lognormal(kind.mean_run_time_s, rng)
     seconds = []
+    tail_share = 0.03 / count if kind.tail_share is None else kind.tail_share
     for _ in range(count):
         drawn = mean * rng.lognormvariate(0.0, 0.15)
-        seconds.append(drawn * (7.0 if rng.random() < 0.03 / count else 1.0))
+        seconds.append(drawn * (7.0 if rng.random() < tail_share else 1.0))
     estimate = mean * rng.lognormvariate(0.0, 0.4)
     cpu = int(min(max(rng.gauss(1.0, 0.2), 0.4), 1.5) * kind.mean_cpu_millis)
     step = StepSpec(count, Resources(cpu, 64), max(1, int(estimate * 1000)))
--- a/anvilford/order_model/_scenario.py
+++ b/anvilford/order_model/_scenario.py
@@ -1,5 +1,6 @@
 """Scenario files of the simulation: schema, validation and loading."""
 
+import functools
 import json
 import math
 import pathlib
@@ -64,6 +65,7 @@
         seconds: Mean run time of a task at speed 1, in seconds.
         cores: Mean CPU need of a task, in cores.
         worth: Worth of a job of mean size that is answered in time.
+        burst_x: Factor on the share of this kind during the burst.
     """
 
     name: str
@@ -72,6 +74,22 @@
     seconds: float = attrs.field(validator=_POSITIVE)
     cores: float = attrs.field(validator=_POSITIVE)
     worth: float = attrs.field(validator=_POSITIVE)
+    burst_x: float = attrs.field(default=1.0, validator=_POSITIVE)
+
+
+@attrs.frozen
+class LostTargets:
+    """Targets that leave for good, the same share of each group.
+
+    The baselines and the reference plan keep them.
+
+    Attributes:
+        share: Share of the targets of each group.
+        at_s: Time at which they crash, in seconds.
+    """
+
+    share: float = attrs.field(validator=[validators.gt(0), validators.lt(1)])
+    at_s: float = attrs.field(validator=_POSITIVE)
 
 
 @attrs.frozen
@@ -94,11 +112,20 @@
     burst_for_s: float = 0.0
     burst_x: float = 1.0
 
-    def rate_at(self, now: float) -> float:
-        """Returns the arrival rate, in jobs per second, at second `now`."""
-        turn = math.sin(2 * math.pi * now / self.period_s)
+    def is_burst(self, now: float) -> bool:
+        """Returns whether second `now` is within the burst."""
+        return 0 <= now - self.burst_at_s < self.burst_for_s
+
+    def rate_at(self, now: float, delay: float = 0.0) -> float:
+        """Returns the arrival rate, in jobs per second.
+
+        Args:
+            now: Time in seconds.
+            delay: Time by which the sine wave is late, in seconds.
+        """
+        turn = math.sin(2 * math.pi * (now - delay) / self.period_s)
         rate = self.per_second * (1 + self.swing * turn)
-        if 0 <= now - self.burst_at_s < self.burst_for_s:
+        if self.is_burst(now):
             rate *= self.burst_x
         return max(rate, 0.0)
 
@@ -116,6 +143,12 @@
         seeds: Random seeds; each policy runs once for each.
         stretch: Factor on the longest task in the objective of a job.
         allowance_ms: Time added to the objective, in milliseconds.
+        zones: Number of zones with entries. The sine wave reaches them one
+            after another, evenly spread over its period.
+        deadline_s: Time for which callers wait, in seconds.
+        tail_share: Share of the runs that take seven times as long; if None, 3%
+            of the jobs have about one such run.
+        lost_targets: Targets that leave; None if none do.
     """
 
     name: str
@@ -126,6 +159,10 @@
     seeds: list[int]
     stretch: float = attrs.field(default=1.6, validator=_POSITIVE)
     allowance_ms: int = 60
+    zones: int = attrs.field(default=1, validator=_POSITIVE)
+    deadline_s: float = attrs.field(default=2.3, validator=_POSITIVE)
+    tail_share: float | None = None
+    lost_targets: LostTargets | None = None
 
     def make_targets(self) -> list[FakeTarget]:
         """Creates the targets of all groups, without running tasks."""
@@ -141,6 +178,18 @@
                 made.append(FakeTarget(record, group.speed))
         return made
 
+    def lost_target_ids(self) -> list[str]:
+        """Returns the ids of the targets that leave, the first of each group."""
+        if self.lost_targets is None:
+            return []
+        ids = []
+        first = 0
+        for group in self.targets:
+            count = round(group.count * self.lost_targets.share)
+            ids += [f"t{n}" for n in range(first, first + count)]
+            first += group.count
+        return ids
+
     def make_jobs(self, seed: int, start: float) -> list[Arrival]:
         """Draws the jobs for one seed.
 
@@ -159,17 +208,59 @@
                 kind.seconds,
                 int(1000 * kind.cores),
                 kind.worth,
+                self.tail_share,
             )
             for number, kind in enumerate(self.kinds)
         ]  # fmt: skip
-        drawn = draw_arrivals(
-            kinds, self.wave.rate_at, self.length_s, random.Random(seed)
-        )
+        rng = random.Random(seed)
+        is_uniform = self.zones == 1 and all(k.burst_x == 1 for k in self.kinds)
+        if is_uniform:
+            drawn = list(
+                draw_arrivals(kinds, self.wave.rate_at, self.length_s, rng)
+            )
+        else:
+            drawn = self._draw_by_kind_and_zone(kinds, rng)
         return [
             attrs.evolve(job, arrival_time=job.arrival_time + start)
             for job in drawn
         ]
 
+    def _draw_by_kind_and_zone(
+        self, kinds: list[JobKind], rng: random.Random
+    ) -> list[Arrival]:
+        """Draws the jobs of each kind and zone at a rate of their own."""
+        total = sum(shape.share for shape in self.kinds)
+        drawn = []
+        for shape, kind in zip(self.kinds, kinds, strict=True):
+            for zone in range(self.zones):
+                rate_at = functools.partial(
+                    self._rate_of_part,
+                    shape.share / total / self.zones,
+                    shape.burst_x,
+                    zone * self.wave.period_s / self.zones,
+                )
+                jobs = draw_arrivals([kind], rate_at, self.length_s, rng)
+                drawn += [attrs.evolve(j, zone=f"z{zone}") for j in jobs]
+        drawn.sort(key=lambda job: job.arrival_time)
+        return [
+            attrs.evolve(job, job_id=f"{number:016x}")
+            for number, job in enumerate(drawn, 1)
+        ]
+
+    def _rate_of_part(
+        self, part: float, burst_x: float, delay: float, now: float
+    ) -> float:
+        """Returns the arrival rate of one kind in one zone.
+
+        Args:
+            part: Its part of the rate of all jobs.
+            burst_x: Factor during the burst.
+            delay: Time by which the sine wave reaches it late, in seconds.
+            now: Time in seconds.
+        """
+        factor = burst_x if self.wave.is_burst(now) else 1.0
+        return part * factor * self.wave.rate_at(now, delay)
+
 
 def load_scenario(path: pathlib.Path) -> Result[Scenario, InvalidScenario]:
     """Reads and validates a scenario file."""
--- a/anvilford/order_model/_site.py
+++ b/anvilford/order_model/_site.py
@@ -6,6 +6,7 @@
 import math
 import random
 from collections.abc import Callable
+from collections.abc import Iterable
 
 import attrs
 
@@ -150,6 +151,13 @@
         """Removes a placer as if its process was killed."""
         del self.placers[name]
 
+    def remove_targets(self, target_ids: Iterable[str]) -> None:
+        """Crashes targets that do not restart."""
+        for target_id in target_ids:
+            target = self.targets[target_id]
+            target.crash(self.now)
+            self._break_connections(target, self._held_polls.pop(target_id, []))
+
     def schedule(
         self, when: float, function: Callable, *arguments: object
     ) -> None:
