Admission: a job whose tasks fit on free cores now is not refused

Cause: admission counts the free cores and the waiting work in two sums. Jobs that wait for a faster target counted as if they took the free cores first, so that a small job was refused although its tasks fitted and would be in time. Only the delays of the leader can still refuse such a job. The decision moves from Placer to _refusals.py.

--- a/anvilford/placement/_admission.py
+++ b/anvilford/placement/_admission.py
@@ -128,6 +128,26 @@
     backlog: Demand
 
 
+def jobs_ahead(
+    start_by: float, waiting: Iterable[Job], capacity: Capacity, now: float
+) -> list[Job]:
+    """Returns the waiting jobs that start before a new job.
+
+    They have an earlier latest start and can still meet their objectives.
+
+    Args:
+        start_by: Latest start of the new job.
+        waiting: Other waiting jobs of the service.
+        capacity: Capacity of the service.
+        now: Current time in seconds.
+    """
+    return [
+        other
+        for other in waiting
+        if now <= latest_start(other, capacity) <= start_by
+    ]
+
+
 def forecast_start(
     job: Job, waiting: Iterable[Job], capacity: Capacity, now: float
 ) -> StartForecast:
@@ -145,16 +165,8 @@
     start_by = latest_start(job, capacity)
     jobs = list(waiting)
     backlog = sum_demand(other.demand for other in jobs)
-    ahead = sum_demand(
-        (
-            job.demand,
-            *(
-                other.demand
-                for other in jobs
-                if now <= latest_start(other, capacity) <= start_by
-            ),
-        )
-    )
+    others = jobs_ahead(start_by, jobs, capacity, now)
+    ahead = sum_demand((job.demand, *(other.demand for other in others)))
     return StartForecast(expected_wait(ahead, capacity), start_by, backlog)
 
 
--- a/anvilford/placement/_choice.py
+++ b/anvilford/placement/_choice.py
@@ -57,7 +57,7 @@
     return seconds
 
 
-def _can_run(task: Task, target: Target, now: float) -> bool:
+def can_run(task: Task, target: Target, now: float) -> bool:
     """Returns whether a task may start on a target, and fits on it.
 
     Checks the resources first: under overload most targets lack them.
@@ -161,9 +161,9 @@
         for target in reversed(targets):
             if expected_run_seconds(
                 task, target, options
-            ) <= budget and _can_run(task, target, now):
+            ) <= budget and can_run(task, target, now):
                 return target
-    fastest = next((t for t in targets if _can_run(task, t, now)), None)
+    fastest = next((t for t in targets if can_run(task, t, now)), None)
     if fastest is None:
         return None
     is_late = expected_run_seconds(task, fastest, options) > time_left
--- a/anvilford/placement/_placer.py
+++ b/anvilford/placement/_placer.py
@@ -44,6 +44,7 @@
 from anvilford.placement._orders import Settle
 from anvilford.placement._orders import StartRun
 from anvilford.placement._orders import StopRun
+from anvilford.placement._refusals import check_admission
 from anvilford.placement._state import Job
 from anvilford.placement._state import Target
 from anvilford.placement._state import Task
@@ -69,8 +70,6 @@
 KEPT_STOP_S = 0.3
 # Most jobs that go on without a caller. The members remember more of them.
 MAX_KEPT_JOBS = 500
-# Time reserved for the transfer of the answer to the caller.
-ANSWER_MARGIN_S = 0.006
 
 
 @attrs.frozen
@@ -562,39 +561,37 @@
         """Returns the refusal of a new job, or None if it is admitted."""
         service = job.policy.service
         view = self._view(service, now)
-        targets, capacity = view.targets, view.capacity
+        if not view.targets and self.fleet.is_claiming(now):
+            return None
         waiting = [
             other
             for other in self._waiting.values()
             if other.policy.service == service and not other.is_held
         ]
-        forecast = admission.forecast_start(job, waiting, capacity, now)
-        # One delay before the start, and one before the end is known.
-        wait = forecast.wait + 2 * self.event_delay
-        if not targets and self.fleet.is_claiming(now):
-            return None
-        if now + wait <= forecast.start_by - ANSWER_MARGIN_S:
+        check = check_admission(
+            job, waiting, view, self.event_delay, self.options, now
+        )
+        if check.is_admitted:
             return None
-        retry = admission.retry_after_ms(forecast.backlog, capacity, self.rng)
+        capacity = view.capacity
+        retry = admission.retry_after_ms(check.backlog, capacity, self.rng)
         self._log_decision(
             "job refused",
             job.job_id,
             {
                 "queue": job.policy.name,
-                "reason": "overload" if targets else "no_target",
-                "expected_wait_ms": int(min(wait, 3600.0) * 1000),
+                "reason": check.reason,
+                "expected_wait_ms": int(min(check.wait, 3600.0) * 1000),
                 "event_delay_ms": int(self.event_delay * 1000),
                 "objective_ms": int(job.objective * 1000),
-                "usable_targets": len(targets),
+                "usable_targets": len(view.targets),
                 "free_share": round(capacity.free_share, 2),
                 "jobs_waiting": len(self._waiting),
                 "list_version": self.fleet.list_version,
                 "retry_after_ms": retry,
             },
         )
-        return Outcome(
-            OutcomeKind.REFUSED, "overload" if targets else "no_target", retry
-        )
+        return Outcome(OutcomeKind.REFUSED, check.reason, retry)
 
     def _end_if_too_late(self, job: Job, now: float) -> None:
         """Ends a waiting job that cannot be answered in time.
