Listeners bound the memory, time and connections of requests

Bodies were lists of pieces, heads, URLs and trailers had no bound, an incomplete request stayed open forever, and nothing bounded all of them.

The connection moves to its own module. All listeners of a process share a budget of memory, counted from the first byte, from which the requests that hold most and progress least are refused (503 with Retry-After); requests that are handled, and those of ordinary size, stay. Data is parsed in slices of 8 KB. What exceeds 16 KB of one request waits for a turn, for which incomplete requests have a share of the time. Requests have a deadline and a least rate, connections and incomplete ones a bound each, and answers that are left unread hold up the requests behind them and end the connection after a time.

--- a/anvilford/http1/__init__.py
+++ b/anvilford/http1/__init__.py
@@ -7,14 +7,18 @@
 does the parsing.
 """
 
+from anvilford.http1._budget import ReadingTurns
+from anvilford.http1._budget import RequestBudget
 from anvilford.http1._client import CallFailed
 from anvilford.http1._client import ClientResponse
 from anvilford.http1._client import HttpClient
 from anvilford.http1._client import ResponseProgress
+from anvilford.http1._limits import ListenerLimits
+from anvilford.http1._messages import Request
+from anvilford.http1._messages import Response
+from anvilford.http1._refusals import RefusalReport
 from anvilford.http1._server import HttpListener
-from anvilford.http1._server import ListenerLimits
-from anvilford.http1._server import Request
-from anvilford.http1._server import Response
+from anvilford.http1._server import SharedBudget
 
 __all__ = [
     "ClientResponse",
@@ -22,7 +26,11 @@
     "HttpClient",
     "HttpListener",
     "ListenerLimits",
+    "ReadingTurns",
+    "RefusalReport",
     "Request",
+    "RequestBudget",
     "Response",
     "ResponseProgress",
+    "SharedBudget",
 ]
