Entry settings for the limits of requests, derived from the machine

`memory_mb` and `max_descriptors` come from the platform; without them the smallest machine counts. The peers' server takes its number of connections and its largest frame from the same settings.

--- a/anvilford/node/_main.py
+++ b/anvilford/node/_main.py
@@ -17,7 +17,6 @@
 
 from anvilford.http1 import HttpClient
 from anvilford.http1 import HttpListener
-from anvilford.http1 import ListenerLimits
 from anvilford.http1 import Request
 from anvilford.http1 import Response
 from anvilford.leadership import Member
@@ -30,6 +29,11 @@
 from anvilford.node._driver import PlacerDriver
 from anvilford.node._leader_row import LeaderRow
 from anvilford.node._progress import LoopProgress
+from anvilford.node._request_limits import caller_limits
+from anvilford.node._request_limits import create_shared_budget
+from anvilford.node._request_limits import operator_limits
+from anvilford.node._request_limits import peer_limits
+from anvilford.node._request_limits import request_sizes
 from anvilford.node._settings import load_node_settings
 from anvilford.node._settings import NodeSettings
 from anvilford.node._speed_row import SpeedRow
@@ -188,17 +192,20 @@
                 PEER_TOKEN,
                 self._handle_peer_message,
                 self.counters,
-                PEER_LIMITS,
+                peer_limits(settings, PEER_LIMITS),
             )
         )
-        limits = ListenerLimits()
+        shared = create_shared_budget(settings, self.counters)
+        stack.callback(shared.turns.close)
         progress = stack.enter_context(LoopProgress())
         self.caller_listener = await stack.enter_async_context(
             HttpListener(
                 settings.callers,
                 self.caller_handler.handle,
-                limits,
+                caller_limits(settings),
                 progress.earliest_arrival,
+                shared,
+                self._request_sizes,
             )
         )
         for address, handler in (
@@ -206,9 +213,15 @@
             (settings.metrics, self._answer_metrics),
         ):
             await stack.enter_async_context(
-                HttpListener(address, handler, limits)
+                HttpListener(
+                    address, handler, operator_limits(settings), shared=shared
+                )
             )
 
+    def _request_sizes(self) -> tuple[int, int]:
+        table = self.site.routing_table
+        return request_sizes(self.settings, table.limits if table else None)
+
     async def _run_coordinator(self) -> None:
         """Runs the coordinator once configuration and targets are known."""
         while not self.site.is_loaded():
--- a/anvilford/node/_settings.py
+++ b/anvilford/node/_settings.py
@@ -23,6 +23,25 @@
     )
 
 
+def _ranged_field(
+    kind: type | tuple[type, ...], least: float, most: float, default=None
+):
+    """Returns a field for a number in a range, which may be left out."""
+
+    def check(instance: object, attribute: attrs.Attribute, value) -> None:
+        del instance
+        if value is None and default is None:
+            return
+        if isinstance(value, bool) or not isinstance(value, kind):
+            raise TypeError(f"{attribute.name}: {value!r} is not a number")
+        if not least <= value <= most:
+            raise ValueError(
+                f"{attribute.name}: {value!r} is not from {least} to {most}"
+            )
+
+    return attrs.field(default=default, validator=check)
+
+
 @attrs.frozen
 class NodeSettings:
     """Settings of an entry on the platform.
@@ -49,6 +68,24 @@
         cpu_share: Part of each core that the VM may use.
         log_level: Lowest level that is logged: "debug", "info", "warning" or
             "error".
+        memory_mb: Memory of the VM, in MiB; by default that of the smallest.
+        max_descriptors: Most file descriptors of the process; by default those
+            of the smallest VM.
+        request_memory_bytes: Memory for all requests that are incomplete or not
+            yet answered; by default an eighth of the memory.
+        max_caller_connections: Most open connections of callers; by default
+            half of the descriptors that are not reserved for files.
+        max_incomplete_connections: Most of them without a complete request; by
+            default half of them.
+        max_url_bytes: Longest target of a request.
+        request_timeout_s: Time in which a request must be complete, in seconds.
+        min_request_rate: Least average of bytes per second of a request that
+            takes more than 10 s.
+        incomplete_request_cpu_share: Part of the time for which the process may
+            parse incomplete requests.
+        max_unread_answer_bytes: Answers that a client has not read, in bytes,
+            at which its further requests wait.
+        unread_answer_timeout_s: Time for which they may wait, in seconds.
     """
 
     name: str = _string_field()
@@ -77,6 +114,19 @@
         default="info",
         validator=validators.in_(("debug", "info", "warning", "error")),
     )
+    memory_mb: float | None = _ranged_field((int, float), 64, 2**20)
+    max_descriptors: int | None = _ranged_field(int, 256, 2**20)
+    request_memory_bytes: int | None = _ranged_field(int, 2**20, 2**36)
+    max_caller_connections: int | None = _ranged_field(int, 1, 2**20)
+    max_incomplete_connections: int | None = _ranged_field(int, 1, 2**20)
+    max_url_bytes: int = _ranged_field(int, 256, 65536, 8192)
+    request_timeout_s: float = _ranged_field((int, float), 1, 3600, 30.0)
+    min_request_rate: float = _ranged_field((int, float), 0, 2**20, 512.0)
+    incomplete_request_cpu_share: float = _ranged_field(
+        (int, float), 0.01, 1, 0.25
+    )
+    max_unread_answer_bytes: int = _ranged_field(int, 1024, 2**24, 65536)
+    unread_answer_timeout_s: float = _ranged_field((int, float), 1, 3600, 10.0)
 
 
 @attrs.frozen
