Move the parsing of requests out of the connection

The memory of a request whose caller is lost also counts until its handler has ended, up to 1.6 s later.

--- a/anvilford/http1/_connection.py
+++ b/anvilford/http1/_connection.py
@@ -8,11 +8,11 @@
 import typing
 
 import attrs
-import httptools
 
 from anvilford.http1._holding import Holding
 from anvilford.http1._holding import ORDINARY_BYTES
 from anvilford.http1._holding import Phase
+from anvilford.http1._message_parser import MessageParser
 from anvilford.http1._messages import encode_response
 from anvilford.http1._messages import Request
 from anvilford.http1._messages import Response
@@ -31,16 +31,7 @@
 SLICE_BYTES = 8192
 # The same while incomplete requests have used up their processor time.
 SMALL_SLICE_BYTES = 2048
-# Memory of a request besides its bytes, for its objects.
-REQUEST_COST_BYTES = 2048
-# Memory of a header besides its bytes: two strings and an entry of a dictionary.
-HEADER_COST_BYTES = 200
-# The shortest header, "a:" and the end of its line, has four bytes, of which one
-# counts for `max_header_bytes`; usual ones have four bytes of framing.
-HEADER_FRAMING_FACTOR = 4
-# Framing that a body may have per byte. A chunk of one byte has five bytes of it;
-# some clients write the length with leading zeros.
-FRAMING_FACTOR = 16
+# Tells a refused client, in seconds, when it may try again.
 REFUSAL_HEADERS = (("Retry-After", "1"),)
 
 
@@ -77,25 +68,12 @@
             waits to be parsed.
         unread_since: Time at which reading was paused, until what arrived
             meanwhile is read; else None.
-        data_arrived_at: Earliest time at which the data that was read last may
-            have arrived.
         pending: Data that is received and not yet parsed.
-        slice_size: Length of the slice that is parsed.
         has_turn: Whether the connection is queued for a turn.
         readable: Completed when the client has read answers; set while it has
             not.
-        parser: Parser of the requests.
-        in_message: True from the first byte of a request to its last; the
-            attributes below are reset for each request.
-        arrived_at: Earliest time at which its first byte may have arrived.
-        url: Its target.
-        headers: Headers received so far.
-        header_size: Their total length in bytes.
-        in_body: True once all headers have arrived.
-        body: The body so far.
-        idle_bytes: Bytes received since the last progress. The parser holds
-            parts of a header or trailer that are among them.
-        size_error: Status and reason if the request exceeds a limit, else None.
+        parser: Parser of the requests; None until the connection is open.
+        is_lost: True once the connection has ended.
     """
 
     def __init__(self, listener: "HttpListener"):
@@ -109,31 +87,18 @@
         self.refusal = 0
         self.reading_paused = False
         self.unread_since: float | None = None
-        self.data_arrived_at = 0.0
         self.pending = b""
-        self.slice_size = 0
         self.has_turn = False
         self.readable: asyncio.Future | None = None
-        self.parser: httptools.HttpRequestParser | None = None
-        self.in_message = False
-        self._reset_message()
-
-    def _reset_message(self) -> None:
-        self.arrived_at = self.data_arrived_at
-        self.url = b""
-        self.headers: dict[str, str] = {}
-        self.header_size = 0
-        self.in_body = False
-        self.body = bytearray()
-        self.idle_bytes = 0
-        self.size_error: tuple[int, str] | None = None
-        self.holding.received_bytes = 0
-        self.holding.body_bytes = 0
+        self.parser: MessageParser | None = None
+        self.is_lost = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport
-        self.parser = httptools.HttpRequestParser(self)
         limits = self.listener.limits
+        self.parser = MessageParser(
+            self.listener.sizes, limits.max_url_bytes, self._receive_request
+        )
         set_peer_loss_timeout(
             transport.get_extra_info("socket"), limits.peer_loss_timeout_s
         )
@@ -143,10 +108,11 @@
     def data_received(self, data: bytes) -> None:
         if self.is_closing or self.refusal:
             return
-        self.data_arrived_at = self.listener.arrival_clock()
+        arrived_at = self.listener.arrival_clock()
         if self.unread_since is not None:
-            self.data_arrived_at = min(self.data_arrived_at, self.unread_since)
+            arrived_at = min(arrived_at, self.unread_since)
             self.unread_since = None
+        self.parser.data_arrived_at = arrived_at
         self.pending = self.pending + data if self.pending else data
         if not self.has_turn:
             self._parse_at_once()
@@ -173,8 +139,20 @@
         for arrival in (self.current, *self.arrivals):
             if arrival and not arrival.request.disconnected.done():
                 arrival.request.disconnected.set_result(was_reset)
-        self._drop_unserved()
+        self._end()
+
+    def _end(self) -> None:
+        """Frees everything but the request that is still being handled."""
+        self.arrivals.clear()
+        self.pending = b""
+        self.parser.close()
         self.listener.forget(self)
+        self.is_lost = True
+        memory = self.listener.shared.memory
+        if self.current is None:
+            memory.remove(self.holding)
+        else:
+            memory.change(self.holding, self.current.cost_bytes)
 
     # Parsing.
 
@@ -206,41 +184,32 @@
         return len(self.arrivals) >= self.listener.limits.max_pipelined_requests
 
     def _is_fresh(self) -> bool:
-        return self.holding.received_bytes < ORDINARY_BYTES
+        return self.parser.received_bytes < ORDINARY_BYTES
 
     def _parse_slice(self, size: int) -> None:
         data, self.pending = self.pending[:size], self.pending[size:]
-        self.slice_size = len(data)
-        self.idle_bytes += len(data)
-        self.holding.received_bytes += len(data)
         started_at = time.monotonic()
-        try:
-            self.parser.feed_data(data)
-        except (httptools.HttpParserUpgrade, httptools.HttpParserError):
-            self.refuse("malformed", 400)
+        self.parser.feed(data)
         self.listener.shared.turns.charge(time.monotonic() - started_at)
-        if self.in_message:
-            self._check_framing()
-        if self.size_error is not None:
-            status, reason = self.size_error
+        if self.parser.error is not None:
+            status, reason = self.parser.error
             self.refuse(reason, status)
-        self.slice_size = 0
         self._update()
 
-    def _check_framing(self) -> None:
-        """Notes an error if bytes arrive that bring the request no further."""
-        limits = self.listener.limits
-        max_head = (
-            HEADER_FRAMING_FACTOR * self.max_header_bytes + limits.max_url_bytes
+    def _receive_request(self) -> None:
+        """Queues the request that the parser has completed."""
+        parser = self.parser
+        request = Request(
+            parser.method,
+            parser.url.decode("latin-1"),
+            parser.headers,
+            bytes(parser.body),
+            asyncio.get_running_loop().create_future(),
+            parser.arrived_at,
+        )
+        self.arrivals.append(
+            _Arrival(request, parser.cost_bytes(), not parser.keeps_alive)
         )
-        framing = self.holding.received_bytes - len(self.body)
-        max_framing = max_head + FRAMING_FACTOR * len(self.body)
-        if self.idle_bytes > max_head or (
-            self.in_body and framing > max_head + max_framing
-        ):
-            self.size_error = self.size_error or (
-                (413, "framing") if self.in_body else (431, "headers")
-            )
 
     def _after_parsing(self) -> None:
         """Continues to read or parse, or pauses, as the state requires."""
@@ -279,81 +248,18 @@
         if not self.reading_paused and self.unread_since == unread_since:
             self.unread_since = None
 
-    # The parser calls the `on_*` methods from `_parse_slice`.
-
-    def on_message_begin(self) -> None:
-        self._reset_message()
-        self.in_message = True
-        # Counts what came before it in the same slice as well.
-        self.idle_bytes = self.holding.received_bytes = self.slice_size
-        self.max_header_bytes, self.max_body_bytes = self.listener.sizes()
-
-    def on_url(self, url: bytes) -> None:
-        if len(self.url) + len(url) > self.listener.limits.max_url_bytes:
-            self.size_error = self.size_error or (414, "url")
-            return
-        self.url += url
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        if self.in_body:
-            return  # A trailer, which no handler uses.
-        self.header_size += len(name) + len(value)
-        if self.header_size > self.max_header_bytes:
-            self.size_error = self.size_error or (431, "headers")
-            return
-        self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
-
-    def on_headers_complete(self) -> None:
-        self.in_body = True
-        self._note_progress()
-
-    def on_body(self, body: bytes) -> None:
-        if len(self.body) + len(body) > self.max_body_bytes:
-            self.size_error = self.size_error or (413, "body")
-            return
-        self.body += body
-        self._note_progress()
-
-    def _note_progress(self) -> None:
-        self.idle_bytes = 0
-
-    def on_message_complete(self) -> None:
-        self.in_message = False
-        if self.is_closing or self.refusal or self.size_error is not None:
-            return
-        request = Request(
-            self.parser.get_method().decode("latin-1"),
-            self.url.decode("latin-1"),
-            self.headers,
-            bytes(self.body),
-            asyncio.get_running_loop().create_future(),
-            self.arrived_at,
-        )
-        is_last = not self.parser.should_keep_alive()
-        self.arrivals.append(_Arrival(request, self._message_cost(), is_last))
-        self._reset_message()
-
     # Memory and phase.
 
-    def _message_cost(self) -> int:
-        """Returns the memory of the request that is being received."""
-        return (
-            REQUEST_COST_BYTES
-            + len(self.url)
-            + self.header_size
-            + len(self.headers) * HEADER_COST_BYTES
-            + self.body.__sizeof__()
-            + self.idle_bytes
-        )
-
     def _find_phase(self) -> Phase:
+        if self.current is not None and not self.is_closing:
+            return Phase.SERVED
         if self.refusal or self.is_closing:
             return Phase.REFUSED
         if self.readable is not None:
             return Phase.UNREAD
-        if self.current is not None or self.arrivals:
+        if self.arrivals:
             return Phase.SERVED
-        if self.in_message or self.pending:
+        if self.parser.in_message or self.pending:
             return Phase.INCOMPLETE
         if self.holding.phase in (Phase.NEW, Phase.INCOMPLETE):
             return Phase.NEW
@@ -361,18 +267,22 @@
 
     def _update(self) -> None:
         """Brings the holding up to date."""
+        if self.is_lost:
+            return
+        parser = self.parser
         held = len(self.pending) + self.transport.get_write_buffer_size()
-        if self.in_message:
-            held += self._message_cost()
+        if parser.in_message:
+            held += parser.cost_bytes()
         for arrival in self.arrivals:
             held += arrival.cost_bytes
-        served = self.current.cost_bytes if self.current else 0
         holding = self.holding
-        holding.served_bytes = served
-        self.listener.shared.memory.change(holding, held + served)
+        holding.served_bytes = self.current.cost_bytes if self.current else 0
+        held += holding.served_bytes
+        self.listener.shared.memory.change(holding, held)
+        has_progress = len(parser.body) > holding.body_bytes
+        holding.received_bytes = parser.received_bytes
+        holding.body_bytes = len(parser.body)
         phase = self._find_phase()
-        has_progress = len(self.body) > holding.body_bytes
-        holding.body_bytes = len(self.body)
         if phase is not holding.phase or has_progress:
             self.listener.note_progress(self, phase)
 
@@ -387,6 +297,9 @@
             self._update()
             response = await self._handle(arrival.request)
             self.current = None
+            if self.is_lost:
+                self.listener.shared.memory.remove(self.holding)
+                break
             is_last = arrival.is_last or self.listener.is_closing
             self._write(response, is_last and not self.refusal)
             if self.refusal:
@@ -399,8 +312,7 @@
             elif self.reading_paused and not self.is_closing:
                 self._after_parsing()
         self.serve_task = None
-        if not self.is_closing:
-            self._update()
+        self._update()
 
     async def _handle(self, request: Request) -> Response:
         try:
@@ -434,12 +346,12 @@
             return
         self.listener.shared.refusals.record(reason)
         is_silent = (
-            self.holding.phase in (Phase.NEW, Phase.IDLE)
-            and not self.slice_size
-            and not self.pending
+            self.holding.phase in (Phase.NEW, Phase.IDLE) and status == 503
         )
         self.refusal = status
-        self._drop_unserved()
+        self.arrivals.clear()
+        self.pending = b""
+        self.parser.reset()
         self.transport.pause_reading()
         if self.current is None:
             if is_silent:
@@ -450,12 +362,6 @@
                 self._write_refusal()
         self._update()
 
-    def _drop_unserved(self) -> None:
-        self.arrivals.clear()
-        self.pending = b""
-        self.in_message = False
-        self._reset_message()
-
     def _write_refusal(self) -> None:
         """Writes the last answer, and lets the client read it for a while.
 
@@ -488,4 +394,6 @@
 
     def is_idle(self) -> bool:
         """Returns whether no request is received or handled."""
-        return self.current is None and not self.arrivals and not len(self.body)
+        return (
+            self.current is None and not self.arrivals and not self.parser.body
+        )
--- a/anvilford/http1/_server.py
+++ b/anvilford/http1/_server.py
@@ -181,10 +181,9 @@
         self._bound_incomplete()
 
     def forget(self, connection: ServerConnection) -> None:
-        """Counts a connection no longer."""
+        """Counts a connection no longer; its memory counts until it is free."""
         self.connections.discard(connection)
         self._by_phase[connection.holding.phase].pop(connection, None)
-        self.shared.memory.remove(connection.holding)
 
     def note_progress(self, connection: ServerConnection, phase: Phase) -> None:
         """Records the phase of a connection that made progress."""
