--- a/anvilford/node/_callers.py
+++ b/anvilford/node/_callers.py
@@ -402,12 +402,14 @@
                 self.coordinator.answered_at,
                 self.coordinator.local_member.token,
                 self.coordinator.heartbeat_number,
+                route.configuration_version,
             )
             progress.offer_count += 1
             self.coordinator.forget_withdrawal(job_id)
             outcome = await self._send_offer(leader, offer, progress)
             if outcome.kind is not OutcomeKind.MOVED:
                 return outcome
+            route = self._newest_route(route, job_id)
             progress.finished_tasks = tuple(
                 {*progress.finished_tasks, *outcome.done}
             )
@@ -422,6 +424,18 @@
             if clock.now() > deadline:
                 return self._outcome_without_placer(progress)
 
+    def _newest_route(self, route: Route, job_id: str) -> Route:
+        """Returns the route for the next offer of a job.
+
+        Another entry may have accepted a later request for the job, under a newer
+        configuration. If the leader that had both is gone, nothing else tells
+        its successor, which might get the offer of this entry first.
+        """
+        newest = self.site.routing_table.find_route(
+            route.host, route.path_prefix + job_id
+        )
+        return route if newest is None or newest.needs_advice else newest
+
     async def _send_offer(self, leader, offer: Offer, progress) -> Outcome:
         """Sends one offer to a leader and updates the state of the job.
 
--- a/anvilford/placement/_model.py
+++ b/anvilford/placement/_model.py
@@ -201,6 +201,8 @@
             received, on the placer's clock; 0 for none.
         process: Token of the entry's process.
         heartbeat_number: Number of the last heartbeat that the process has sent.
+        configuration_version: Version of the configuration under which the entry
+            accepted the request; 0 if the entry does not report it.
     """
 
     job_id: str
@@ -217,6 +219,7 @@
     answered_at: float = 0.0
     process: str = ""
     heartbeat_number: int = 0
+    configuration_version: int = 0
 
 
 @attrs.frozen
--- a/anvilford/placement/_placer.py
+++ b/anvilford/placement/_placer.py
@@ -22,14 +22,14 @@
 from collections.abc import Collection
 from collections.abc import Iterable
 
-import attrs
-
 from anvilford.placement import _admission as admission
 from anvilford.placement._choice import AMPLE_FREE_SHARE
 from anvilford.placement._choice import choose_target
 from anvilford.placement._choice import waits_for_faster_target
 from anvilford.placement._crashes import CRASHES_TO_GIVE_UP
 from anvilford.placement._crashes import CrashHistory
+from anvilford.placement._earlier_jobs import EarlierJobs
+from anvilford.placement._earlier_jobs import ExpectedOffer
 from anvilford.placement._fleet import Fleet
 from anvilford.placement._model import Offer
 from anvilford.placement._model import Outcome
@@ -51,9 +51,6 @@
 from anvilford.placement._view import build_view
 from anvilford.placement._view import ServiceView
 
-# How long outcomes are kept, to answer requests that callers repeat seconds
-# after the answer.
-OUTCOME_RETENTION_S = 20.0
 # Maximum age of the cached view of a service. With hundreds of targets,
 # building a view takes longer than all other work for an event.
 MAX_VIEW_AGE_S = 0.01
@@ -73,21 +70,6 @@
 ANSWER_MARGIN_S = 0.006
 
 
-@attrs.frozen
-class _ExpectedOffer:
-    """A job that another entry may offer as new, although it may run.
-
-    Attributes:
-        until: Time by which its runs have ended, in seconds.
-        placed: Ids of targets that may run it.
-        placed_is_known: Whether no others may.
-    """
-
-    until: float
-    placed: tuple[str, ...] = ()
-    placed_is_known: bool = False
-
-
 class Placer:
     """Places jobs on the targets that accept this placer's fencing token.
 
@@ -99,7 +81,6 @@
         options: Parameters of the placer.
         rng: Random generator for the jitter of retry delays.
         jobs: Jobs in progress, by id.
-        outcomes: Time and outcome of recently ended jobs, by job id.
         effects: Effects that have not been returned yet.
         event_delay: Time by which the owner handles events late, in seconds;
             set by `record_event_delay`.
@@ -119,7 +100,6 @@
         self.options = options
         self.rng = rng
         self.jobs: dict[str, Job] = {}
-        self.outcomes: dict[str, tuple[float, Outcome]] = {}
         self.effects: list[Effect] = []
         self.event_delay = 0.0
         self.crashes = crashes or CrashHistory()
@@ -134,10 +114,7 @@
         self._waiting: dict[str, Job] = {}
         # Jobs in progress whose callers are gone, by id.
         self._kept: dict[str, Job] = {}
-        # End of jobs that ended as lost after tasks had started, by id.
-        self._lost_jobs: dict[str, float] = {}
-        # Jobs that callers may send again to other entries, by id.
-        self._expected_offers: dict[str, _ExpectedOffer] = {}
+        self._earlier_jobs = EarlierJobs()
         # Latest time at which each entry is known to have followed this placer.
         self._entry_contacts: dict[str, float] = {}
         self._views: dict[str, ServiceView] = {}
@@ -150,6 +127,11 @@
         """Fencing token of this placer's commands."""
         return self.fleet.fence
 
+    @property
+    def outcomes(self) -> dict[str, tuple[float, Outcome]]:
+        """Time and outcome of recently ended jobs, by job id."""
+        return self._earlier_jobs.outcomes
+
     def pop_effects(self) -> list[Effect]:
         """Returns and clears the effects since the last call."""
         effects = self.effects[:]
@@ -175,12 +157,12 @@
         if offer.job_id in self.jobs:
             self._join(self.jobs[offer.job_id], offer, now)
             return
-        known = self.outcomes.get(offer.job_id)
+        known = self._earlier_jobs.known_outcome(offer.job_id)
         if known is not None:
-            self.effects.append(Settle(offer.job_id, known[1]))
+            self.effects.append(Settle(offer.job_id, known))
             return
         may_have_run = offer.again
-        offer = self._recognize_repeated_offer(offer, now)
+        offer = self._earlier_jobs.recognize_repeated(offer, now)
         if offer.again and self.fleet.has_unclaimed_targets(now):
             may_have_run = True
         job = self._create_job(offer, now)
@@ -191,7 +173,7 @@
         if refusal is not None:
             if job.has_run_before:
                 refusal = Outcome(OutcomeKind.LOST, refusal.reason)
-                self._remember_lost_job(job.job_id, now)
+                self._earlier_jobs.record_lost(job.job_id, now)
             self.effects.append(Settle(job.job_id, refusal))
             return
         job.set_waiting([t for t in job.tasks if t.phase is TaskPhase.WAITING])
@@ -222,28 +204,15 @@
         followed_at = self._entry_contacts.get(entry)
         return None if followed_at is None else int((now - followed_at) * 1000)
 
-    def _recognize_repeated_offer(self, offer: Offer, now: float) -> Offer:
-        """Returns the offer, marked as repeated if the job may run elsewhere."""
-        expected = self._expected_offers.get(offer.job_id)
-        if offer.again or expected is None or now >= expected.until:
-            return offer
-        return attrs.evolve(
-            offer,
-            again=True,
-            placed=expected.placed,
-            placed_is_known=expected.placed_is_known,
-        )
-
-    def _expect_offer(self, job_id: str, expected: _ExpectedOffer) -> None:
-        # Inserted last, since the oldest ones are dropped first.
-        self._expected_offers.pop(job_id, None)
-        self._expected_offers[job_id] = expected
-
     def _join(self, job: Job, offer: Offer, now: float) -> None:
         """Adds an entry to a job in progress, with what it knows of the job.
 
-        The entry may have offered the job to another placer meanwhile.
+        The entry may have offered the job to another placer meanwhile. Of
+        several requests for a job, the one that was accepted under the newest
+        configuration governs its policy. Its offer may arrive first.
         """
+        if offer.configuration_version > job.policy_version:
+            job.set_policy(offer.policy, offer.configuration_version)
         job.entries.add(offer.entry)
         job.lost_entries.discard(offer.entry)
         self._update_kept(job, now)
@@ -260,6 +229,7 @@
             {
                 "entry": offer.entry,
                 "proof_age_ms": self._proof_age_ms(offer.entry, now),
+                "configuration": job.policy_version,
                 "again": offer.again,
                 "placed_elsewhere": job.placed_elsewhere,
             },
@@ -284,9 +254,9 @@
         """
         until = now + self.options.permission_lifetime
         for job_id in job_ids:
-            known = self._expected_offers.get(job_id)
-            placed = known.placed if known else ()
-            self._expect_offer(job_id, _ExpectedOffer(until, placed))
+            placed = self._earlier_jobs.expected_targets(job_id)
+            expected = ExpectedOffer(until, placed)
+            self._earlier_jobs.expect_offer(job_id, expected)
             job = self.jobs.get(job_id)
             if job is None:
                 continue
@@ -390,8 +360,8 @@
             if entry in job.entries:
                 placed = self._possible_targets(job, now)
                 until = now + self.options.permission_lifetime
-                expected = _ExpectedOffer(until, placed, placed_is_known=True)
-                self._expect_offer(job.job_id, expected)
+                expected = ExpectedOffer(until, placed, placed_is_known=True)
+                self._earlier_jobs.expect_offer(job.job_id, expected)
                 self._end_job(
                     job, Outcome(OutcomeKind.LOST, "entry_silent"), now
                 )
@@ -506,7 +476,7 @@
         self.crashes.drop_old_losses(now)
         for job in list(self._waiting.values()):
             self._end_if_too_late(job, now)
-        self._drop_old_outcomes(now)
+        self._earlier_jobs.drop_old(now)
 
     def _adopt_runs_for_waiting_jobs(self, now: float) -> None:
         """Assigns newly found runs to jobs that were offered before."""
@@ -552,7 +522,8 @@
             now + self.options.permission_lifetime if offer.again else 0.0,
             offer.placed if offer.placed_is_known else None,
             {offer.entry},
-            has_run_before=offer.job_id in self._lost_jobs,
+            policy_version=offer.configuration_version,
+            has_run_before=self._earlier_jobs.was_lost(offer.job_id),
         )
         job.initialize()
         self.fleet.tasks_found_done.update(job.task_names(offer.done))
@@ -972,9 +943,9 @@
         self._kept.pop(job.job_id, None)
         self.fleet.stop_job(job, now)
         if outcome.kind in (OutcomeKind.COMPLETED, OutcomeKind.FAILED):
-            self.outcomes[job.job_id] = (now, outcome)
+            self._earlier_jobs.record_outcome(job.job_id, outcome, now)
         elif job.started or job.has_run_before:
-            self._remember_lost_job(job.job_id, now)
+            self._earlier_jobs.record_lost(job.job_id, now)
         self._log_decision(
             "job ended",
             job.job_id,
@@ -987,28 +958,6 @@
         )
         self.effects.append(Settle(job.job_id, outcome))
 
-    def _remember_lost_job(self, job_id: str, now: float) -> None:
-        # Inserted last, since the oldest ones are dropped first.
-        self._lost_jobs.pop(job_id, None)
-        self._lost_jobs[job_id] = now
-
-    def _drop_old_outcomes(self, now: float) -> None:
-        while self._expected_offers:
-            job_id = next(iter(self._expected_offers))
-            if now < self._expected_offers[job_id].until:
-                break
-            del self._expected_offers[job_id]
-        while self.outcomes:
-            job_id = next(iter(self.outcomes))
-            if now - self.outcomes[job_id][0] < OUTCOME_RETENTION_S:
-                break
-            del self.outcomes[job_id]
-        while self._lost_jobs:
-            job_id = next(iter(self._lost_jobs))
-            if now - self._lost_jobs[job_id] < OUTCOME_RETENTION_S:
-                break
-            del self._lost_jobs[job_id]
-
     def _log_decision(self, event: str, job_id: str, fields: dict) -> None:
         """Appends a decision about a job to the effects."""
         self.effects.append(Decision(event, job_id, fields))
--- a/anvilford/placement/_state.py
+++ b/anvilford/placement/_state.py
@@ -137,6 +137,8 @@
         kept_since: Time at which the last caller was known to be gone; 0 if
             there is one.
         kept_until: Latest time at which runs may end, while there is no caller.
+        policy_version: Version of the configuration with `policy`; 0 if it is
+            not known.
         has_run_before: True if the job was offered before, and lost after tasks
             had started. It must not be refused, as a refusal denies that.
         lease_ended_at: Time at which a run was last counted as ended because
@@ -167,6 +169,7 @@
     lost_entries: set[str] = attrs.field(factory=set)
     kept_since: float = 0.0
     kept_until: float = math.inf
+    policy_version: int = 0
     has_run_before: bool = False
     lease_ended_at: float = 0.0
     tasks: list[Task] = attrs.field(factory=list)
@@ -189,12 +192,27 @@
         )
 
     def initialize(self) -> None:
-        """Creates the tasks and computes the objective from the estimates."""
+        """Creates the tasks and computes the objective."""
         for number, step in enumerate(self.spec.steps):
             for index in range(step.count):
                 self.tasks.append(Task(self, number, index))
         self.set_waiting(list(self.tasks))
         self.open_tasks = len(self.tasks)
+        self._update_objective()
+
+    def set_policy(self, policy: QueuePolicy, version: int) -> None:
+        """Replaces the policy, for all tasks that have not started yet.
+
+        Args:
+            policy: Policy of the job's queue.
+            version: Version of the configuration with this policy.
+        """
+        self.policy = policy
+        self.policy_version = version
+        self._update_objective()
+
+    def _update_objective(self) -> None:
+        """Computes the objective from the policy and the estimates."""
         chains: list[float] = []
         for step in self.spec.steps:
             before = max((chains[n] for n in step.after), default=0.0)
--- a/anvilford/protocol/_specs.py
+++ b/anvilford/protocol/_specs.py
@@ -34,6 +34,9 @@
 # Attribute name by field name in the Thrift IDL, where the two differ. A
 # keyword of the IDL, such as `service`, cannot be the name of a field.
 _ATTRIBUTE_NAMES = {"service_name": "service"}
+# Fields that messages of earlier builds lack, by class name. They decode to the
+# default of the attribute.
+_OPTIONAL_FIELDS = {"Offer": ("configuration_version",)}
 # Classes used in messages that other packages define, by name.
 _SHARED_MESSAGE_CLASSES = {
     shared.__name__: shared
@@ -141,10 +144,18 @@
         elif hint is float:
             checks.append((name, _finite_or_none))
     count = len(attrs.fields(message_class))
+    optional_names = _OPTIONAL_FIELDS.get(message_class.__name__, ())
+    optional = {
+        field.name: field.default
+        for field in attrs.fields(message_class)
+        if field.name in optional_names
+    }
 
     def build(_: type, **fields: Any) -> Any:
         if len(fields) != count:
-            raise MissingFieldError
+            fields = {**optional, **fields}
+            if len(fields) != count:
+                raise MissingFieldError
         for name, check in checks:
             value = check(fields[name])
             if value is None:
--- a/anvilford/protocol/anvilford.thrift
+++ b/anvilford/protocol/anvilford.thrift
@@ -179,6 +179,7 @@
   12: required double answered_at
   13: required string process
   14: required i64 heartbeat_number
+  15: optional i64 configuration_version
 }
 
 enum OutcomeKind {
--- a/anvilford/protocol/tests/test_codec.py
+++ b/anvilford/protocol/tests/test_codec.py
@@ -5,14 +5,20 @@
 import typing
 from unittest import mock
 
+import attrs
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies as st
 
 from anvilford import protocol
 from anvilford.model import Incarnation
+from anvilford.placement import JobSpec
 from anvilford.placement import LossState
+from anvilford.placement import Offer
 from anvilford.placement import OutcomeKind
+from anvilford.placement import QueuePolicy
+from anvilford.placement import Resources
+from anvilford.placement import StepSpec
 from anvilford.protocol.wire import ttypes
 from testkit import function_tests
 
@@ -199,6 +205,25 @@
     case.assertEqual(protocol.decode(extended), protocol.decode(frame))
 
 
+def test_fields_of_newer_builds_are_optional(case):
+    """Guards against rejecting messages of the previous build during an upgrade.
+
+    It does not send the field that names the configuration of an offer.
+    """
+    policy = QueuePolicy("q", "line", 0, 3, 1.6, 60)
+    step = StepSpec(1, Resources(1000), 50)
+    offer = Offer("1", "e", policy, JobSpec("", (step,)), 0.0, 1.0)
+    # A field that is None is not encoded, as by the previous build.
+    old = attrs.evolve(offer, configuration_version=None)
+    frame = protocol.encode(protocol.Envelope(7, False, old))
+    case.assertEqual(protocol.decode(frame).ok.message, offer)
+    for name in ("job_id", "heartbeat_number"):
+        damaged = attrs.evolve(offer, **{name: None})
+        frame = protocol.encode(protocol.Envelope(7, False, damaged))
+        fault = protocol.decode(frame).error.fault
+        case.assertEqual(fault, protocol.FrameFault.MISSING_FIELD)
+
+
 def test_missing_extension_raises(case):
     """Guards against starting without Thrift's C extension.
 
--- a/anvilford/protocol/wire/ttypes.py
+++ b/anvilford/protocol/wire/ttypes.py
@@ -718,11 +718,12 @@
      - answered_at
      - process
      - heartbeat_number
+     - configuration_version
 
     """
 
 
-    def __init__(self, job_id=None, entry=None, policy=None, spec=None, waited=None, remaining=None, again=None, done=None, fence=None, placed=None, placed_is_known=None, answered_at=None, process=None, heartbeat_number=None,):
+    def __init__(self, job_id=None, entry=None, policy=None, spec=None, waited=None, remaining=None, again=None, done=None, fence=None, placed=None, placed_is_known=None, answered_at=None, process=None, heartbeat_number=None, configuration_version=None,):
         self.job_id = job_id
         self.entry = entry
         self.policy = policy
@@ -737,6 +738,7 @@
         self.answered_at = answered_at
         self.process = process
         self.heartbeat_number = heartbeat_number
+        self.configuration_version = configuration_version
 
     def __repr__(self):
         L = ['%s=%r' % (key, value)
@@ -1312,6 +1314,7 @@
     (12, TType.DOUBLE, 'answered_at', None, None, ),  # 12
     (13, TType.STRING, 'process', 'UTF8', None, ),  # 13
     (14, TType.I64, 'heartbeat_number', None, None, ),  # 14
+    (15, TType.I64, 'configuration_version', None, None, ),  # 15
 )
 all_structs.append(Outcome)
 Outcome.thrift_spec = (
--- a/anvilford/routing/_table.py
+++ b/anvilford/routing/_table.py
@@ -15,12 +15,15 @@
         policy: Policy of the queue.
         needs_advice: True if an external service must approve the targets of
             each step.
+        configuration_version: Version of the configuration with the route; 0
+            until the route is part of a `RoutingTable`.
     """
 
     host: str
     path_prefix: str
     policy: QueuePolicy
     needs_advice: bool = False
+    configuration_version: int = 0
 
 
 @attrs.frozen
@@ -64,7 +67,9 @@
         """
         by_host: dict[str, list[Route]] = {}
         for route in routes:
-            by_host.setdefault(route.host, []).append(route)
+            by_host.setdefault(route.host, []).append(
+                attrs.evolve(route, configuration_version=version)
+            )
         return cls(
             version,
             {
