Evacuation of a zone by the row op/evacuate/ZONE

Cause: the operator cannot empty a zone. The entries follow the table `op` but use only its row `config`, and the leader goes on to start tasks on the targets of a zone whose evacuation is requested.

The rows come with the first read of `op`, before an entry counts as loaded. Heartbeats and their replies carry a digest of the set, and the set itself while the digests differ, so that a leader without the store learns it from its members and the other way round. The placer marks the targets: none of them is usable or counts as capacity, while polls, leases and lost starts are handled as before. A job that fits on evacuated targets only is refused at once as `evacuated`, also if it waits already.

Tests that name the moved constants and loggers follow; the double of the site in test_permissions.py has the set of zones.

--- a/anvilford/cli/_explain.py
+++ b/anvilford/cli/_explain.py
@@ -25,6 +25,9 @@
     ),
     "overload": "refused: it could not have started in time",
     "no_target": "refused: no target of its service was usable",
+    "evacuated": (
+        "it fitted only on targets of a zone that the operator has evacuated"
+    ),
     "no_placer": (
         "no entry was placing jobs as the leader; see the lines on leaders"
     ),
--- a/anvilford/cli/_views.py
+++ b/anvilford/cli/_views.py
@@ -48,6 +48,8 @@
     ]
     if "placement" in value:
         lines.insert(3, _format_placement(value["placement"]))
+    if "evacuations" in value:
+        lines.insert(4, _format_evacuations(value["evacuations"]))
     return CommandResult(value, "\n".join(lines))
 
 
@@ -67,6 +69,25 @@
     )
 
 
+def _format_evacuations(evacuations: Mapping[str, Any]) -> str:
+    """Returns the status line about evacuated zones.
+
+    Args:
+        evacuations: Field `evacuations` of the status, which only entries of
+            `anvilford.node` report.
+    """
+    zones = [
+        f"{zone['zone']} (row version {zone['row_version']}, known for "
+        f"{format_age(zone['known_for_ms'])})"
+        for zone in evacuations["zones"]
+    ]
+    heard = format_age(evacuations["store_contact_age_ms"])
+    return (
+        f"Evacuated zones: {', '.join(zones) or 'none'}; as of version "
+        f"{evacuations['as_of']}, store heard {heard} ago"
+    )
+
+
 def targets(arguments: argparse.Namespace, session: Session) -> CommandResult:
     """Runs `anvilctl targets`."""
     value = connect(arguments, session).read("/v1/targets")
--- a/anvilford/node/_coordination.py
+++ b/anvilford/node/_coordination.py
@@ -13,7 +13,6 @@
 
 from anvilford.leadership import ClaimRow
 from anvilford.leadership import FENCING_TOKENS_PER_TERM
-from anvilford.leadership import find_better_leader
 from anvilford.leadership import find_leader
 from anvilford.leadership import Follow
 from anvilford.leadership import Lead
@@ -22,6 +21,7 @@
 from anvilford.leadership import Opinion
 from anvilford.leadership import Wait
 from anvilford.node import _clock as clock
+from anvilford.node._appointment import Appointments
 from anvilford.node._contest import Contest
 from anvilford.node._contest import ContestCheck
 from anvilford.node._driver import PlacerDriver
@@ -75,12 +75,6 @@
 # that is cut off. If all entries of the zone are gone, nobody else uses them;
 # otherwise their leader loses its runs.
 LEFT_ZONES_RETRY_S = 60.0
-# A leader with a much better member appoints it when it has led for this long:
-# members without a heartbeat no longer count as live then.
-APPOINT_AFTER_S = 1.0
-# Shortest time between two appointments of the same process. It may not have
-# taken over, or have lost the lead since.
-APPOINT_AGAIN_AFTER_S = 10.0
 
 # Reasons of a `MOVED` outcome that show that the leader has not started the job.
 REASON_NOT_LEADING = "not_leading"
@@ -190,9 +184,7 @@
         # Whether a target refused a claim of this leader since its last raise.
         self._was_refused_claim = False
         self._row_write_due_at = 0.0
-        self._may_appoint_at = 0.0
-        # The member that was appointed last, and when it may be appointed again.
-        self._last_appointment: tuple[Member | None, float] = (None, 0.0)
+        self._appointments = Appointments()
         self._speeds_write_due_at = 0.0
         self._row_write_task: asyncio.Task | None = None
         # Check whether this leader of a zone should search for one of the site.
@@ -298,6 +290,7 @@
                 self._targets_in_scope(self.site.targets),
                 self._targets_in_scope(self.site.recently_removed_targets()),
                 self.site.has_current_targets,
+                self.site.evacuations.names,
             )
 
     def _targets_in_scope(
@@ -350,6 +343,8 @@
 
     def receive_heartbeat(self, message: Heartbeat) -> HeartbeatReply:
         """Records a member's heartbeat and returns the reply."""
+        self.site.evacuations.take_from_member(message)
+        evacuations = self.site.evacuations.fields_for_member(message)
         now = clock.now()
         if self._is_leading:
             # It may step down if it was suspended.
@@ -374,6 +369,8 @@
             self.unanswered_jobs.list_since(message.answered_at)
             if self._is_leading
             else (),
+            evacuations.digest,
+            evacuations.report,
         )
 
     def _apply_heartbeat(self, message: Heartbeat, now: float) -> None:
@@ -696,6 +693,9 @@
         reported_to, reported_at = self._unanswered_reported
         if reported_to != leader.fence:
             reported_at = 0.0
+        evacuations = self.site.evacuations.fields_for_leader(
+            leader.member.token
+        )
         now = clock.now()
         self.heartbeat_number += 1
         self._send_withdrawals(
@@ -708,13 +708,17 @@
             sent_at if token == leader.member.token else 0.0,
             self._local_unanswered_jobs.list_since(reported_at),
             self.heartbeat_number,
+            evacuations.digest,
+            evacuations.report,
         )
         answer = await self.links.call(
             leader.member.address, heartbeat, HEARTBEAT_TIMEOUT_S
         )
         reply = answer.default_value(None)
-        if isinstance(reply, HeartbeatReply) and reply.leading:
-            self._unanswered_reported = (leader.fence, now)
+        if isinstance(reply, HeartbeatReply):
+            self.site.evacuations.take_from_leader(leader.member.token, reply)
+            if reply.leading:
+                self._unanswered_reported = (leader.fence, now)
         return reply
 
     def _clear_resigned_leader(self, leader: Leader, reason: str) -> None:
@@ -835,7 +839,7 @@
         self._leader_contact_at = now
         self._row_write_due_at = now
         self._speeds_write_due_at = now + SPEEDS_WRITE_INTERVAL_S
-        self._may_appoint_at = now + APPOINT_AFTER_S
+        self._appointments.record_lead(now)
         self.site.is_placing = True
         self.driver = self.create_driver(leader.fence, leader.is_partial)
         self.driver.placer.limit_leases(self.heartbeats.permissions.oldest)
@@ -843,6 +847,7 @@
             self._targets_in_scope(self.site.targets),
             self._targets_in_scope(self.site.recently_removed_targets()),
             self.site.has_current_targets,
+            self.site.evacuations.names,
         )
         self.driver.placer.expect_resent_jobs(
             self.unanswered_jobs.list_since(), "", now
@@ -906,22 +911,13 @@
         This member leads until the other one announces itself. An election
         would leave a large site without a leader for a moment.
         """
-        if (
-            self.driver is None
-            or self.leader.is_partial
-            or self.is_stopping
-            or now < self._may_appoint_at
-        ):
+        if self.driver is None or self.leader.is_partial or self.is_stopping:
             return
-        better = find_better_leader(
-            self.local_member, self.heartbeats.live_members()
+        better = self._appointments.choose(
+            self.local_member, self.heartbeats.live_members(), now
         )
-        appointed, may_appoint_again_at = self._last_appointment
-        if better is None or (
-            better == appointed and now < may_appoint_again_at
-        ):
+        if better is None:
             return
-        self._last_appointment = (better, now + APPOINT_AGAIN_AFTER_S)
         _logger.info(
             "appointing a member with more cores as leader",
             extra={
--- a/anvilford/node/_driver.py
+++ b/anvilford/node/_driver.py
@@ -92,6 +92,7 @@
         records: Iterable[TargetRecord],
         removed: Iterable[TargetRecord],
         is_current: bool,
+        evacuated_zones: frozenset[str] = frozenset(),
     ) -> None:
         """Claims the targets and starts the periodic tick.
 
@@ -99,8 +100,9 @@
             records: Listed targets.
             removed: Targets that were recently removed from the list.
             is_current: As for `update_targets`.
+            evacuated_zones: As for `update_targets`.
         """
-        self.update_targets(records, removed, is_current)
+        self.update_targets(records, removed, is_current, evacuated_zones)
         self._tick()
 
     def close(self) -> None:
@@ -127,6 +129,7 @@
         records: Iterable[TargetRecord],
         removed: Iterable[TargetRecord],
         is_current: bool,
+        evacuated_zones: frozenset[str] = frozenset(),
     ) -> None:
         """Passes a new target list to the placer.
 
@@ -135,9 +138,10 @@
             removed: Targets that were recently removed from the list.
             is_current: Whether the list was read since this member began to
                 lead or last raised its fencing token.
+            evacuated_zones: Zones on whose targets no task may start.
         """
         self.placer.apply_target_list(
-            records, removed, self._read_clock(), is_current
+            records, removed, self._read_clock(), is_current, evacuated_zones
         )
         self._run_effects()
 
--- a/anvilford/node/_status.py
+++ b/anvilford/node/_status.py
@@ -6,6 +6,7 @@
 from anvilford.leadership import Member
 from anvilford.node import _clock as clock
 from anvilford.node._coordination import LeadershipCoordinator
+from anvilford.node._evacuation_sync import EvacuationSync
 
 
 def describe_entry(
@@ -16,7 +17,7 @@
     """Returns the status of an entry as a JSON document.
 
     The document has the same format as the status of `anvilford.daemon`, with
-    an additional "placement" object.
+    additional "placement" and "evacuations" objects.
 
     Args:
         coordinator: Provides the leader, the members and the site.
@@ -60,6 +61,29 @@
             "targets_listed": len(coordinator.site.targets),
             "jobs_waiting": dict(coordinator.waiting_jobs),
         },
+        "evacuations": _describe_evacuations(coordinator.site.evacuations, now),
+    }
+
+
+def _describe_evacuations(
+    evacuations: EvacuationSync, now: float
+) -> dict[str, Any]:
+    """Returns the evacuated zones, each with the time since it is known."""
+    return {
+        "as_of": evacuations.known.as_of,
+        "store_contact_age_ms": int(
+            1000 * (now - evacuations.follower.contact_at)
+        ),
+        "zones": [
+            {
+                "zone": zone.zone,
+                "row_version": zone.row_version,
+                "known_for_ms": int(
+                    1000 * (now - evacuations.since[zone.zone])
+                ),
+            }
+            for zone in evacuations.known.zones
+        ],
     }
 
 
--- a/anvilford/node/tests/test_coordination.py
+++ b/anvilford/node/tests/test_coordination.py
@@ -13,9 +13,9 @@
 from anvilford.leadership import Member
 from anvilford.leadership import Opinion
 from anvilford.node import _clock as clock
+from anvilford.node._appointment import APPOINT_AFTER_S
+from anvilford.node._appointment import APPOINT_AGAIN_AFTER_S
 from anvilford.node._contest import Contest
-from anvilford.node._coordination import APPOINT_AFTER_S
-from anvilford.node._coordination import APPOINT_AGAIN_AFTER_S
 from anvilford.node._coordination import LeadershipCoordinator
 from anvilford.node._members import MEMBER_LIVE_TIMEOUT_S
 from anvilford.node._search import MembershipView
@@ -535,7 +535,7 @@
 
     async def scenario():
         coordinator._start_leading(Leader(2, LOCAL_MEMBER))
-        coordinator._may_appoint_at = 0.0
+        coordinator._appointments.record_lead(-APPOINT_AFTER_S)
         coordinator.receive_heartbeat(Heartbeat(OTHER_MEMBER, 0))
         coordinator.links.send.reset_mock()
         coordinator._appoint_better_member(clock.now())
--- a/anvilford/node/tests/test_permissions.py
+++ b/anvilford/node/tests/test_permissions.py
@@ -78,6 +78,7 @@
     targets = FakeTargets()
     site = mock.Mock(targets=(TARGET,), has_current_targets=True)
     site.recently_removed_targets.return_value = ()
+    site.evacuations.names = frozenset()
 
     def create_driver(fence, is_partial):
         del is_partial
--- a/anvilford/node/tests/test_sync.py
+++ b/anvilford/node/tests/test_sync.py
@@ -11,7 +11,7 @@
 from anvilford.http1 import HttpClient
 from anvilford.node import _sync
 from anvilford.node._sync import SiteView
-from anvilford.node._sync import TableFollower
+from anvilford.node._table_follower import TableFollower
 from anvilford.platform import CONFIGURATION_KEY
 from anvilford.platform import OPERATOR_TABLE
 from anvilford.platform import StoreClient
@@ -47,7 +47,7 @@
                 task.cancel()
                 case.assertEqual(set(follower.rows), {"a", "b"})
 
-    with case.assertLogs("anvilford.node._sync", "ERROR"):
+    with case.assertLogs("anvilford.node._table_follower", "ERROR"):
         asyncio.run(scenario())
 
 
@@ -504,6 +504,6 @@
                 put_configuration(store, 18, 1)
                 await asyncio.sleep(1.5)
 
-    with case.assertLogs("anvilford.node._sync", "WARNING") as logs:
+    with case.assertLogs("anvilford.node._table_follower", "WARNING") as logs:
         asyncio.run(scenario())
     case.assertEqual(len(logs.records), 1)
--- a/anvilford/placement/__init__.py
+++ b/anvilford/placement/__init__.py
@@ -8,7 +8,6 @@
 from anvilford.placement._crashes import CrashHistory
 from anvilford.placement._crashes import LossState
 from anvilford.placement._crashes import TargetLoss
-from anvilford.placement._fleet import RUNS_PER_FENCE
 from anvilford.placement._model import JobSpec
 from anvilford.placement._model import Offer
 from anvilford.placement._model import Outcome
@@ -43,6 +42,7 @@
 from anvilford.placement._permissions import EntryPermissions
 from anvilford.placement._permissions import PROOF_TIMEOUT_S
 from anvilford.placement._placer import Placer
+from anvilford.placement._run_numbers import RUNS_PER_FENCE
 
 __all__ = [
     "ANSWER_AGE_S",
--- a/anvilford/placement/_choice.py
+++ b/anvilford/placement/_choice.py
@@ -37,6 +37,7 @@
         and target.reachable
         and not target.has_old_record
         and not target.record.draining
+        and not target.is_evacuated
         and not target.is_full
         and target.clock_ms is not None
         and target.suspended_until <= now
--- a/anvilford/placement/_fleet.py
+++ b/anvilford/placement/_fleet.py
@@ -37,6 +37,8 @@
 from anvilford.placement._orders import RunningTask
 from anvilford.placement._orders import StartRun
 from anvilford.placement._orders import StopRun
+from anvilford.placement._run_numbers import next_run_number
+from anvilford.placement._run_numbers import RUNS_PER_FENCE
 from anvilford.placement._state import Job
 from anvilford.placement._state import Ownership
 from anvilford.placement._state import Run
@@ -74,10 +76,6 @@
 # Interval between polls of an unreachable target that is no longer listed. Such
 # targets are polled less often than listed ones.
 UNLISTED_RETRY_S = 0.5
-# Distance between the first run numbers of consecutive fencing tokens. Numbers
-# under a new token continue above all earlier ones.
-RUNS_PER_FENCE = 16
-
 # Age up to which an answer shows that a target obeys this placer. Long enough
 # for the answers of all targets of a zone to probes that were sent together.
 CONTROL_PROOF_AGE_S = 0.5
@@ -138,6 +136,7 @@
         dropped: Iterable[TargetRecord],
         now: float,
         is_current: bool = True,
+        evacuated_zones: frozenset[str] = frozenset(),
     ) -> None:
         """Updates the targets from the platform's list and polls new ones.
 
@@ -148,8 +147,10 @@
             now: Current time in seconds.
             is_current: Whether the list has all targets that other placers
                 may have used.
+            evacuated_zones: Zones on whose targets no task may start.
         """
         self.list_is_current = is_current
+        self.evacuated_zones = evacuated_zones
         self.reconcile(records, dropped, now)
         self._send_due_polls(now)
 
@@ -223,15 +224,11 @@
                 controls_all = False
         return controls_all
 
-    def started_under_earlier_fence(self, run_number: int) -> bool:
-        """Returns whether a run was started before the token was raised."""
-        return run_number <= self.fence * RUNS_PER_FENCE
-
     # Methods that send commands to targets.
 
     def start(self, task: Task, target: Target, now: float) -> None:
         """Starts a run of a task on a usable target with enough resources."""
-        number = max(task.run, self.fence * RUNS_PER_FENCE) + 1
+        number = next_run_number(task.run, self.fence)
         task.run = number
         task.target_id = target.record.target_id
         task.phase = TaskPhase.PLACED
--- a/anvilford/placement/_placer.py
+++ b/anvilford/placement/_placer.py
@@ -30,6 +30,8 @@
 from anvilford.placement._choice import waits_for_faster_target
 from anvilford.placement._crashes import CRASHES_TO_GIVE_UP
 from anvilford.placement._crashes import CrashHistory
+from anvilford.placement._evacuation import remaining_targets
+from anvilford.placement._evacuation import RemainingTargets
 from anvilford.placement._fleet import Fleet
 from anvilford.placement._model import Offer
 from anvilford.placement._model import Outcome
@@ -44,6 +46,9 @@
 from anvilford.placement._orders import Settle
 from anvilford.placement._orders import StartRun
 from anvilford.placement._orders import StopRun
+from anvilford.placement._run_numbers import started_under_earlier_fence
+from anvilford.placement._start_log import describe_job_start
+from anvilford.placement._start_log import describe_repeated_start
 from anvilford.placement._state import Job
 from anvilford.placement._state import Target
 from anvilford.placement._state import Task
@@ -141,6 +146,7 @@
         # Latest time at which each entry is known to have followed this placer.
         self._entry_contacts: dict[str, float] = {}
         self._views: dict[str, ServiceView] = {}
+        self._remaining_targets: dict[str, RemainingTargets] = {}
         # Time by which runs that other placers started before the token was
         # last raised have ended.
         self._earlier_runs_end_by = 0.0
@@ -441,6 +447,7 @@
         dropped: Iterable[TargetRecord],
         now: float,
         is_current: bool = True,
+        evacuated_zones: frozenset[str] = frozenset(),
     ) -> None:
         """Updates the targets from a complete copy of the platform's list.
 
@@ -451,8 +458,11 @@
             now: Current time in seconds.
             is_current: Whether the list has all targets that other placers
                 may have used.
+            evacuated_zones: Zones on whose targets no task may start.
         """
-        self.fleet.apply_target_list(records, dropped, now, is_current)
+        self.fleet.apply_target_list(
+            records, dropped, now, is_current, evacuated_zones
+        )
 
     def raise_fence(
         self, fence: int, now: float, left_zones: Collection[str] = ()
@@ -571,9 +581,12 @@
         forecast = admission.forecast_start(job, waiting, capacity, now)
         # One delay before the start, and one before the end is known.
         wait = forecast.wait + 2 * self.event_delay
-        if not targets and self.fleet.is_claiming(now):
-            return None
-        if now + wait <= forecast.start_by - ANSWER_MARGIN_S:
+        reason = "overload" if targets else "no_target"
+        if self._needs_evacuated_zone(job, now):
+            reason = "evacuated"
+        elif (not targets and self.fleet.is_claiming(now)) or (
+            now + wait <= forecast.start_by - ANSWER_MARGIN_S
+        ):
             return None
         retry = admission.retry_after_ms(forecast.backlog, capacity, self.rng)
         self._log_decision(
@@ -581,7 +594,7 @@
             job.job_id,
             {
                 "queue": job.policy.name,
-                "reason": "overload" if targets else "no_target",
+                "reason": reason,
                 "expected_wait_ms": int(min(wait, 3600.0) * 1000),
                 "event_delay_ms": int(self.event_delay * 1000),
                 "objective_ms": int(job.objective * 1000),
@@ -592,9 +605,7 @@
                 "retry_after_ms": retry,
             },
         )
-        return Outcome(
-            OutcomeKind.REFUSED, "overload" if targets else "no_target", retry
-        )
+        return Outcome(OutcomeKind.REFUSED, reason, retry)
 
     def _end_if_too_late(self, job: Job, now: float) -> None:
         """Ends a waiting job that cannot be answered in time.
@@ -623,13 +634,17 @@
             job.objective_deadline if may_still_refuse else job.value_deadline
         )
         is_too_late = self._earliest_start(job, now) + run_time > limit
-        if not is_too_late or self._may_find_runs(job, now):
+        needs_evacuated = self._needs_evacuated_zone(job, now)
+        if not (is_too_late or needs_evacuated) or self._may_find_runs(
+            job, now
+        ):
             return
+        reason = "evacuated" if needs_evacuated else "too_late"
         if job.unseen_runs_until or job.has_run_before:
-            outcome = Outcome(OutcomeKind.LOST, "too_late")
+            outcome = Outcome(OutcomeKind.LOST, reason)
         else:
             retry = admission.retry_after_ms(job.demand, capacity, self.rng)
-            outcome = Outcome(OutcomeKind.REFUSED, "too_late", retry)
+            outcome = Outcome(OutcomeKind.REFUSED, reason, retry)
         self._log_decision(
             "job given up",
             job.job_id,
@@ -643,6 +658,20 @@
         )
         self._end_job(job, outcome, now)
 
+    def _needs_evacuated_zone(self, job: Job, now: float) -> bool:
+        """Returns whether a waiting task of a job fits there only."""
+        if not self.fleet.evacuated_zones:
+            return False
+        service = job.policy.service
+        remaining = self._remaining_targets.get(service)
+        index_version = self.fleet.index_version
+        if remaining is None or remaining.index_version != index_version:
+            remaining = self._remaining_targets[service] = remaining_targets(
+                self.fleet.targets_of_service(service), index_version, now
+            )
+        best_speed = self._view(service, now).capacity.best_speed
+        return remaining.requires_evacuated(job, best_speed, self.options)
+
     def _update_held(self, job: Job) -> None:
         """Updates what the losses of targets mean for the waiting tasks.
 
@@ -830,9 +859,11 @@
             self.fleet.start(task, target, now)
             if not job.started:
                 job.started = True
-                self._log_job_start(job, task, target, now)
+                fields = describe_job_start(job, task, target, self.fleet, now)
+                self._log_decision("job started", job.job_id, fields)
             elif is_repeated:
-                self._log_repeated_start(task, target, now)
+                fields = describe_repeated_start(task, target, self.fleet, now)
+                self._log_decision("task started again", job.job_id, fields)
         if len(unplaced) == len(waiting):
             return False
         job.set_waiting(unplaced)
@@ -840,58 +871,6 @@
             self._waiting.pop(job.job_id, None)
         return True
 
-    def _log_job_start(
-        self, job: Job, task: Task, target: Target, now: float
-    ) -> None:
-        self._log_decision(
-            "job started",
-            job.job_id,
-            {
-                "run": task.run,
-                "fence": self.fence,
-                "queue": job.policy.name,
-                "target": target.record.target_id,
-                "target_speed": round(target.speed, 2),
-                "target_version": target.record.version,
-                "contact_age_ms": int((now - target.last_contact_at) * 1000),
-                "waited_ms": int((now - job.arrived_at) * 1000),
-                "objective_ms": int(job.objective * 1000),
-                "tasks": len(job.tasks),
-                "again": bool(job.unseen_runs_until),
-                "placed_elsewhere": job.placed_elsewhere,
-                **self._describe_unseen_runs(job, now),
-            },
-        )
-
-    def _describe_unseen_runs(self, job: Job, now: float) -> dict[str, int]:
-        """Returns why a job that may run elsewhere starts, for the log."""
-        if not job.unseen_runs_until:
-            return {}
-        unseen_ms = int(max(job.unseen_runs_until - now, 0) * 1000)
-        return {"unseen_runs_ms": unseen_ms, **self.fleet.count_claims()}
-
-    def _log_repeated_start(
-        self, task: Task, target: Target, now: float
-    ) -> None:
-        """Logs the start of a task that has run before.
-
-        With `task starts again`, it names both runs if they overlap.
-        """
-        job = task.job
-        self._log_decision(
-            "task started again",
-            job.job_id,
-            {
-                "task": task.key,
-                "run": task.run,
-                "fence": self.fence,
-                "target": target.record.target_id,
-                "zone": target.record.zone,
-                "entries": sorted(job.entries),
-                **self._describe_unseen_runs(job, now),
-            },
-        )
-
     def _view(self, service: str, now: float) -> ServiceView:
         """Returns a view of a service that is at most `MAX_VIEW_AGE_S` old.
 
@@ -949,9 +928,8 @@
         )
         if cause == "lease_ended":
             job.lease_ended_at = now
-        if (
-            now < self._earlier_runs_end_by
-            and self.fleet.started_under_earlier_fence(task.run)
+        if now < self._earlier_runs_end_by and started_under_earlier_fence(
+            task.run, self.fence
         ):
             self._expect_unseen_runs(job)
         task.phase = TaskPhase.WAITING
--- a/anvilford/placement/_state.py
+++ b/anvilford/placement/_state.py
@@ -355,6 +355,8 @@
         missed_polls: Number of failed polls since the last report.
         isolated_job: Id of the job whose tasks may crash the target, so that
             no other job starts there; empty if there is none.
+        is_evacuated: Whether no task may start there because the operator has
+            its zone evacuated. Its runs go on.
         has_old_record: True if the target has restarted and the list does not
             show its new row yet: capacity and labels in `record` are those of
             the previous incarnation.
@@ -386,6 +388,7 @@
     reachable: bool = True
     missed_polls: int = 0
     isolated_job: str = ""
+    is_evacuated: bool = False
     has_old_record: bool = False
 
     @property
--- a/anvilford/placement/_target_list.py
+++ b/anvilford/placement/_target_list.py
@@ -62,6 +62,7 @@
         has_forgotten_targets: Whether targets were removed that were off the
             list while a member was missing, which may still have them.
         crashes: Targets that were lost while they ran tasks.
+        evacuated_zones: Zones on whose targets no task may start.
         index_version: Increases whenever a target is added, replaced or
             removed.
     """
@@ -84,6 +85,7 @@
         self.members_missing_at = -math.inf
         self.has_forgotten_targets = False
         self.crashes = crashes
+        self.evacuated_zones: frozenset[str] = frozenset()
         self.index_version = 0
         self._by_service: dict[str, list[Target]] = {}
         # Incarnation by id of targets at whose address another process answers.
@@ -369,10 +371,11 @@
         self.effects.append(Decision(event, "", fields))
 
     def rebuild_index(self) -> None:
-        """Rebuilds the index of targets by service."""
+        """Rebuilds the index of targets by service, and marks evacuated ones."""
         self.index_version += 1
         self._by_service = {}
         for target in self.targets.values():
+            target.is_evacuated = target.record.zone in self.evacuated_zones
             service = target.record.service
             self._by_service.setdefault(service, []).append(target)
 
--- a/anvilford/platform/__init__.py
+++ b/anvilford/platform/__init__.py
@@ -14,7 +14,9 @@
 from anvilford.platform._decoding import DECODE_ERRORS
 from anvilford.platform._documents import CONFIGURATION_KEY
 from anvilford.platform._documents import decode_configuration
+from anvilford.platform._documents import decode_evacuation
 from anvilford.platform._documents import decode_target
+from anvilford.platform._documents import EvacuationRow
 from anvilford.platform._documents import MalformedDocument
 from anvilford.platform._documents import OPERATOR_TABLE
 from anvilford.platform._documents import TARGET_TABLE
@@ -32,6 +34,7 @@
     "Conflict",
     "DECODE_ERRORS",
     "DEADLINE_HEADER",
+    "EvacuationRow",
     "HistoryLost",
     "JOB_ID_HEX_DIGITS",
     "InvalidJobBody",
@@ -46,6 +49,7 @@
     "UnsupportedJob",
     "Written",
     "decode_configuration",
+    "decode_evacuation",
     "decode_job",
     "decode_target",
     "encode_pending_count",
--- a/anvilford/platform/_documents.py
+++ b/anvilford/platform/_documents.py
@@ -20,6 +20,9 @@
 # Table and key of the configuration, which the operator writes.
 OPERATOR_TABLE = "op"
 CONFIGURATION_KEY = "config"
+# Start of the keys of the operator's rows that request the evacuation of a zone;
+# the rest of the key is the zone.
+EVACUATION_KEY_PREFIX = "evacuate/"
 # Table in which each target keeps one row about itself.
 TARGET_TABLE = "servers"
 
@@ -87,6 +90,45 @@
     )
 
 
+@attrs.frozen
+class EvacuationRow:
+    """A row of the operator that requests the evacuation of a zone.
+
+    Attributes:
+        zone: Zone to whose targets nothing more is to be sent.
+        version: Version of the row.
+        fault: Why the content cannot be read; empty if it can. The evacuation
+            counts nevertheless: its key says all that is needed.
+    """
+
+    zone: str
+    version: int
+    fault: str = ""
+
+
+def decode_evacuation(
+    row: StoreRow,
+) -> EvacuationRow | MalformedDocument | None:
+    """Decodes a row that requests the evacuation of a zone.
+
+    Returns:
+        None if the key is not that of such a row; `MalformedDocument` if the
+        key names no zone.
+    """
+    if not row.key.startswith(EVACUATION_KEY_PREFIX):
+        return None
+    try:
+        zone = require_name(row.key.removeprefix(EVACUATION_KEY_PREFIX))
+    except DECODE_ERRORS as error:
+        return _describe_malformed(row, error)
+    try:
+        json.loads(row.value)
+    except DECODE_ERRORS as error:
+        fault = _describe_malformed(row, error).reason
+        return EvacuationRow(zone, row.version, fault)
+    return EvacuationRow(zone, row.version)
+
+
 def decode_target(row: StoreRow) -> TargetRecord | MalformedDocument:
     """Decodes the row in which a target describes itself."""
     try:
--- a/anvilford/platform/tests/test_documents.py
+++ b/anvilford/platform/tests/test_documents.py
@@ -6,8 +6,10 @@
 from anvilford.placement import Resources
 from anvilford.placement import TargetRecord
 from anvilford.platform import decode_configuration
+from anvilford.platform import decode_evacuation
 from anvilford.platform import decode_job
 from anvilford.platform import decode_target
+from anvilford.platform import EvacuationRow
 from anvilford.platform import InvalidJobBody
 from anvilford.platform import MalformedDocument
 from anvilford.platform import StoreRow
@@ -48,6 +50,30 @@
     )
 
 
+def test_evacuation_row_is_decoded(case):
+    """The key of a row must name the zone, whatever the content is.
+
+    A row whose content is damaged is an evacuation too, the safe side. Other
+    rows of the table must not evacuate anything.
+    """
+    for key, value, expected in (
+        ("evacuate/a", b"{}", EvacuationRow("a", 7)),
+        ("evacuate/zone/1", b'{"x": 1}', EvacuationRow("zone/1", 7)),
+        ("config", b"{}", None),
+        ("evacuate", b"{}", None),
+        ("evacuated/a", b"{}", None),
+    ):
+        found = decode_evacuation(StoreRow("op", key, value, 7))
+        case.assertEqual(found, expected, key)
+    for value in (b"", b"\xff", b"{", b"[" * 100_000):
+        found = decode_evacuation(StoreRow("op", "evacuate/a", value, 7))
+        case.assertEqual((found.zone, found.version), ("a", 7))
+        case.assertNotEqual(found.fault, "")
+    for key in ("evacuate/", "evacuate/a\r\nX: 1", "evacuate/\ud800"):
+        found = decode_evacuation(StoreRow("op", key, b"{}", 7))
+        case.assertIsInstance(found, MalformedDocument, key)
+
+
 def test_malformed_targets_are_not_used(case):
     """A row that does not follow the target schema must be reported.
 
--- a/anvilford/protocol/__init__.py
+++ b/anvilford/protocol/__init__.py
@@ -11,6 +11,8 @@
 from anvilford.protocol._messages import ConfigurationReply
 from anvilford.protocol._messages import ConfigurationRequest
 from anvilford.protocol._messages import EntryInfo
+from anvilford.protocol._messages import EvacuatedZone
+from anvilford.protocol._messages import EvacuationReport
 from anvilford.protocol._messages import ForwardReply
 from anvilford.protocol._messages import ForwardSubmission
 from anvilford.protocol._messages import Gossip
@@ -40,6 +42,8 @@
     "ConfigurationRequest",
     "EntryInfo",
     "Envelope",
+    "EvacuatedZone",
+    "EvacuationReport",
     "ForwardReply",
     "ForwardSubmission",
     "FrameFault",
--- a/anvilford/protocol/_messages.py
+++ b/anvilford/protocol/_messages.py
@@ -309,6 +309,33 @@
     entry: str
 
 
+@attrs.frozen
+class EvacuatedZone:
+    """A zone whose evacuation the operator requests.
+
+    Attributes:
+        zone: The zone.
+        row_version: Version of the row that requests it.
+    """
+
+    zone: str
+    row_version: int
+
+
+@attrs.frozen
+class EvacuationReport:
+    """All evacuated zones that a member knows.
+
+    Attributes:
+        as_of: Version of the store up to which no zone is missing: a row of
+            this or a lower version for another zone has been removed.
+        zones: The zones, each once.
+    """
+
+    as_of: int
+    zones: tuple[EvacuatedZone, ...]
+
+
 @attrs.frozen
 class Heartbeat:
     """Tells the leader that a member is alive and waits for its jobs.
@@ -325,6 +352,9 @@
             one, lately. Another entry may offer them as new.
         number: Counts the heartbeats of the process. What the sender sent before
             is void once a later one was read.
+        evacuations_digest: Digest of the evacuated zones that the sender knows;
+            None from a build that knows none.
+        evacuations: These zones, unless the leader is known to have the same.
     """
 
     member: Member
@@ -333,6 +363,8 @@
     answered_at: float = 0.0
     unanswered_jobs: tuple[str, ...] = ()
     number: int = 0
+    evacuations_digest: int | None = None
+    evacuations: EvacuationReport | None = None
 
 
 @attrs.frozen
@@ -358,6 +390,8 @@
             of each zone. Otherwise another leader may serve the rest.
         unanswered_jobs: Ids of jobs that were left without an answer by any
             member, as reported to the leader since `Heartbeat.answered_at`.
+        evacuations_digest: As in `Heartbeat`, of the replying member.
+        evacuations: These zones, if the heartbeat had another digest.
     """
 
     term: int
@@ -371,6 +405,8 @@
     targets_version: int
     hears_site: bool = True
     unanswered_jobs: tuple[str, ...] = ()
+    evacuations_digest: int | None = None
+    evacuations: EvacuationReport | None = None
 
 
 @attrs.frozen
--- a/anvilford/protocol/_specs.py
+++ b/anvilford/protocol/_specs.py
@@ -8,6 +8,7 @@
 
 import enum
 import math
+import types
 import typing
 from collections.abc import Callable
 from typing import Any
@@ -129,13 +130,17 @@
 
     The C extension skips fields of an unexpected wire type, so that they are
     missing here, and it guarantees the Python type of the others. It passes
-    all fields to the constructor only for subclasses of `TFrozenBase`.
+    all fields to the constructor only for subclasses of `TFrozenBase`. Fields
+    that are optional in the IDL have the type `X | None` and the default None.
 
     Args:
         message_class: Class of the messages that the constructor returns.
     """
     checks: list[tuple[str, Callable[[Any], Any]]] = []
+    required = set()
     for name, hint in typing.get_type_hints(message_class).items():
+        if not isinstance(hint, types.UnionType):
+            required.add(name)
         if isinstance(hint, enum.EnumType):
             checks.append((name, {m.value: m for m in hint}.get))
         elif hint is float:
@@ -143,7 +148,7 @@
     count = len(attrs.fields(message_class))
 
     def build(_: type, **fields: Any) -> Any:
-        if len(fields) != count:
+        if len(fields) != count and not required <= fields.keys():
             raise MissingFieldError
         for name, check in checks:
             value = check(fields[name])
--- a/anvilford/protocol/anvilford.thrift
+++ b/anvilford/protocol/anvilford.thrift
@@ -234,6 +234,16 @@
   3: required bool is_partial
 }
 
+struct EvacuatedZone {
+  1: required string zone
+  2: required i64 row_version
+}
+
+struct EvacuationReport {
+  1: required i64 as_of
+  2: required list<EvacuatedZone> zones
+}
+
 struct Heartbeat {
   1: required Member member
   2: required i64 fence
@@ -241,6 +251,8 @@
   4: required double answered_at
   5: required list<string> unanswered_jobs
   6: required i64 number
+  40: optional i64 evacuations_digest
+  41: optional EvacuationReport evacuations
 }
 
 struct HeartbeatReply {
@@ -255,6 +267,8 @@
   9: required i64 targets_version
   10: required bool hears_site
   11: required list<string> unanswered_jobs
+  40: optional i64 evacuations_digest
+  41: optional EvacuationReport evacuations
 }
 
 struct LeaderQuery {
--- a/anvilford/protocol/tests/test_codec.py
+++ b/anvilford/protocol/tests/test_codec.py
@@ -2,6 +2,7 @@
 
 import enum
 import tracemalloc
+import types
 import typing
 from unittest import mock
 
@@ -10,6 +11,7 @@
 from hypothesis import strategies as st
 
 from anvilford import protocol
+from anvilford.leadership import Member
 from anvilford.model import Incarnation
 from anvilford.placement import LossState
 from anvilford.placement import OutcomeKind
@@ -36,6 +38,9 @@
         return STRATEGIES[hint]
     if isinstance(hint, enum.EnumType):
         return st.sampled_from(hint)
+    if isinstance(hint, types.UnionType):
+        present, _ = typing.get_args(hint)
+        return st.none() | strategy_for(present)
     if typing.get_origin(hint) is tuple:
         return st.lists(strategy_for(typing.get_args(hint)[0]), max_size=3).map(
             tuple
@@ -199,6 +204,38 @@
     case.assertEqual(protocol.decode(extended), protocol.decode(frame))
 
 
+HEARTBEAT = protocol.Heartbeat(
+    Member("entry-0", "a", "10.0.0.1:7100", 1.0, "t"), 3, number=9
+)
+REPLY = protocol.HeartbeatReply(3, True, False, (), {}, 2, 0, 1.5, 4)
+# The frames that a build without evacuations sends for these messages.
+FRAMES_BEFORE_EVACUATIONS = (
+    (
+        HEARTBEAT,
+        "1602120c2e1c1807656e7472792d30180161180d31302e302e302e313a373130"
+        "3017000000000000f03f1801740016061600170000000000000000190816120000",
+    ),
+    (
+        REPLY,
+        "1602120c3016061112190c1b001604160017000000000000f83f1608111908" "0000",
+    ),
+)
+
+
+def test_heartbeats_of_the_build_before_evacuations_are_read(case):
+    """Guards against entries of two builds that cannot read each other.
+
+    Fields that only one of them has must be optional: otherwise each takes the
+    other for silent while the entries are replaced one after another.
+    """
+    for message, frame in FRAMES_BEFORE_EVACUATIONS:
+        envelope = protocol.Envelope(1, False, message)
+        case.assertEqual(protocol.decode(bytes.fromhex(frame)).ok, envelope)
+        # Without a value, the fields take no bytes, so that the frame is the
+        # same as before.
+        case.assertEqual(protocol.encode(envelope).hex(), frame)
+
+
 def test_missing_extension_raises(case):
     """Guards against starting without Thrift's C extension.
 
--- a/anvilford/protocol/wire/ttypes.py
+++ b/anvilford/protocol/wire/ttypes.py
@@ -918,6 +918,56 @@
         return not (self == other)
 
 
+class EvacuatedZone(TBase):
+    """
+    Attributes:
+     - zone
+     - row_version
+
+    """
+
+
+    def __init__(self, zone=None, row_version=None,):
+        self.zone = zone
+        self.row_version = row_version
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class EvacuationReport(TBase):
+    """
+    Attributes:
+     - as_of
+     - zones
+
+    """
+
+
+    def __init__(self, as_of=None, zones=None,):
+        self.as_of = as_of
+        self.zones = zones
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Heartbeat(TBase):
     """
     Attributes:
@@ -927,17 +977,21 @@
      - answered_at
      - unanswered_jobs
      - number
+     - evacuations_digest
+     - evacuations
 
     """
 
 
-    def __init__(self, member=None, fence=None, members_digest=None, answered_at=None, unanswered_jobs=None, number=None,):
+    def __init__(self, member=None, fence=None, members_digest=None, answered_at=None, unanswered_jobs=None, number=None, evacuations_digest=None, evacuations=None,):
         self.member = member
         self.fence = fence
         self.members_digest = members_digest
         self.answered_at = answered_at
         self.unanswered_jobs = unanswered_jobs
         self.number = number
+        self.evacuations_digest = evacuations_digest
+        self.evacuations = evacuations
 
     def __repr__(self):
         L = ['%s=%r' % (key, value)
@@ -965,11 +1019,13 @@
      - targets_version
      - hears_site
      - unanswered_jobs
+     - evacuations_digest
+     - evacuations
 
     """
 
 
-    def __init__(self, term=None, leading=None, leaving=None, members=None, pending=None, configuration_version=None, members_digest=None, sent_at=None, targets_version=None, hears_site=None, unanswered_jobs=None,):
+    def __init__(self, term=None, leading=None, leaving=None, members=None, pending=None, configuration_version=None, members_digest=None, sent_at=None, targets_version=None, hears_site=None, unanswered_jobs=None, evacuations_digest=None, evacuations=None,):
         self.term = term
         self.leading = leading
         self.leaving = leaving
@@ -981,6 +1037,8 @@
         self.targets_version = targets_version
         self.hears_site = hears_site
         self.unanswered_jobs = unanswered_jobs
+        self.evacuations_digest = evacuations_digest
+        self.evacuations = evacuations
 
     def __repr__(self):
         L = ['%s=%r' % (key, value)
@@ -1358,6 +1416,18 @@
     (2, TType.STRUCT, 'member', [Member, None], None, ),  # 2
     (3, TType.BOOL, 'is_partial', None, None, ),  # 3
 )
+all_structs.append(EvacuatedZone)
+EvacuatedZone.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'zone', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'row_version', None, None, ),  # 2
+)
+all_structs.append(EvacuationReport)
+EvacuationReport.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'as_of', None, None, ),  # 1
+    (2, TType.LIST, 'zones', (TType.STRUCT, [EvacuatedZone, None], False), None, ),  # 2
+)
 all_structs.append(Heartbeat)
 Heartbeat.thrift_spec = (
     None,  # 0
@@ -1367,6 +1437,41 @@
     (4, TType.DOUBLE, 'answered_at', None, None, ),  # 4
     (5, TType.LIST, 'unanswered_jobs', (TType.STRING, 'UTF8', False), None, ),  # 5
     (6, TType.I64, 'number', None, None, ),  # 6
+    None,  # 7
+    None,  # 8
+    None,  # 9
+    None,  # 10
+    None,  # 11
+    None,  # 12
+    None,  # 13
+    None,  # 14
+    None,  # 15
+    None,  # 16
+    None,  # 17
+    None,  # 18
+    None,  # 19
+    None,  # 20
+    None,  # 21
+    None,  # 22
+    None,  # 23
+    None,  # 24
+    None,  # 25
+    None,  # 26
+    None,  # 27
+    None,  # 28
+    None,  # 29
+    None,  # 30
+    None,  # 31
+    None,  # 32
+    None,  # 33
+    None,  # 34
+    None,  # 35
+    None,  # 36
+    None,  # 37
+    None,  # 38
+    None,  # 39
+    (40, TType.I64, 'evacuations_digest', None, None, ),  # 40
+    (41, TType.STRUCT, 'evacuations', [EvacuationReport, None], None, ),  # 41
 )
 all_structs.append(HeartbeatReply)
 HeartbeatReply.thrift_spec = (
@@ -1382,6 +1487,36 @@
     (9, TType.I64, 'targets_version', None, None, ),  # 9
     (10, TType.BOOL, 'hears_site', None, None, ),  # 10
     (11, TType.LIST, 'unanswered_jobs', (TType.STRING, 'UTF8', False), None, ),  # 11
+    None,  # 12
+    None,  # 13
+    None,  # 14
+    None,  # 15
+    None,  # 16
+    None,  # 17
+    None,  # 18
+    None,  # 19
+    None,  # 20
+    None,  # 21
+    None,  # 22
+    None,  # 23
+    None,  # 24
+    None,  # 25
+    None,  # 26
+    None,  # 27
+    None,  # 28
+    None,  # 29
+    None,  # 30
+    None,  # 31
+    None,  # 32
+    None,  # 33
+    None,  # 34
+    None,  # 35
+    None,  # 36
+    None,  # 37
+    None,  # 38
+    None,  # 39
+    (40, TType.I64, 'evacuations_digest', None, None, ),  # 40
+    (41, TType.STRUCT, 'evacuations', [EvacuationReport, None], None, ),  # 41
 )
 all_structs.append(LeaderQuery)
 LeaderQuery.thrift_spec = (
