--- a/anvilford/protocol/_specs.py
+++ b/anvilford/protocol/_specs.py
@@ -8,6 +8,7 @@
 
 import enum
 import math
+import types
 import typing
 from collections.abc import Callable
 from typing import Any
@@ -132,19 +133,23 @@
 
     The C extension skips fields of an unexpected wire type, so that they are
     missing here, and it guarantees the Python type of the others. It passes
-    all fields to the constructor only for subclasses of `TFrozenBase`.
+    all fields to the constructor only for subclasses of `TFrozenBase`. Fields
+    that are optional in the IDL have the type `X | None` and the default None.
 
     Args:
         message_class: Class of the messages that the constructor returns.
     """
     checks: list[tuple[str, Callable[[Any], Any]]] = []
+    required = set()
+    optional_names = _OPTIONAL_FIELDS.get(message_class.__name__, ())
     for name, hint in typing.get_type_hints(message_class).items():
+        if not isinstance(hint, types.UnionType) and name not in optional_names:
+            required.add(name)
         if isinstance(hint, enum.EnumType):
             checks.append((name, {m.value: m for m in hint}.get))
         elif hint is float:
             checks.append((name, _finite_or_none))
     count = len(attrs.fields(message_class))
-    optional_names = _OPTIONAL_FIELDS.get(message_class.__name__, ())
     optional = {
         field.name: field.default
         for field in attrs.fields(message_class)
@@ -153,9 +158,9 @@
 
     def build(_: type, **fields: Any) -> Any:
         if len(fields) != count:
-            fields = {**optional, **fields}
-            if len(fields) != count:
+            if not required <= fields.keys():
                 raise MissingFieldError
+            fields = {**optional, **fields}
         for name, check in checks:
             value = check(fields[name])
             if value is None:
