--- a/anvilford/node/_callers.py
+++ b/anvilford/node/_callers.py
@@ -16,6 +16,7 @@
 from anvilford.http1 import Request
 from anvilford.http1 import Response
 from anvilford.node import _clock as clock
+from anvilford.node._cancellations import JobCancellations
 from anvilford.node._coordination import LeadershipCoordinator
 from anvilford.node._coordination import REASON_NOT_LEADING
 from anvilford.node._coordination import REASONS_NOT_STARTED
@@ -25,6 +26,8 @@
 from anvilford.node._withdrawals import LEADER_CHECK_INTERVAL_S
 from anvilford.peers import PeerLinks
 from anvilford.peers import PeerRefused
+from anvilford.placement import CANCELED_OUTCOME
+from anvilford.placement import CancelResult
 from anvilford.placement import JobSpec
 from anvilford.placement import Offer
 from anvilford.placement import Outcome
@@ -35,6 +38,7 @@
 from anvilford.platform import encode_pending_count
 from anvilford.platform import InvalidJobBody
 from anvilford.platform import JOB_ID_HEX_DIGITS
+from anvilford.platform import JobState
 from anvilford.platform import UnsupportedJob
 from anvilford.routing import Route
 from anvilford.telemetry import Counters
@@ -55,6 +59,8 @@
 # Time in which the loop reads whether the caller of a request that waited has
 # closed its connection meanwhile.
 CLOSE_READ_S = 0.05
+# Time after which a caller may repeat a cancellation that no leader has confirmed.
+CANCEL_RETRY_AFTER_MS = 1000
 # Additional time for the leader's reply to an offer.
 PLACER_REPLY_MARGIN_S = 0.5
 
@@ -107,6 +113,7 @@
             late in a planned stop.
         requests_in_progress: Number of requests that are being answered.
         withdrawals: Withdraws jobs whose requests have ended.
+        cancellations: Cancels jobs for their callers.
     """
 
     def __init__(
@@ -125,6 +132,9 @@
         self.rejects_new_jobs = False
         self.requests_in_progress = 0
         self.withdrawals = JobWithdrawals(coordinator)
+        self.cancellations = JobCancellations(
+            coordinator, links, self.withdrawals, counters
+        )
         self._random = random.Random()
 
     async def handle(self, request: Request) -> Response:
@@ -174,12 +184,24 @@
         match request.method:
             case "POST":
                 return await self._answer_submission(request, route, job_id)
-            case "GET" | "DELETE":
+            case "DELETE":
+                return await self._answer_cancellation(job_id)
+            case "GET":
                 # Jobs are not stored beyond their answer.
                 return Response(410)
             case _:
                 return Response(405)
 
+    async def _answer_cancellation(self, job_id: str) -> Response:
+        """Cancels a job and answers whether it was in progress."""
+        match await self.cancellations.cancel(job_id):
+            case CancelResult.CANCELED:
+                return Response(200, encode_job_state(JobState.CANCELED))
+            case CancelResult.ENDED | CancelResult.UNKNOWN:
+                return Response(410)
+            case _:
+                return self._refusal_response(503, CANCEL_RETRY_AFTER_MS)
+
     async def _answer_submission(
         self, request: Request, route: Route, job_id: str
     ) -> Response:
@@ -367,6 +389,8 @@
         """
         first_offer_deadline = clock.now() + LEADER_WAIT_S
         while True:
+            if self.coordinator.job_reports.is_cancelled(job_id):
+                return CANCELED_OUTCOME
             if progress.caller_is_lost:
                 return self._outcome_without_placer(progress)
             now = clock.now()
@@ -407,6 +431,11 @@
             progress.offer_count += 1
             self.coordinator.forget_withdrawal(job_id)
             outcome = await self._send_offer(leader, offer, progress)
+            if outcome.kind is OutcomeKind.LOST and (
+                self.coordinator.job_reports.is_cancelled(job_id)
+            ):
+                # It was withdrawn, or lost with a leader that was cut off.
+                return CANCELED_OUTCOME
             if outcome.kind is not OutcomeKind.MOVED:
                 return outcome
             route = self._newest_route(route, job_id)
@@ -501,9 +530,8 @@
     ) -> Response:
         match outcome.kind:
             case OutcomeKind.COMPLETED | OutcomeKind.FAILED:
-                completed = outcome.kind is OutcomeKind.COMPLETED
                 status = 200
-                response = Response(200, encode_job_state(completed))
+                response = Response(200, encode_job_state(_state_of(outcome)))
             case OutcomeKind.REFUSED if not progress.may_have_started:
                 status = 429 if outcome.reason == "overload" else 503
                 response = self._refusal_response(
@@ -580,6 +608,13 @@
         )
 
 
+def _state_of(outcome: Outcome) -> JobState:
+    """Returns the state of a job that has ended with an answer."""
+    if outcome.kind is OutcomeKind.COMPLETED:
+        return JobState.COMPLETED
+    return JobState.CANCELED if outcome.is_canceled else JobState.FAILED
+
+
 def _parse_deadline_s(request: Request) -> float:
     """Returns the seconds that the caller waits, from the deadline header."""
     try:
--- a/anvilford/node/_coordination.py
+++ b/anvilford/node/_coordination.py
@@ -25,16 +25,18 @@
 from anvilford.node._contest import Contest
 from anvilford.node._contest import ContestCheck
 from anvilford.node._driver import PlacerDriver
+from anvilford.node._job_reports import JobReports
+from anvilford.node._job_reports import PendingReports
 from anvilford.node._leader_row import LeaderRow
 from anvilford.node._members import HeartbeatTracker
 from anvilford.node._members import MEMBER_CHECK_INTERVAL_S
+from anvilford.node._outdated_messages import MessageOrder
 from anvilford.node._search import LEADER_QUERY_TIMEOUT_S
 from anvilford.node._search import LeaderSearch
 from anvilford.node._search import MembershipView
 from anvilford.node._search import SearchResult
 from anvilford.node._speed_row import SpeedRow
 from anvilford.node._sync import SiteView
-from anvilford.node._unanswered import UnansweredJobs
 from anvilford.peers import PeerLinks
 from anvilford.placement import ANSWER_AGE_S
 from anvilford.placement import CrashHistory
@@ -117,11 +119,14 @@
         fence: Highest fencing token of the leaders that this member followed.
         has_written_row: Whether this member has written the row since it
             started to lead.
-        unanswered_jobs: Jobs that callers may send again to any entry, as far
-            as this member knows.
+        job_reports: Jobs that lost or cancelled callers, as far as this member
+            knows and reports them.
+        unanswered_jobs: Those that callers may send again to any entry.
         heartbeat_number: Number of the last heartbeat that this process sent.
         leader_hears_site: Whether the leader lately heard all known members,
             as it replied last.
+        leader_accepts_cancellations: Whether it handles `CancelJob`; those of
+            the previous build do not.
     """
 
     def __init__(
@@ -157,19 +162,11 @@
         self.contest = ContestCheck(probe_targets)
         self.fence = 0
         self.has_written_row = False
-        self.unanswered_jobs = UnansweredJobs()
+        self.job_reports = JobReports()
+        self.unanswered_jobs = self.job_reports.unanswered
         self.leader_hears_site = True
-        self._local_unanswered_jobs = UnansweredJobs()
-        # Fencing token of the last leader that got a report of them and of
-        # withdrawn jobs, and the time at which that report was sent.
-        self._unanswered_reported = (0, 0.0)
-        # Jobs that this entry has given up. Each leader that it follows next
-        # may still have them.
-        self._withdrawn_jobs = UnansweredJobs()
-        # Token of the latest process of each member that this leader has heard.
-        self._process_tokens: dict[str, str] = {}
-        # Number of the latest heartbeat that was read of each of them.
-        self._heartbeat_numbers: dict[str, int] = {}
+        self.leader_accepts_cancellations = False
+        self._message_order = MessageOrder()
         self._leader_changed = asyncio.Event()
         self._wake = asyncio.Event()
         self._leader_contact_at = clock.now()
@@ -256,7 +253,7 @@
         It may reach another entry and another leader, which do not know of the
         runs that are in progress. The next heartbeat reports the job.
         """
-        self._local_unanswered_jobs.add((job_id,))
+        self.job_reports.add_unanswered(job_id)
         self._expect_resent_jobs((job_id,), self.local_member.name)
 
     def report_withdrawn_job(self, job_id: str) -> None:
@@ -266,20 +263,19 @@
         report until a leader has answered one: there may be no leader now, and
         the report may be lost with its connection.
         """
-        self._withdrawn_jobs.add((job_id,))
+        self.job_reports.add_withdrawn(job_id)
         if self.leader is not None and self.driver is None:
             self._send_withdrawals(self.leader, (job_id,))
 
-    def forget_withdrawal(self, job_id: str) -> None:
-        """Ends the reports of a withdrawn or lost job that is offered again."""
-        self._local_unanswered_jobs.remove(job_id)
-        self._withdrawn_jobs.remove(job_id)
-
     def _send_withdrawals(self, leader: Leader, job_ids: Iterable[str]) -> None:
         for job_id in job_ids:
             message = WithdrawJob(job_id, self.local_member.name)
             self.links.send(leader.member.address, message)
 
+    def forget_withdrawal(self, job_id: str) -> None:
+        """Ends the reports of a withdrawn or lost job that is offered again."""
+        self.job_reports.forget_lost_caller(job_id)
+
     def _expect_resent_jobs(self, job_ids: tuple[str, ...], entry: str) -> None:
         """Adds jobs that an entry has reported, also to the placer."""
         self.unanswered_jobs.add(job_ids)
@@ -325,39 +321,25 @@
 
         It may be back before it counts as silent, and knows nothing of them.
         """
-        token = self._process_tokens.get(member.name)
-        self._process_tokens[member.name] = member.token
-        if token not in (None, member.token):
-            self._heartbeat_numbers.pop(member.name, None)
+        if self._message_order.notice_restart(member):
             self.heartbeats.permissions.withdraw(member.name)
             self.driver.stop_jobs_of(member.name)
 
-    def _is_outdated(self, name: str, process: str, number: int) -> bool:
-        """Returns whether a member has sent a heartbeat after a message.
-
-        The network may hold a message back while later ones arrive over another
-        connection. The member may have withdrawn since what the message offers.
-
-        Args:
-            name: Name of the member.
-            process: Token of the process that sent the message.
-            number: Number of the last heartbeat that it sent before.
-        """
-        is_same_process = process == self._process_tokens.get(name)
-        return not is_same_process or (
-            number < self._heartbeat_numbers.get(name, 0)
-        )
-
     def receive_heartbeat(self, message: Heartbeat) -> HeartbeatReply:
         """Records a member's heartbeat and returns the reply."""
         now = clock.now()
         if self._is_leading:
             # It may step down if it was suspended.
             self._stop_jobs_of_earlier_process(message.member)
-        if self._is_leading and not self._is_outdated(
+        if self._is_leading and not self._message_order.is_outdated(
             message.member.name, message.member.token, message.number
         ):
             self._apply_heartbeat(message, now)
+        known = (
+            self.job_reports.known_since(message.answered_at)
+            if self._is_leading
+            else PendingReports()
+        )
         digest = self.membership.members_digest
         sends_members = self._is_leading and message.members_digest != digest
         return HeartbeatReply(
@@ -371,15 +353,15 @@
             now,
             self.site.changed_version if self._is_leading else 0,
             self.heartbeats.hears_site,
-            self.unanswered_jobs.list_since(message.answered_at)
-            if self._is_leading
-            else (),
+            known.unanswered,
+            known.cancelled,
+            accepts_cancellations=True,
         )
 
     def _apply_heartbeat(self, message: Heartbeat, now: float) -> None:
         """Records what a heartbeat tells this leader of its sender."""
         name = message.member.name
-        self._heartbeat_numbers[name] = message.number
+        self._message_order.record_heartbeat(name, message.number)
         if not message.answered_at and name in self.driver.waiting_entries():
             # The member has followed another leader since it last did this one,
             # which may run its jobs.
@@ -391,6 +373,9 @@
         self.heartbeats.record_heartbeat(message.member, now, followed_at)
         self.driver.placer.record_contact(name, followed_at)
         self._expect_resent_jobs(message.unanswered_jobs, name)
+        self.job_reports.cancel_jobs(self.driver, message.cancelled_jobs)
+        if not self._is_leading:
+            return  # As above.
         if not self.leader.is_partial:
             # The reply includes the members heard so far, so that they know each
             # other if this leader ends right after its start.
@@ -407,7 +392,7 @@
         if self.driver is None:
             return Outcome(OutcomeKind.MOVED, REASON_NOT_LEADING)
         now = clock.now()
-        if self._is_outdated(
+        if self._message_order.is_outdated(
             offer.entry, offer.process, offer.heartbeat_number
         ) or not self.heartbeats.permissions.admit(
             offer.entry, min(offer.answered_at, now), now
@@ -636,6 +621,8 @@
                 if not reply.hears_site:
                     self.site.record_missing_members()
                 self.unanswered_jobs.add(reply.unanswered_jobs)
+                self.job_reports.learn_cancelled(reply.cancelled_jobs)
+                self.leader_accepts_cancellations = reply.accepts_cancellations
                 self.membership.raise_term(reply.term)
                 if self.leader == leader and reply.term > leader.term:
                     self._set_leader(
@@ -693,28 +680,25 @@
     async def _call_leader(self, leader: Leader) -> Message | None:
         """Sends a heartbeat now; returns the reply, or None if it failed."""
         token, sent_at = self._last_answer
-        reported_to, reported_at = self._unanswered_reported
-        if reported_to != leader.fence:
-            reported_at = 0.0
+        reports = self.job_reports.pending(leader.fence)
         now = clock.now()
         self.heartbeat_number += 1
-        self._send_withdrawals(
-            leader, self._withdrawn_jobs.list_since(reported_at)
-        )
+        self._send_withdrawals(leader, reports.withdrawn)
         heartbeat = Heartbeat(
             self.local_member,
             self.fence,
             self.membership.members_digest,
             sent_at if token == leader.member.token else 0.0,
-            self._local_unanswered_jobs.list_since(reported_at),
+            reports.unanswered,
             self.heartbeat_number,
+            reports.cancelled,
         )
         answer = await self.links.call(
             leader.member.address, heartbeat, HEARTBEAT_TIMEOUT_S
         )
         reply = answer.default_value(None)
         if isinstance(reply, HeartbeatReply) and reply.leading:
-            self._unanswered_reported = (leader.fence, now)
+            self.job_reports.record_delivery(leader.fence, now)
         return reply
 
     def _clear_resigned_leader(self, leader: Leader, reason: str) -> None:
@@ -826,8 +810,7 @@
         self.membership.term = leader.term
         self.has_written_row = False
         self._site_check_task = None
-        self._process_tokens.clear()
-        self._heartbeat_numbers.clear()
+        self._message_order.clear()
         self.heartbeats.reset(
             [self.local_member, *self.membership.other_members], now
         )
@@ -844,9 +827,10 @@
             self._targets_in_scope(self.site.recently_removed_targets()),
             self.site.has_current_targets,
         )
-        self.driver.placer.expect_resent_jobs(
-            self.unanswered_jobs.list_since(), "", now
-        )
+        known = self.job_reports.known_since(0.0)
+        self.driver.placer.expect_resent_jobs(known.unanswered, "", now)
+        for job_id in known.cancelled:
+            self.driver.placer.cancel(job_id, now)
         self._send_to_members(LeaderAnnounced(leader))
         self._speed_row_task = asyncio.ensure_future(
             self._load_speeds(self.driver)
--- a/anvilford/node/_driver.py
+++ b/anvilford/node/_driver.py
@@ -9,6 +9,7 @@
 
 from anvilford.node import _clock as clock
 from anvilford.placement import Accepted
+from anvilford.placement import CancelResult
 from anvilford.placement import CrashHistory
 from anvilford.placement import Decision
 from anvilford.placement import Effect
@@ -210,6 +211,20 @@
         self.placer.withdraw(job_id, entry, reason, self._read_clock())
         self._run_effects()
 
+    def cancel(self, job_id: str) -> CancelResult:
+        """Ends a job that its caller has cancelled, for all entries.
+
+        Returns:
+            What was known of the job; `UNDECIDED` if the driver is closed.
+        """
+        # Reading the clock may close the driver.
+        now = self._read_clock()
+        if self._closed:
+            return CancelResult.UNDECIDED
+        result = self.placer.cancel(job_id, now)
+        self._run_effects()
+        return result
+
     def stop_jobs_of(self, entry: str) -> None:
         """Stops all jobs of an entry that may follow another leader."""
         self.placer.stop_jobs_of(entry, self._read_clock())
--- a/anvilford/node/_main.py
+++ b/anvilford/node/_main.py
@@ -43,6 +43,8 @@
 from anvilford.placement import PlacementOptions
 from anvilford.platform import StoreClient
 from anvilford.platform import TargetClient
+from anvilford.protocol import CancelJob
+from anvilford.protocol import CancelJobReply
 from anvilford.protocol import Heartbeat
 from anvilford.protocol import LeaderAnnounced
 from anvilford.protocol import LeaderQuery
@@ -303,6 +305,10 @@
             case TargetLossReport(losses):
                 for loss in losses:
                     self.crashes.apply(loss, clock.now())
+            case CancelJob(job_id):
+                return CancelJobReply(
+                    self.caller_handler.cancellations.receive(job_id)
+                )
             case WithdrawJob(job_id, entry):
                 if coordination.driver is not None:
                     coordination.driver.withdraw(job_id, entry, "caller_left")
--- a/anvilford/node/_unanswered.py
+++ b/anvilford/node/_unanswered.py
@@ -16,9 +16,20 @@
 
 
 class UnansweredJobs:
-    """Remembers for some seconds which jobs have lost their callers."""
+    """Remembers for some seconds which jobs have lost their callers.
 
-    def __init__(self):
+    Attributes:
+        retention_s: Time for which a job is remembered, in seconds.
+        max_jobs: Most jobs that are remembered; the oldest are dropped first.
+    """
+
+    def __init__(
+        self,
+        retention_s: float = UNANSWERED_RETENTION_S,
+        max_jobs: int = MAX_UNANSWERED_JOBS,
+    ):
+        self.retention_s = retention_s
+        self.max_jobs = max_jobs
         # Time of the last addition by job id, oldest first.
         self._added_at: collections.OrderedDict[str, float] = (
             collections.OrderedDict()
@@ -30,13 +41,17 @@
         for job_id in job_ids:
             self._added_at.pop(job_id, None)
             self._added_at[job_id] = now
-        while len(self._added_at) > MAX_UNANSWERED_JOBS:
+        while len(self._added_at) > self.max_jobs:
             self._added_at.popitem(last=False)
 
     def remove(self, job_id: str) -> None:
         """Removes a job; does nothing if it is not listed."""
         self._added_at.pop(job_id, None)
 
+    def added_at(self, job_id: str) -> float:
+        """Returns the time of the last addition of a job; 0 if not listed."""
+        return self._added_at.get(job_id, 0.0)
+
     def list_since(self, earliest: float = 0.0) -> tuple[str, ...]:
         """Returns the ids of the jobs added at a time or later.
 
@@ -44,7 +59,7 @@
             earliest: The time, in seconds of `clock.now`. Jobs older than the
                 retention time are left out in any case.
         """
-        expired_at = clock.now() - UNANSWERED_RETENTION_S
+        expired_at = clock.now() - self.retention_s
         while self._added_at:
             job_id, at = next(iter(self._added_at.items()))
             if at >= expired_at:
--- a/anvilford/node/_withdrawals.py
+++ b/anvilford/node/_withdrawals.py
@@ -48,6 +48,10 @@
             if not self._requests[job_id]:
                 del self._requests[job_id]
 
+    def has_request(self, job_id: str) -> bool:
+        """Returns whether a request for a job is in progress here."""
+        return job_id in self._requests
+
     def has_other_request(self, job_id: str) -> bool:
         """Returns whether another request for a job is in progress here."""
         return self._requests[job_id] > 1
--- a/anvilford/node/tests/test_callers.py
+++ b/anvilford/node/tests/test_callers.py
@@ -13,6 +13,7 @@
 from anvilford.leadership import Member
 from anvilford.node import _clock as clock
 from anvilford.node._callers import CallerRequestHandler
+from anvilford.node._job_reports import JobReports
 from anvilford.peers import PeerLost
 from anvilford.placement import Outcome
 from anvilford.placement import OutcomeKind
@@ -50,6 +51,7 @@
         leader_is_unresponsive=False,
         leader_hears_site=hears_site,
         fence=1,
+        job_reports=JobReports(),
     )
     coordinator.driver.place = lambda offer: asyncio.Future()
     handler = CallerRequestHandler(
@@ -165,6 +167,7 @@
             leader_hears_site=True,
             fence=1,
             driver=None,
+            job_reports=JobReports(),
         )
         self.links = mock.Mock()
         self.answers = list(answers)
--- a/anvilford/node/tests/test_fuzz.py
+++ b/anvilford/node/tests/test_fuzz.py
@@ -16,6 +16,7 @@
 from anvilford.placement import Resources
 from anvilford.placement import StepSpec
 from anvilford.placement import TargetLoss
+from anvilford.protocol import CancelJob
 from anvilford.protocol import encode
 from anvilford.protocol import Envelope
 from anvilford.protocol import Hello
@@ -106,6 +107,7 @@
             Offer(job_id, "entry-9", policy, spec, 0.0, 1.0),
             LeaderQuery(Member("entry-9", "a", "127.0.0.1:1", 1.0, "t"), 1),
             WithdrawJob(job_id, "entry-9"),
+            CancelJob(job_id),
             TargetLossReport(
                 (TargetLoss("r", 1, ("t",), LossState.SILENT, ("t",)),)
             ),
--- a/anvilford/node/tests/test_policies.py
+++ b/anvilford/node/tests/test_policies.py
@@ -11,6 +11,7 @@
 from anvilford.leadership import Member
 from anvilford.node import _clock as clock
 from anvilford.node._callers import CallerRequestHandler
+from anvilford.node._job_reports import JobReports
 from anvilford.placement import Outcome
 from anvilford.placement import OutcomeKind
 from anvilford.placement.tests._shared import CHECK
@@ -56,6 +57,7 @@
             local_member=LOCAL_MEMBER,
             leader_is_unresponsive=False,
             wait_for_leader_change=mock.AsyncMock(),
+            job_reports=JobReports(),
         )
         handler = CallerRequestHandler(
             "entry-0", site, coordinator, mock.Mock(call=call), Counters()
--- a/anvilford/placement/__init__.py
+++ b/anvilford/placement/__init__.py
@@ -9,6 +9,8 @@
 from anvilford.placement._crashes import LossState
 from anvilford.placement._crashes import TargetLoss
 from anvilford.placement._fleet import RUNS_PER_FENCE
+from anvilford.placement._model import CANCELED_OUTCOME
+from anvilford.placement._model import CancelResult
 from anvilford.placement._model import JobSpec
 from anvilford.placement._model import Offer
 from anvilford.placement._model import Outcome
@@ -47,6 +49,8 @@
 __all__ = [
     "ANSWER_AGE_S",
     "Accepted",
+    "CANCELED_OUTCOME",
+    "CancelResult",
     "CrashHistory",
     "Decision",
     "Effect",
--- a/anvilford/placement/_earlier_jobs.py
+++ b/anvilford/placement/_earlier_jobs.py
@@ -10,12 +10,17 @@
 
 import attrs
 
+from anvilford.placement._model import CancelResult
 from anvilford.placement._model import Offer
 from anvilford.placement._model import Outcome
 
 # How long outcomes are kept, to answer requests that callers repeat seconds
 # after the answer.
 OUTCOME_RETENTION_S = 20.0
+# Most cancelled jobs without an outcome that are remembered; the oldest are
+# dropped first. Callers may cancel ids that never existed, as often as they like;
+# an id takes about 250 bytes.
+MAX_CANCELLED_JOBS = 2000
 
 
 @attrs.frozen
@@ -48,6 +53,8 @@
         self._lost: dict[str, float] = {}
         # Jobs that callers may send again to other entries, by id.
         self._expected: dict[str, ExpectedOffer] = {}
+        # Time at which jobs that are not in progress were cancelled, by id.
+        self._cancelled: dict[str, float] = {}
 
     def known_outcome(self, job_id: str) -> Outcome | None:
         """Returns the outcome of a job that has ended; None if unknown."""
@@ -68,6 +75,27 @@
         """Returns whether a job lately ended as lost after tasks had started."""
         return job_id in self._lost
 
+    def cancel(self, job_id: str, now: float) -> CancelResult:
+        """Records that a job which is not in progress here is cancelled.
+
+        Returns:
+            `CANCELED` if it ended for that reason, else `ENDED` or `UNKNOWN`.
+        """
+        outcome = self.known_outcome(job_id)
+        if outcome is not None:
+            is_canceled = outcome.is_canceled
+            return CancelResult.CANCELED if is_canceled else CancelResult.ENDED
+        # Inserted last, since the oldest ones are dropped first.
+        self._cancelled.pop(job_id, None)
+        self._cancelled[job_id] = now
+        if len(self._cancelled) > MAX_CANCELLED_JOBS:
+            del self._cancelled[next(iter(self._cancelled))]
+        return CancelResult.UNKNOWN
+
+    def is_cancelled(self, job_id: str) -> bool:
+        """Returns whether a job was cancelled before it was offered."""
+        return job_id in self._cancelled
+
     def expect_offer(self, job_id: str, expected: ExpectedOffer) -> None:
         """Records that a job may be offered as new although it may run."""
         # Inserted last, since the oldest ones are dropped first.
@@ -97,6 +125,7 @@
         _drop_first(self._expected, lambda known: known.until <= now)
         _drop_first(self.outcomes, lambda known: known[0] <= oldest)
         _drop_first(self._lost, lambda ended_at: ended_at <= oldest)
+        _drop_first(self._cancelled, lambda at: at <= oldest)
 
 
 def _drop_first(entries: dict, is_old: Callable[[Any], bool]) -> None:
--- a/anvilford/placement/_model.py
+++ b/anvilford/placement/_model.py
@@ -156,6 +156,20 @@
     LOST = 5  # Tasks may have run, but none is running any more.
 
 
+class CancelResult(enum.IntEnum):
+    """What a leader knows of a job whose caller has cancelled it."""
+
+    CANCELED = 1  # It was in progress; nothing of it starts any more.
+    ENDED = 2  # It had ended before.
+    UNKNOWN = 3  # It is not in progress. It does not start if it is offered.
+    UNDECIDED = 4  # Another leader may have it in progress.
+
+
+# Reason of the outcome of a job that its caller has cancelled. Its kind is
+# `FAILED`: entries of the previous build reject a kind that they do not know.
+CANCELED_REASON = "canceled"
+
+
 @attrs.frozen
 class Outcome:
     """Result of a job with its details.
@@ -176,6 +190,16 @@
     done: tuple[str, ...] = ()
     placed: tuple[str, ...] = ()
 
+    @property
+    def is_canceled(self) -> bool:
+        """Whether the caller has cancelled the job."""
+        return (
+            self.kind is OutcomeKind.FAILED and self.reason == CANCELED_REASON
+        )
+
+
+CANCELED_OUTCOME = Outcome(OutcomeKind.FAILED, CANCELED_REASON)
+
 
 @attrs.frozen
 class Offer:
--- a/anvilford/placement/_placer.py
+++ b/anvilford/placement/_placer.py
@@ -31,6 +31,8 @@
 from anvilford.placement._earlier_jobs import EarlierJobs
 from anvilford.placement._earlier_jobs import ExpectedOffer
 from anvilford.placement._fleet import Fleet
+from anvilford.placement._model import CANCELED_OUTCOME
+from anvilford.placement._model import CancelResult
 from anvilford.placement._model import Offer
 from anvilford.placement._model import Outcome
 from anvilford.placement._model import OutcomeKind
@@ -161,6 +163,9 @@
         if known is not None:
             self.effects.append(Settle(offer.job_id, known))
             return
+        if self._earlier_jobs.is_cancelled(offer.job_id):
+            self._settle_cancelled(offer, now)
+            return
         may_have_run = offer.again
         offer = self._earlier_jobs.recognize_repeated(offer, now)
         if offer.again and self.fleet.has_unclaimed_targets(now):
@@ -348,6 +353,27 @@
             return
         self._update_kept(job, now)
 
+    def cancel(self, job_id: str, now: float) -> CancelResult:
+        """Ends a job for its caller, with the outcome `CANCELED_OUTCOME`.
+
+        A job that is not in progress does not start if it is offered within
+        `OUTCOME_RETENTION_S`, as another entry may do before it learns of this.
+        """
+        job = self.jobs.get(job_id)
+        if job is None:
+            return self._earlier_jobs.cancel(job_id, now)
+        self._end_job(job, CANCELED_OUTCOME, now)
+        return CancelResult.CANCELED
+
+    def _settle_cancelled(self, offer: Offer, now: float) -> None:
+        """Answers the offer of a job that was cancelled before."""
+        job_id = offer.job_id
+        self._earlier_jobs.record_outcome(job_id, CANCELED_OUTCOME, now)
+        self._log_decision(
+            "cancelled job not started", job_id, {"entry": offer.entry}
+        )
+        self.effects.append(Settle(job_id, CANCELED_OUTCOME))
+
     def stop_jobs_of(self, entry: str, now: float) -> None:
         """Stops all jobs of an entry that may have left for another placer.
 
--- a/anvilford/platform/__init__.py
+++ b/anvilford/platform/__init__.py
@@ -10,6 +10,7 @@
 from anvilford.platform._caller_requests import encode_pending_count
 from anvilford.platform._caller_requests import InvalidJobBody
 from anvilford.platform._caller_requests import JOB_ID_HEX_DIGITS
+from anvilford.platform._caller_requests import JobState
 from anvilford.platform._caller_requests import UnsupportedJob
 from anvilford.platform._decoding import DECODE_ERRORS
 from anvilford.platform._documents import CONFIGURATION_KEY
@@ -34,6 +35,7 @@
     "DEADLINE_HEADER",
     "HistoryLost",
     "JOB_ID_HEX_DIGITS",
+    "JobState",
     "InvalidJobBody",
     "MalformedDocument",
     "OPERATOR_TABLE",
--- a/anvilford/platform/_caller_requests.py
+++ b/anvilford/platform/_caller_requests.py
@@ -1,5 +1,6 @@
 """Decodes jobs that callers submit and encodes the response bodies."""
 
+import enum
 import json
 from typing import Any
 
@@ -100,9 +101,17 @@
     )
 
 
-def encode_job_state(is_completed: bool) -> bytes:
-    """Encodes the response body for a finished job."""
-    return b'{"state":"completed"}' if is_completed else b'{"state":"failed"}'
+class JobState(enum.StrEnum):
+    """Final state of a job, in the platform's words."""
+
+    COMPLETED = "completed"
+    FAILED = "failed"
+    CANCELED = "canceled"
+
+
+def encode_job_state(state: JobState) -> bytes:
+    """Encodes the response body for a job that has ended."""
+    return json.dumps({"state": state}, separators=(",", ":")).encode()
 
 
 def encode_pending_count(count: int) -> bytes:
--- a/anvilford/protocol/__init__.py
+++ b/anvilford/protocol/__init__.py
@@ -8,6 +8,8 @@
 from anvilford.protocol._codec import MalformedFrame
 from anvilford.protocol._codec import MAX_ELEMENTS
 from anvilford.protocol._codec import require_acceleration
+from anvilford.protocol._messages import CancelJob
+from anvilford.protocol._messages import CancelJobReply
 from anvilford.protocol._messages import ConfigurationReply
 from anvilford.protocol._messages import ConfigurationRequest
 from anvilford.protocol._messages import EntryInfo
@@ -36,6 +38,8 @@
 
 __all__ = [
     "AccelerationMissingError",
+    "CancelJob",
+    "CancelJobReply",
     "ConfigurationReply",
     "ConfigurationRequest",
     "EntryInfo",
--- a/anvilford/protocol/_messages.py
+++ b/anvilford/protocol/_messages.py
@@ -9,6 +9,7 @@
 from anvilford.leadership import Opinion
 from anvilford.model import EncodedAnswer
 from anvilford.model import Incarnation
+from anvilford.placement import CancelResult
 from anvilford.placement import Offer
 from anvilford.placement import Outcome
 from anvilford.placement import TargetLoss
@@ -309,6 +310,28 @@
     entry: str
 
 
+@attrs.frozen
+class CancelJob:
+    """Tells the leader that the caller of a job has cancelled it.
+
+    Attributes:
+        job_id: Id of the job.
+    """
+
+    job_id: str
+
+
+@attrs.frozen
+class CancelJobReply:
+    """Reply to `CancelJob`.
+
+    Attributes:
+        result: What the leader knows of the job.
+    """
+
+    result: CancelResult
+
+
 @attrs.frozen
 class Heartbeat:
     """Tells the leader that a member is alive and waits for its jobs.
@@ -325,6 +348,9 @@
             one, lately. Another entry may offer them as new.
         number: Counts the heartbeats of the process. What the sender sent before
             is void once a later one was read.
+        cancelled_jobs: Ids of jobs that callers of the sender have cancelled
+            since its last heartbeat to this leader or, to a new one, of all
+            that it knows to be cancelled.
     """
 
     member: Member
@@ -333,6 +359,7 @@
     answered_at: float = 0.0
     unanswered_jobs: tuple[str, ...] = ()
     number: int = 0
+    cancelled_jobs: tuple[str, ...] = ()
 
 
 @attrs.frozen
@@ -358,6 +385,10 @@
             of each zone. Otherwise another leader may serve the rest.
         unanswered_jobs: Ids of jobs that were left without an answer by any
             member, as reported to the leader since `Heartbeat.answered_at`.
+        cancelled_jobs: Ids of jobs of which the leader has learned since then
+            that they are cancelled.
+        accepts_cancellations: Whether the replying member handles `CancelJob`.
+            Earlier builds do not.
     """
 
     term: int
@@ -371,6 +402,8 @@
     targets_version: int
     hears_site: bool = True
     unanswered_jobs: tuple[str, ...] = ()
+    cancelled_jobs: tuple[str, ...] = ()
+    accepts_cancellations: bool = False
 
 
 @attrs.frozen
@@ -425,6 +458,8 @@
     | Offer
     | Outcome
     | WithdrawJob
+    | CancelJob
+    | CancelJobReply
     | Heartbeat
     | HeartbeatReply
     | LeaderQuery
--- a/anvilford/protocol/_specs.py
+++ b/anvilford/protocol/_specs.py
@@ -36,7 +36,11 @@
 _ATTRIBUTE_NAMES = {"service_name": "service"}
 # Fields that messages of earlier builds lack, by class name. They decode to the
 # default of the attribute.
-_OPTIONAL_FIELDS = {"Offer": ("configuration_version",)}
+_OPTIONAL_FIELDS = {
+    "Heartbeat": ("cancelled_jobs",),
+    "HeartbeatReply": ("cancelled_jobs", "accepts_cancellations"),
+    "Offer": ("configuration_version",),
+}
 # Classes used in messages that other packages define, by name.
 _SHARED_MESSAGE_CLASSES = {
     shared.__name__: shared
--- a/anvilford/protocol/anvilford.thrift
+++ b/anvilford/protocol/anvilford.thrift
@@ -221,6 +221,21 @@
   2: required string entry
 }
 
+enum CancelResult {
+  CANCELED = 1
+  ENDED = 2
+  UNKNOWN = 3
+  UNDECIDED = 4
+}
+
+struct CancelJob {
+  1: required string job_id
+}
+
+struct CancelJobReply {
+  1: required CancelResult result
+}
+
 struct Member {
   1: required string name
   2: required string zone
@@ -242,6 +257,7 @@
   4: required double answered_at
   5: required list<string> unanswered_jobs
   6: required i64 number
+  7: optional list<string> cancelled_jobs
 }
 
 struct HeartbeatReply {
@@ -256,6 +272,8 @@
   9: required i64 targets_version
   10: required bool hears_site
   11: required list<string> unanswered_jobs
+  12: optional list<string> cancelled_jobs
+  13: optional bool accepts_cancellations
 }
 
 struct LeaderQuery {
@@ -299,4 +317,6 @@
   26: optional Opinion opinion
   27: optional LeaderAnnounced leader_announced
   28: optional TargetLossReport target_loss_report
+  29: optional CancelJob cancel_job
+  30: optional CancelJobReply cancel_job_reply
 }
--- a/anvilford/protocol/tests/test_codec.py
+++ b/anvilford/protocol/tests/test_codec.py
@@ -11,7 +11,9 @@
 from hypothesis import strategies as st
 
 from anvilford import protocol
+from anvilford.leadership import Member
 from anvilford.model import Incarnation
+from anvilford.placement import CancelResult
 from anvilford.placement import JobSpec
 from anvilford.placement import LossState
 from anvilford.placement import Offer
@@ -100,6 +102,7 @@
         protocol.VmRole,
         protocol.VmState,
         protocol.RequestKind,
+        CancelResult,
         LossState,
         OutcomeKind,
     ):
@@ -208,7 +211,7 @@
 def test_fields_of_newer_builds_are_optional(case):
     """Guards against rejecting messages of the previous build during an upgrade.
 
-    It does not send the field that names the configuration of an offer.
+    It names no configuration of an offer, and no cancelled jobs.
     """
     policy = QueuePolicy("q", "line", 0, 3, 1.6, 60)
     step = StepSpec(1, Resources(1000), 50)
@@ -217,6 +220,15 @@
     old = attrs.evolve(offer, configuration_version=None)
     frame = protocol.encode(protocol.Envelope(7, False, old))
     case.assertEqual(protocol.decode(frame).ok.message, offer)
+    member = Member("e", "a", "127.0.0.1:1", 1.0, "t")
+    reply = protocol.HeartbeatReply(1, True, False, (), {}, 0, 0, 0.0, 0)
+    for message, names in (
+        (protocol.Heartbeat(member, 0), ("cancelled_jobs",)),
+        (reply, ("cancelled_jobs", "accepts_cancellations")),
+    ):
+        old = attrs.evolve(message, **dict.fromkeys(names))
+        frame = protocol.encode(protocol.Envelope(7, True, old))
+        case.assertEqual(protocol.decode(frame).ok.message, message)
     for name in ("job_id", "heartbeat_number"):
         damaged = attrs.evolve(offer, **{name: None})
         frame = protocol.encode(protocol.Envelope(7, False, damaged))
--- a/anvilford/protocol/wire/ttypes.py
+++ b/anvilford/protocol/wire/ttypes.py
@@ -110,6 +110,27 @@
     }
 
 
+class CancelResult(TBase):
+    CANCELED = 1
+    ENDED = 2
+    UNKNOWN = 3
+    UNDECIDED = 4
+
+    _VALUES_TO_NAMES = {
+        1: "CANCELED",
+        2: "ENDED",
+        3: "UNKNOWN",
+        4: "UNDECIDED",
+    }
+
+    _NAMES_TO_VALUES = {
+        "CANCELED": 1,
+        "ENDED": 2,
+        "UNKNOWN": 3,
+        "UNDECIDED": 4,
+    }
+
+
 class Incarnation(TBase):
     """
     Attributes:
@@ -862,6 +883,52 @@
         return not (self == other)
 
 
+class CancelJob(TBase):
+    """
+    Attributes:
+     - job_id
+
+    """
+
+
+    def __init__(self, job_id=None,):
+        self.job_id = job_id
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class CancelJobReply(TBase):
+    """
+    Attributes:
+     - result
+
+    """
+
+
+    def __init__(self, result=None,):
+        self.result = result
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Member(TBase):
     """
     Attributes:
@@ -929,17 +996,19 @@
      - answered_at
      - unanswered_jobs
      - number
+     - cancelled_jobs
 
     """
 
 
-    def __init__(self, member=None, fence=None, members_digest=None, answered_at=None, unanswered_jobs=None, number=None,):
+    def __init__(self, member=None, fence=None, members_digest=None, answered_at=None, unanswered_jobs=None, number=None, cancelled_jobs=None,):
         self.member = member
         self.fence = fence
         self.members_digest = members_digest
         self.answered_at = answered_at
         self.unanswered_jobs = unanswered_jobs
         self.number = number
+        self.cancelled_jobs = cancelled_jobs
 
     def __repr__(self):
         L = ['%s=%r' % (key, value)
@@ -967,11 +1036,13 @@
      - targets_version
      - hears_site
      - unanswered_jobs
+     - cancelled_jobs
+     - accepts_cancellations
 
     """
 
 
-    def __init__(self, term=None, leading=None, leaving=None, members=None, pending=None, configuration_version=None, members_digest=None, sent_at=None, targets_version=None, hears_site=None, unanswered_jobs=None,):
+    def __init__(self, term=None, leading=None, leaving=None, members=None, pending=None, configuration_version=None, members_digest=None, sent_at=None, targets_version=None, hears_site=None, unanswered_jobs=None, cancelled_jobs=None, accepts_cancellations=None,):
         self.term = term
         self.leading = leading
         self.leaving = leaving
@@ -983,6 +1054,8 @@
         self.targets_version = targets_version
         self.hears_site = hears_site
         self.unanswered_jobs = unanswered_jobs
+        self.cancelled_jobs = cancelled_jobs
+        self.accepts_cancellations = accepts_cancellations
 
     def __repr__(self):
         L = ['%s=%r' % (key, value)
@@ -1099,11 +1172,13 @@
      - opinion
      - leader_announced
      - target_loss_report
+     - cancel_job
+     - cancel_job_reply
 
     """
 
 
-    def __init__(self, request_id=None, is_reply=None, hello=None, forward_submission=None, forward_reply=None, gossip=None, load_report=None, configuration_request=None, configuration_reply=None, handover_chunk=None, handover_seal=None, handover_ack=None, offer=None, outcome=None, withdraw_job=None, heartbeat=None, heartbeat_reply=None, leader_query=None, opinion=None, leader_announced=None, target_loss_report=None,):
+    def __init__(self, request_id=None, is_reply=None, hello=None, forward_submission=None, forward_reply=None, gossip=None, load_report=None, configuration_request=None, configuration_reply=None, handover_chunk=None, handover_seal=None, handover_ack=None, offer=None, outcome=None, withdraw_job=None, heartbeat=None, heartbeat_reply=None, leader_query=None, opinion=None, leader_announced=None, target_loss_report=None, cancel_job=None, cancel_job_reply=None,):
         self.request_id = request_id
         self.is_reply = is_reply
         self.hello = hello
@@ -1125,6 +1200,8 @@
         self.opinion = opinion
         self.leader_announced = leader_announced
         self.target_loss_report = target_loss_report
+        self.cancel_job = cancel_job
+        self.cancel_job_reply = cancel_job_reply
 
     def __repr__(self):
         L = ['%s=%r' % (key, value)
@@ -1345,6 +1422,16 @@
     (1, TType.STRING, 'job_id', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'entry', 'UTF8', None, ),  # 2
 )
+all_structs.append(CancelJob)
+CancelJob.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'job_id', 'UTF8', None, ),  # 1
+)
+all_structs.append(CancelJobReply)
+CancelJobReply.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'result', None, None, ),  # 1
+)
 all_structs.append(Member)
 Member.thrift_spec = (
     None,  # 0
@@ -1370,6 +1457,7 @@
     (4, TType.DOUBLE, 'answered_at', None, None, ),  # 4
     (5, TType.LIST, 'unanswered_jobs', (TType.STRING, 'UTF8', False), None, ),  # 5
     (6, TType.I64, 'number', None, None, ),  # 6
+    (7, TType.LIST, 'cancelled_jobs', (TType.STRING, 'UTF8', False), None, ),  # 7
 )
 all_structs.append(HeartbeatReply)
 HeartbeatReply.thrift_spec = (
@@ -1385,6 +1473,8 @@
     (9, TType.I64, 'targets_version', None, None, ),  # 9
     (10, TType.BOOL, 'hears_site', None, None, ),  # 10
     (11, TType.LIST, 'unanswered_jobs', (TType.STRING, 'UTF8', False), None, ),  # 11
+    (12, TType.LIST, 'cancelled_jobs', (TType.STRING, 'UTF8', False), None, ),  # 12
+    (13, TType.BOOL, 'accepts_cancellations', None, None, ),  # 13
 )
 all_structs.append(LeaderQuery)
 LeaderQuery.thrift_spec = (
@@ -1437,6 +1527,8 @@
     (26, TType.STRUCT, 'opinion', [Opinion, None], None, ),  # 26
     (27, TType.STRUCT, 'leader_announced', [LeaderAnnounced, None], None, ),  # 27
     (28, TType.STRUCT, 'target_loss_report', [TargetLossReport, None], None, ),  # 28
+    (29, TType.STRUCT, 'cancel_job', [CancelJob, None], None, ),  # 29
+    (30, TType.STRUCT, 'cancel_job_reply', [CancelJobReply, None], None, ),  # 30
 )
 fix_spec(all_structs)
 del all_structs
