--- a/anvilford/protocol/anvilford.thrift
+++ b/anvilford/protocol/anvilford.thrift
@@ -221,6 +221,21 @@
   2: required string entry
 }
 
+enum CancelResult {
+  CANCELED = 1
+  ENDED = 2
+  UNKNOWN = 3
+  UNDECIDED = 4
+}
+
+struct CancelJob {
+  1: required string job_id
+}
+
+struct CancelJobReply {
+  1: required CancelResult result
+}
+
 struct Member {
   1: required string name
   2: required string zone
@@ -252,6 +267,7 @@
   4: required double answered_at
   5: required list<string> unanswered_jobs
   6: required i64 number
+  7: optional list<string> cancelled_jobs
   40: optional i64 evacuations_digest
   41: optional EvacuationReport evacuations
 }
@@ -268,6 +284,8 @@
   9: required i64 targets_version
   10: required bool hears_site
   11: required list<string> unanswered_jobs
+  12: optional list<string> cancelled_jobs
+  13: optional bool accepts_cancellations
   40: optional i64 evacuations_digest
   41: optional EvacuationReport evacuations
 }
@@ -313,4 +331,6 @@
   26: optional Opinion opinion
   27: optional LeaderAnnounced leader_announced
   28: optional TargetLossReport target_loss_report
+  29: optional CancelJob cancel_job
+  30: optional CancelJobReply cancel_job_reply
 }
