Use cold targets where it serves callers better than waiting

Cause: a target whose row has a remaining cold time is never used. When a zone that was emptied is taken back, or after all machines had lost power, jobs are refused beside idle cores.

Change: placement/_cold.py decides when a task starts on a cold target: after all warm ones, if it then is within its objective, or if the forecast of admission has it late anyway and later on a warm one. A job that would be refused is admitted if cold targets have room for it and its answer would have value. The remaining cold time counts down by the clock from the arrival of a row. The slowdown is learned for each service from the runs that this placer began on cold targets; these runs do not count for the speed of the target. Only warm targets count as capacity. The simulated target can be cold.

Not measured: processor time, and a site of real processes with cold targets.

--- a/anvilford/order_model/_target.py
+++ b/anvilford/order_model/_target.py
@@ -60,6 +60,8 @@
     Attributes:
         record: Description of the target in the platform's list.
         speed: Speed of the target; run times are divided by it.
+        cold_until: Time until which the target is slow after its start.
+        slowdown: Factor on the run time while it is cold.
         fails_all_tasks: If True, running tasks fail at the next `advance`.
         is_stalled: If True, no task makes progress.
         ignores_stops: If True, stops get no answer and have no effect.
@@ -80,6 +82,8 @@
     def __init__(self, record: TargetRecord, speed: float = 1.0):
         self.record = record
         self.speed = speed
+        self.cold_until = -math.inf
+        self.slowdown = 1.0
         self.fails_all_tasks = False
         self.is_stalled = False
         self.ignores_stops = False
@@ -192,11 +196,19 @@
         if not need.fits_in(self.record.capacity.minus(used)):
             return Refused(Refusal.NO_ROOM, clock)
         self.running[order.task] = _RunningWork(
-            order.run, need, now, seconds / self.speed, fails
+            order.run, need, now, self._run_time(seconds, now), fails
         )
         self.starts.append((now, order.task, order.run))
         return Accepted(clock)
 
+    def _run_time(self, seconds: float, now: float) -> float:
+        """Returns how long a run takes that starts now."""
+        warm = seconds / self.speed
+        cold_left = max(self.cold_until - now, 0.0)
+        if warm * self.slowdown <= cold_left:
+            return warm * self.slowdown
+        return warm + cold_left * (1.0 - 1.0 / self.slowdown)
+
     def stop(self, order: StopRun, now: float) -> OrderAnswer:
         """Handles a request to stop a run."""
         if self.ignores_stops:
--- a/anvilford/placement/_choice.py
+++ b/anvilford/placement/_choice.py
@@ -29,7 +29,7 @@
 
 
 def is_usable(target: Target, now: float) -> bool:
-    """Returns whether new tasks may start on a target."""
+    """Returns whether new tasks may start on a target, warm or cold."""
     if not target.listed and now - target.unlisted_at > UNLISTED_USABLE_S:
         return False
     return (
@@ -42,7 +42,6 @@
         and target.clock_ms is not None
         and target.suspended_until <= now
         and target.retry_at <= now
-        and target.record.cold_ms == 0
         and (target.may_extend_lease or target.accepts_starts_within_lease(now))
     )
 
@@ -58,7 +57,7 @@
     return seconds
 
 
-def _can_run(task: Task, target: Target, now: float) -> bool:
+def can_run(task: Task, target: Target, now: float) -> bool:
     """Returns whether a task may start on a target, and fits on it.
 
     Checks the resources first: under overload most targets lack them.
@@ -162,9 +161,9 @@
         for target in reversed(targets):
             if expected_run_seconds(
                 task, target, options
-            ) <= budget and _can_run(task, target, now):
+            ) <= budget and can_run(task, target, now):
                 return target
-    fastest = next((t for t in targets if _can_run(task, t, now)), None)
+    fastest = next((t for t in targets if can_run(task, t, now)), None)
     if fastest is None:
         return None
     is_late = expected_run_seconds(task, fastest, options) > time_left
--- a/anvilford/placement/_fleet.py
+++ b/anvilford/placement/_fleet.py
@@ -39,6 +39,7 @@
 from anvilford.placement._orders import StopRun
 from anvilford.placement._run_numbers import next_run_number
 from anvilford.placement._run_numbers import RUNS_PER_FENCE
+from anvilford.placement._run_numbers import started_under_earlier_fence
 from anvilford.placement._state import Job
 from anvilford.placement._state import Ownership
 from anvilford.placement._state import Run
@@ -644,6 +645,8 @@
             self.tasks_found_done.add(ended_run.task)
             self.found_foreign_runs = True
         stopping = run.phase in (RunPhase.STOPPING, RunPhase.STOPPED)
+        if not started_under_earlier_fence(run.number, self.fence):
+            self.cold.record_end(target, run, ended_run.end, now)
         if ended_run.end is RunEnd.DONE:
             health.record_success(target, run, now)
         elif (
--- a/anvilford/placement/_health.py
+++ b/anvilford/placement/_health.py
@@ -49,6 +49,8 @@
     target.recent_failures.clear()
     if run.task is None or not run.confirmed_at:
         return
+    if run.confirmed_at < target.cold_until:
+        return  # It began while the target was slow for a while.
     seconds = max(now - run.confirmed_at, 0.002)
     estimate = run.task.spec.estimate_ms / 1000
     if estimate <= 0:
--- a/anvilford/placement/_model.py
+++ b/anvilford/placement/_model.py
@@ -128,7 +128,7 @@
         service: Service whose tasks the target runs.
         draining: True once the target is about to leave.
         cold_ms: Remaining warm-up time after the start, in milliseconds,
-            during which the target is slow.
+            during which the target is slow, when it wrote the row.
         capacity: Total resources.
         labels: Labels of the target, such as its kind and its rack.
         version: Version of the row in the platform's list.
--- a/anvilford/placement/_placer.py
+++ b/anvilford/placement/_placer.py
@@ -28,6 +28,7 @@
 from anvilford.placement._choice import AMPLE_FREE_SHARE
 from anvilford.placement._choice import choose_target
 from anvilford.placement._choice import waits_for_faster_target
+from anvilford.placement._cold import expected_warm_wait
 from anvilford.placement._crashes import CRASHES_TO_GIVE_UP
 from anvilford.placement._crashes import CrashHistory
 from anvilford.placement._evacuation import remaining_targets
@@ -584,8 +585,12 @@
         reason = "overload" if targets else "no_target"
         if self._needs_evacuated_zone(job, now):
             reason = "evacuated"
-        elif (not targets and self.fleet.is_claiming(now)) or (
-            now + wait <= forecast.start_by - ANSWER_MARGIN_S
+        elif (
+            (not targets and self.fleet.is_claiming(now))
+            or now + wait <= forecast.start_by - ANSWER_MARGIN_S
+            or self.fleet.cold.admits(
+                job, forecast.backlog, view, self.options, now
+            )
         ):
             return None
         retry = admission.retry_after_ms(forecast.backlog, capacity, self.rng)
@@ -776,25 +781,23 @@
         """
         view = self._view(service, now)
         smallest = min(job.smallest_cpu for job in jobs)
-        free = [
-            target
-            for target in view.targets
-            if target.available.cpu_millis >= smallest
-        ]
-        if not free:
+        free, cold = view.with_room(smallest)
+        if not free and not cold:
             return
         best_speed = view.capacity.best_speed
         # Not that of the first target: the view may be older than the speeds.
-        best_free = max(target.speed for target in free)
-        most_free = max(target.available.cpu_millis for target in free)
+        best_free = max((target.speed for target in free), default=1.0)
+        most_free = max(t.available.cpu_millis for t in (*free, *cold))
+        warm_wait = expected_warm_wait(jobs, view) if cold else 0.0
         for job in admission.order_jobs(jobs, view.capacity, now):
-            if job.smallest_cpu > most_free or waits_for_faster_target(
-                job, best_free, best_speed, now
+            if job.smallest_cpu > most_free or (
+                not cold
+                and waits_for_faster_target(job, best_free, best_speed, now)
             ):
                 continue
-            if self._place_job(job, free, view.capacity, now):
-                free = [t for t in free if t.available.cpu_millis >= smallest]
-                if not free:
+            if self._place_job(job, free, cold, warm_wait, view.capacity, now):
+                free, cold = view.with_room(smallest)
+                if not free and not cold:
                     return
 
     def _must_wait(self, job: Job, now: float) -> bool:
@@ -821,6 +824,8 @@
         self,
         job: Job,
         free: list[Target],
+        cold: list[Target],
+        warm_wait: float,
         capacity: admission.Capacity,
         now: float,
     ) -> bool:
@@ -845,6 +850,13 @@
                     has_ample_capacity,
                     best_speed,
                     self.options,
+                ) or self.fleet.cold.choose(
+                    task,
+                    cold,
+                    warm_wait,
+                    best_speed,
+                    self.options,
+                    now,
                 )
             # A task that may crash its target is started only on one that is
             # known to be alive, so that a crash after it tells its cause.
--- a/anvilford/placement/_start_log.py
+++ b/anvilford/placement/_start_log.py
@@ -23,6 +23,7 @@
         "tasks": len(job.tasks),
         "again": bool(job.unseen_runs_until),
         "placed_elsewhere": job.placed_elsewhere,
+        **_describe_cold_time(target, now),
         **_describe_unseen_runs(job, fleet, now),
     }
 
@@ -45,6 +46,13 @@
     }
 
 
+def _describe_cold_time(target: Target, now: float) -> dict[str, object]:
+    """Returns how long the target still is cold, if it is."""
+    if target.cold_until <= now:
+        return {}
+    return {"target_cold_ms": int((target.cold_until - now) * 1000)}
+
+
 def _describe_unseen_runs(
     job: Job, fleet: Fleet, now: float
 ) -> dict[str, object]:
--- a/anvilford/placement/_state.py
+++ b/anvilford/placement/_state.py
@@ -355,6 +355,8 @@
         missed_polls: Number of failed polls since the last report.
         isolated_job: Id of the job whose tasks may crash the target, so that
             no other job starts there; empty if there is none.
+        cold_until: Time until which the target is slow after its start, as far
+            as its last row says.
         is_evacuated: Whether no task may start there because the operator has
             its zone evacuated. Its runs go on.
         has_old_record: True if the target has restarted and the list does not
@@ -388,6 +390,7 @@
     reachable: bool = True
     missed_polls: int = 0
     isolated_job: str = ""
+    cold_until: float = -math.inf
     is_evacuated: bool = False
     has_old_record: bool = False
 
@@ -469,6 +472,18 @@
             ):
                 self.isolated_job = ""
 
+    def record_cold_time(self, cold_ms: int, now: float) -> None:
+        """Records how long the target stays cold, from a row that just came.
+
+        Args:
+            cold_ms: Remaining time, in milliseconds.
+            now: Current time in seconds, from which it counts down.
+        """
+        if cold_ms > 0:
+            self.cold_until = now + cold_ms / 1000
+        else:
+            self.cold_until = min(self.cold_until, now)
+
     def record_clock(self, clock_ms: int, now: float) -> None:
         """Records the target's clock from an answer received at `now`."""
         self.clock_ms = clock_ms
--- a/anvilford/placement/_target_list.py
+++ b/anvilford/placement/_target_list.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 
+from anvilford.placement._cold import ColdTargets
 from anvilford.placement._crashes import CrashHistory
 from anvilford.placement._crashes import LossState
 from anvilford.placement._model import PlacementOptions
@@ -62,6 +63,7 @@
         has_forgotten_targets: Whether targets were removed that were off the
             list while a member was missing, which may still have them.
         crashes: Targets that were lost while they ran tasks.
+        cold: What runs on cold targets have shown.
         evacuated_zones: Zones on whose targets no task may start.
         index_version: Increases whenever a target is added, replaced or
             removed.
@@ -86,6 +88,7 @@
         self.has_forgotten_targets = False
         self.crashes = crashes
         self.evacuated_zones: frozenset[str] = frozenset()
+        self.cold = ColdTargets()
         self.index_version = 0
         self._by_service: dict[str, list[Target]] = {}
         # Incarnation by id of targets at whose address another process answers.
@@ -224,14 +227,16 @@
             self.list_version = max(self.list_version, record.version)
             target = self.targets.get(target_id)
             if target is None:
-                self.targets[target_id] = Target(record, record.capacity)
+                target = Target(record, record.capacity)
+                target.record_cold_time(record.cold_ms, now)
+                self.targets[target_id] = target
                 self.log_target_event("target listed", target_id, record)
             elif record.incarnation < target.record.incarnation:
                 continue  # A poll already reported a later incarnation.
             elif record.incarnation > target.record.incarnation:
                 self.replace_incarnation(target, record, now)
             else:
-                self._update_record(target, record)
+                self._update_record(target, record, now)
         for target_id, target in list(self.targets.items()):
             if target_id not in listed and target.listed:
                 target.listed = False
@@ -271,8 +276,12 @@
             for records in lists
         ]
 
-    def _update_record(self, target: Target, record: TargetRecord) -> None:
+    def _update_record(
+        self, target: Target, record: TargetRecord, now: float
+    ) -> None:
         old = target.record
+        if record != old:
+            target.record_cold_time(record.cold_ms, now)
         target.listed = True
         target.record = record
         target.has_old_record = False
@@ -302,6 +311,7 @@
         replacement = Target(
             record, record.capacity, lease_end=target.lease_end
         )
+        replacement.record_cold_time(record.cold_ms, now)
         for run in target.runs.values():
             if run.phase is RunPhase.ORDERED:
                 run.phase = RunPhase.DOUBTFUL
