Failures suspend at most half of the targets outside evacuated zones

Cause: the bound of the share of suspended targets counted evacuated ones as if tasks could start there. With one of two zones evacuated, failures of tasks could suspend all targets that are left.

Change: `record_failure` leaves evacuated targets out of both counts.

--- a/anvilford/placement/_health.py
+++ b/anvilford/placement/_health.py
@@ -27,8 +27,9 @@
 # Length of the first suspension; doubles with each further failure.
 SUSPENSION_S = 1.0
 MAX_SUSPENSION_S = 6.0
-# Maximum share of a service's targets suspended at the same time. If more of
-# them fail, the cause is the tasks rather than the targets.
+# Maximum share of a service's targets suspended at the same time, without those
+# in evacuated zones. If more of them fail, the cause is the tasks rather than the
+# targets.
 MAX_SUSPENDED_SHARE = 0.5
 # A run without a change of its progress percentage for this long counts as
 # stalled, if its task is short. The slowest tasks in the users' workload
@@ -89,8 +90,9 @@
     failures = len(target.recent_failures)
     if failures < FAILURES_TO_SUSPEND:
         return False
-    suspended = sum(1 for peer in peers if peer.suspended_until > now)
-    if suspended + 1 > MAX_SUSPENDED_SHARE * len(peers):
+    remaining = [peer for peer in peers if not peer.is_evacuated]
+    suspended = sum(1 for peer in remaining if peer.suspended_until > now)
+    if suspended + 1 > MAX_SUSPENDED_SHARE * len(remaining):
         return False
     length = SUSPENSION_S * 2.0 ** (failures - FAILURES_TO_SUSPEND)
     target.suspended_until = now + min(length, MAX_SUSPENSION_S)
--- a/anvilford/placement/tests/test_evacuation.py
+++ b/anvilford/placement/tests/test_evacuation.py
@@ -3,6 +3,7 @@
 import attrs
 
 from anvilford.order_model import PlacementSimulation
+from anvilford.placement import _health as health
 from anvilford.placement import JobSpec
 from anvilford.placement import Outcome
 from anvilford.placement import OutcomeKind
@@ -214,6 +215,23 @@
     case.assertEqual(started_in(site, "a"), 2)
 
 
+def test_all_targets_outside_the_zone_are_suspended(case, site):
+    """Failures of tasks must not suspend all targets that are left.
+
+    Evacuated targets counted as if tasks could start there instead.
+    """
+    evacuate(site, "a")
+    targets = list(site.placers["p"].fleet.targets.values())
+    suspended = [
+        target.record.target_id
+        for target in targets
+        if target.record.zone == "b"
+        for n in range(2)
+        if health.record_failure(target, f"job-{n}", targets, site.now)
+    ]
+    case.assertEqual(suspended, ["t3"])
+
+
 def test_restarted_and_new_targets_of_the_zone_are_used(case, site):
     """A target that restarts or joins meanwhile is evacuated like the others."""
     evacuate(site, "a")
