Tests of cold targets: a row that says warm early, and real processes

Cause: no test failed when a newer row did not end the cold time early, and none ran jobs on cold targets with a real entry.

Result: the first fails without the rule and passes with it; in the second, an entry serves two jobs while all rows of the site say cold for 30 s.

--- a/anvilford/node/tests/test_evacuation_processes.py
+++ b/anvilford/node/tests/test_evacuation_processes.py
@@ -101,6 +101,29 @@
     asyncio.run(scenario())
 
 
+def test_site_of_cold_targets_refuses_jobs(case):
+    """Jobs must be served although the rows of all targets say cold."""
+
+    async def scenario():
+        async with LoopbackSite(entries=1, targets=2) as site:
+            for server in site.targets:
+                row = site.store.get("servers", server.name)
+                cold = row | {"cold_remaining_ms": 30_000, "seq": 2}
+                site.store.put("servers", server.name, cold)
+            await asyncio.sleep(1.0)
+            case.assertEqual(await submit_to_all(site, site.entries), {200})
+            starts = [
+                record
+                for record in site.entries["entry-0"].log_records()
+                if record["message"] == "job started"
+            ]
+            case.assertEqual(len(starts), 2)
+            for start in starts:
+                case.assertGreater(start["target_cold_ms"], 20_000)
+
+    asyncio.run(scenario())
+
+
 def test_leader_that_the_store_does_not_reach_goes_on_in_the_zone(case):
     """A leader must learn of the evacuation from the members.
 
--- a/anvilford/placement/tests/test_cold.py
+++ b/anvilford/placement/tests/test_cold.py
@@ -153,6 +153,16 @@
     case.assertEqual(len(view.targets), 2)
 
 
+def test_target_stays_cold_although_its_row_says_warm(case):
+    """A newer row must count, also if it ends the cold time early."""
+    site = simulate(make_zone(["c1"], "a", COLD_S, 2.0))
+    site.targets["c1"].cold_until = site.now
+    update_rows(site)
+    site.run(site.now + 0.02)
+    view = site.placers["p"]._view(SERVICE, site.now)
+    case.assertEqual((len(view.targets), len(view.cold_targets)), (1, 0))
+
+
 def test_cold_runs_spoil_the_speed(case):
     """The speed of a target must be that of its warm time.
 
