Check the type and range of each field of a job at once

Cause: numbers were converted with int() and passed on. estimate_ms or cpu of 1e308 and a deadline of 10^400 raised later (500), negative values and `true` were run, mem_mb of 2^64 and gpu of 1e308 were refused after seconds, and a lone surrogate in a text could not be sent to another entry.

Errors of the JSON decoder are logged without the body.

--- a/anvilford/node/_callers.py
+++ b/anvilford/node/_callers.py
@@ -33,7 +33,9 @@
 from anvilford.placement import Outcome
 from anvilford.placement import OutcomeKind
 from anvilford.platform import DEADLINE_HEADER
+from anvilford.platform import decode_deadline_s
 from anvilford.platform import decode_job
+from anvilford.platform import encode_invalid_job
 from anvilford.platform import encode_job_state
 from anvilford.platform import encode_pending_count
 from anvilford.platform import InvalidJobBody
@@ -43,9 +45,6 @@
 from anvilford.routing import Route
 from anvilford.telemetry import Counters
 
-# Deadline of requests that carry none. The users' requirements state 1.5 s for
-# all kinds of jobs.
-DEFAULT_DEADLINE_S = 1.5
 # Longest time that a request waits for a leader before its first offer. A new
 # leader is found about half a second after the old one stopped answering.
 LEADER_WAIT_S = 0.9
@@ -207,12 +206,12 @@
     ) -> Response:
         spec = decode_job(request.body)
         match spec:
-            case InvalidJobBody(reason):
+            case InvalidJobBody(reason) as invalid:
                 _logger.warning(
                     "job body cannot be decoded",
                     extra={"job": job_id, "reason": reason},
                 )
-                return Response(400)
+                return Response(400, encode_invalid_job(invalid))
             case UnsupportedJob(feature):
                 return self._refuse(job_id, "unsupported " + feature, 503, 0)
         if route.needs_advice:
@@ -617,7 +616,4 @@
 
 def _parse_deadline_s(request: Request) -> float:
     """Returns the seconds that the caller waits, from the deadline header."""
-    try:
-        return int(request.headers[DEADLINE_HEADER]) / 1000
-    except (KeyError, ValueError):
-        return DEFAULT_DEADLINE_S
+    return decode_deadline_s(request.headers.get(DEADLINE_HEADER))
--- a/anvilford/platform/__init__.py
+++ b/anvilford/platform/__init__.py
@@ -5,12 +5,16 @@
 """
 
 from anvilford.platform._caller_requests import DEADLINE_HEADER
+from anvilford.platform._caller_requests import decode_deadline_s
 from anvilford.platform._caller_requests import decode_job
+from anvilford.platform._caller_requests import DEFAULT_DEADLINE_S
+from anvilford.platform._caller_requests import encode_invalid_job
 from anvilford.platform._caller_requests import encode_job_state
 from anvilford.platform._caller_requests import encode_pending_count
 from anvilford.platform._caller_requests import InvalidJobBody
 from anvilford.platform._caller_requests import JOB_ID_HEX_DIGITS
 from anvilford.platform._caller_requests import JobState
+from anvilford.platform._caller_requests import MAX_DEADLINE_S
 from anvilford.platform._caller_requests import UnsupportedJob
 from anvilford.platform._decoding import DECODE_ERRORS
 from anvilford.platform._documents import CONFIGURATION_KEY
@@ -33,6 +37,10 @@
     "Conflict",
     "DECODE_ERRORS",
     "DEADLINE_HEADER",
+    "DEFAULT_DEADLINE_S",
+    "MAX_DEADLINE_S",
+    "decode_deadline_s",
+    "encode_invalid_job",
     "HistoryLost",
     "JOB_ID_HEX_DIGITS",
     "JobState",
