Admission: queues of different priorities share what cannot serve all

Cause: by latest start alone, the first priority was refused like the others, and the queue with the longest tasks most. Change: _shares.py measures how much of its usual work each queue had admitted lately, and scales the rate in the forecast of its start: a queue that is behind gets more, one that is ahead or offers over twice its usual rate gets less. The first priority is not cut while it stays within that. With one priority the factor is 1. AdmissionControl and is_too_late hold what was in Placer. 'job refused' logs rate_factor.

--- a/anvilford/order_model/_by_queue.py
+++ b/anvilford/order_model/_by_queue.py
@@ -54,8 +54,11 @@
         Means over the seeds, by group of jobs (see `_measure_seed`).
     """
     work = [(scenario, seed) for seed in scenario.seeds]
-    with concurrent.futures.ProcessPoolExecutor(processes) as pool:
-        by_seed = list(pool.map(_measure_seed, work))
+    if processes > 1:
+        with concurrent.futures.ProcessPoolExecutor(processes) as pool:
+            by_seed = list(pool.map(_measure_seed, work))
+    else:
+        by_seed = [_measure_seed(item) for item in work]
     report: dict[str, Any] = {"scenario": scenario.name, "groups": {}}
     for group in by_seed[0]:
         seeds = [figures[group] for figures in by_seed if group in figures]
--- a/anvilford/placement/_placer.py
+++ b/anvilford/placement/_placer.py
@@ -44,7 +44,8 @@
 from anvilford.placement._orders import Settle
 from anvilford.placement._orders import StartRun
 from anvilford.placement._orders import StopRun
-from anvilford.placement._refusals import check_admission
+from anvilford.placement._refusals import AdmissionControl
+from anvilford.placement._refusals import is_too_late
 from anvilford.placement._state import Job
 from anvilford.placement._state import Target
 from anvilford.placement._state import Task
@@ -139,6 +140,7 @@
         self._expected_offers: dict[str, _ExpectedOffer] = {}
         # Latest time at which each entry is known to have followed this placer.
         self._entry_contacts: dict[str, float] = {}
+        self._admission = AdmissionControl(options)
         self._views: dict[str, ServiceView] = {}
         # Time by which runs that other placers started before the token was
         # last raised have ended.
@@ -568,39 +570,37 @@
             for other in self._waiting.values()
             if other.policy.service == service and not other.is_held
         ]
-        check = check_admission(
-            job, waiting, view, self.event_delay, self.options, now
-        )
+        check = self._admission.check(job, waiting, view, self.event_delay, now)
         if check.is_admitted:
             return None
         capacity = view.capacity
         retry = admission.retry_after_ms(check.backlog, capacity, self.rng)
+        reason = "overload" if view.targets else "no_target"
         self._log_decision(
             "job refused",
             job.job_id,
             {
                 "queue": job.policy.name,
-                "reason": check.reason,
+                "reason": reason,
                 "expected_wait_ms": int(min(check.wait, 3600.0) * 1000),
                 "event_delay_ms": int(self.event_delay * 1000),
                 "objective_ms": int(job.objective * 1000),
                 "usable_targets": len(view.targets),
                 "free_share": round(capacity.free_share, 2),
+                "rate_factor": round(check.rate_factor, 2),
                 "jobs_waiting": len(self._waiting),
                 "list_version": self.fleet.list_version,
                 "retry_after_ms": retry,
             },
         )
-        return Outcome(OutcomeKind.REFUSED, check.reason, retry)
+        return Outcome(OutcomeKind.REFUSED, reason, retry)
 
     def _end_if_too_late(self, job: Job, now: float) -> None:
         """Ends a waiting job that cannot be answered in time.
 
         A job with started or completed tasks ends as `LOST` after its
-        deadline. Any other job ends once it cannot meet its objective or,
-        after `MAX_REFUSAL_DELAY_SHARE` of the objective, once its answer would
-        have no value. It ends as `REFUSED`, or as `LOST` if an earlier placer
-        may have run its tasks.
+        deadline. Any other job ends once `is_too_late`: as `REFUSED`, or as
+        `LOST` if an earlier placer may have run its tasks.
         """
         if job.has_lost_target:
             self._end_if_hopeless(job, now)
@@ -611,17 +611,12 @@
             return
         view = self._view(job.policy.service, now)
         capacity = view.capacity
-        waited = now - job.arrived_at
-        may_still_refuse = (
-            waited <= admission.MAX_REFUSAL_DELAY_SHARE * job.objective
-        )
-        run_time = job.demand.longest / (capacity.best_speed or 1.0)
-        limit = (
-            job.objective_deadline if may_still_refuse else job.value_deadline
-        )
-        is_too_late = self._earliest_start(job, now) + run_time > limit
-        if not is_too_late or self._may_find_runs(job, now):
+        earliest = self._earliest_start(job, now)
+        if not is_too_late(job, earliest, capacity, now) or (
+            self._may_find_runs(job, now)
+        ):
             return
+        self._admission.record_given_up(job, now)
         if job.unseen_runs_until or job.has_run_before:
             outcome = Outcome(OutcomeKind.LOST, "too_late")
         else:
@@ -632,7 +627,7 @@
             job.job_id,
             {
                 "queue": job.policy.name,
-                "waited_ms": int(waited * 1000),
+                "waited_ms": int((now - job.arrived_at) * 1000),
                 "objective_ms": int(job.objective * 1000),
                 "usable_targets": len(view.targets),
                 "outcome": outcome.kind.name.lower(),
--- a/anvilford/placement/_refusals.py
+++ b/anvilford/placement/_refusals.py
@@ -4,6 +4,7 @@
 is refused at once, while its caller can still use another service.
 """
 
+import collections
 from collections.abc import Sequence
 
 import attrs
@@ -11,6 +12,7 @@
 from anvilford.placement import _admission as admission
 from anvilford.placement._fit import fits_now
 from anvilford.placement._model import PlacementOptions
+from anvilford.placement._shares import QueueShares
 from anvilford.placement._state import Demand
 from anvilford.placement._state import Job
 from anvilford.placement._view import ServiceView
@@ -25,56 +27,103 @@
 
     Attributes:
         is_admitted: Whether the job is admitted.
-        reason: Reason of the refusal.
         wait: Expected seconds until its last task starts, with the delays of
             the leader.
+        rate_factor: Factor on the rate that serves jobs of its queue.
         backlog: Demand of the waiting jobs of its service.
     """
 
     is_admitted: bool
-    reason: str
     wait: float
+    rate_factor: float
     backlog: Demand
 
 
-def check_admission(
-    job: Job,
-    waiting: Sequence[Job],
-    view: ServiceView,
-    event_delay: float,
-    options: PlacementOptions,
-    now: float,
-) -> AdmissionCheck:
-    """Decides whether a new job is admitted.
+class AdmissionControl:
+    """Admission of new jobs to the services of a site.
 
-    It is if it would start in time behind the jobs with an earlier latest
-    start, or if its tasks fit on free cores now and would be in time there.
+    Attributes:
+        options: Parameters of the placer.
+        shares: Shares of the queues, by service.
+    """
+
+    def __init__(self, options: PlacementOptions):
+        self.options = options
+        self.shares: dict[str, QueueShares] = collections.defaultdict(
+            QueueShares
+        )
+
+    def check(
+        self,
+        job: Job,
+        waiting: Sequence[Job],
+        view: ServiceView,
+        event_delay: float,
+        now: float,
+    ) -> AdmissionCheck:
+        """Decides whether a new job is admitted, and records the decision.
+
+        It is if it would start in time behind the jobs with an earlier latest
+        start, or if its tasks fit on free cores now and would be in time there.
+
+        Args:
+            job: The new job.
+            waiting: Other waiting jobs of its service.
+            view: Usable targets of the service.
+            event_delay: Time by which the leader handles events late, in
+                seconds.
+            now: Current time in seconds.
+        """
+        policy = job.policy
+        shares = self.shares[policy.service]
+        rate_factor = shares.factor(policy.name, now)
+        capacity = view.capacity
+        forecast = admission.forecast_start(job, waiting, capacity, now)
+        # One delay before the start, and one before the end is known.
+        delay = 2 * event_delay
+        wait = forecast.wait / rate_factor + delay
+        latest = forecast.start_by - ANSWER_MARGIN_S
+        is_admitted = now + wait <= latest
+        # Without free cores, the targets need not be gone through.
+        if not is_admitted and capacity.free > 0 and now + delay <= latest:
+            is_admitted = fits_now(
+                job,
+                admission.jobs_ahead(forecast.start_by, waiting, capacity, now),
+                view.targets,
+                capacity.best_speed,
+                delay + ANSWER_MARGIN_S,
+                self.options,
+                now,
+            )
+        shares.record(
+            policy.name, policy.priority, job.demand.work, is_admitted, now
+        )
+        return AdmissionCheck(is_admitted, wait, rate_factor, forecast.backlog)
+
+    def record_given_up(self, job: Job, now: float) -> None:
+        """Records that an admitted job was given up before it started."""
+        shares = self.shares[job.policy.service]
+        shares.record_given_up(job.policy.name, job.demand.work, now)
+
+
+def is_too_late(
+    job: Job, earliest_start: float, capacity: admission.Capacity, now: float
+) -> bool:
+    """Returns whether a waiting job without a start is given up.
+
+    It is once it cannot meet its objective or, after `MAX_REFUSAL_DELAY_SHARE`
+    of the objective, once its answer would have no value.
 
     Args:
-        job: The new job.
-        waiting: Other waiting jobs of its service.
-        view: Usable targets of the service.
-        event_delay: Time by which the leader handles events late, in seconds.
-        options: Parameters of the placer.
+        job: The job.
+        earliest_start: Lower bound on its start, in seconds.
+        capacity: Capacity of its service.
         now: Current time in seconds.
     """
-    capacity = view.capacity
-    forecast = admission.forecast_start(job, waiting, capacity, now)
-    # One delay before the start, and one before the end is known.
-    delay = 2 * event_delay
-    wait = forecast.wait + delay
-    latest = forecast.start_by - ANSWER_MARGIN_S
-    is_admitted = now + wait <= latest
-    # Without free cores, the targets need not be gone through.
-    if not is_admitted and capacity.free > 0 and now + delay <= latest:
-        is_admitted = fits_now(
-            job,
-            admission.jobs_ahead(forecast.start_by, waiting, capacity, now),
-            view.targets,
-            capacity.best_speed,
-            delay + ANSWER_MARGIN_S,
-            options,
-            now,
-        )
-    reason = "overload" if view.targets else "no_target"
-    return AdmissionCheck(is_admitted, reason, wait, forecast.backlog)
+    may_still_refuse = (
+        now - job.arrived_at
+        <= admission.MAX_REFUSAL_DELAY_SHARE * job.objective
+    )
+    run_time = job.demand.longest / (capacity.best_speed or 1.0)
+    limit = job.objective_deadline if may_still_refuse else job.value_deadline
+    return earliest_start + run_time > limit
