--- a/anvilford/order_model/_scenario.py
+++ b/anvilford/order_model/_scenario.py
@@ -92,6 +92,21 @@
     at_s: float = attrs.field(validator=_POSITIVE)
 
 
+@attrs.frozen
+class KindSlowdown:
+    """Slowdown of a kind of job by another one on the same target.
+
+    Attributes:
+        kind: Name of the kind that is slowed down.
+        by: Name of the kind that slows it down.
+        factor: Factor on the run time while both run.
+    """
+
+    kind: str
+    by: str
+    factor: float = attrs.field(validator=_POSITIVE)
+
+
 @attrs.frozen
 class Wave:
     """Arrival rate over time: a sine wave around a mean, and one burst.
@@ -149,6 +164,8 @@
         tail_share: Share of the runs that take seven times as long; if None, 3%
             of the jobs have about one such run.
         lost_targets: Targets that leave; None if none do.
+        slowdowns: Kinds that slow each other down on the same target. The
+            baselines and the reference run as if there were none.
     """
 
     name: str
@@ -163,10 +180,12 @@
     deadline_s: float = attrs.field(default=2.3, validator=_POSITIVE)
     tail_share: float | None = None
     lost_targets: LostTargets | None = None
+    slowdowns: list[KindSlowdown] = attrs.field(factory=list)
 
     def make_targets(self) -> list[FakeTarget]:
         """Creates the targets of all groups, without running tasks."""
         made = []
+        slowdowns = {(s.kind, s.by): s.factor for s in self.slowdowns}
         for group in self.targets:
             for _ in range(group.count):
                 number = len(made)
@@ -176,6 +195,7 @@
                     ("a",), 1,
                 )  # fmt: skip
                 made.append(FakeTarget(record, group.speed))
+                made[-1].slowdowns = slowdowns
         return made
 
     def lost_target_ids(self) -> list[str]:
--- a/anvilford/placement/_placer.py
+++ b/anvilford/placement/_placer.py
@@ -827,7 +827,6 @@
     ) -> bool:
         """Starts the tasks of a job that fit; returns whether one started."""
         has_ample_capacity = capacity.free_share > AMPLE_FREE_SHARE
-        best_speed = capacity.best_speed
         waiting = job.waiting
         unplaced = []
         # The tasks of a step are identical: once no target can take one of
@@ -844,13 +843,14 @@
                     free,
                     now,
                     has_ample_capacity,
-                    best_speed,
+                    capacity.best_speed,
                     self.options,
+                    self.fleet.interference,
                 ) or self.fleet.cold.choose(
                     task,
                     cold,
                     warm_wait,
-                    best_speed,
+                    capacity.best_speed,
                     self.options,
                     now,
                 )
