Confirm no cancellation that another leader may have to carry out

Cause: a leader that misses members ended a job whose caller was gone, and answered that it could not tell; asked again 0.05 s later it found the job cancelled and confirmed. A new leader counts all members as heard at first, so that it answered 410 for a job whose entry had not found it yet. Both were found by reading.

Whether a job is remembered goes by its age everywhere.

--- a/anvilford/node/_cancellations.py
+++ b/anvilford/node/_cancellations.py
@@ -6,6 +6,8 @@
 from anvilford.leadership import Leader
 from anvilford.node import _clock as clock
 from anvilford.node._coordination import LeadershipCoordinator
+from anvilford.node._job_reports import make_cancelled_jobs
+from anvilford.node._members import MEMBER_SILENT_AFTER_S
 from anvilford.node._withdrawals import JobWithdrawals
 from anvilford.peers import PeerLinks
 from anvilford.placement import CancelResult
@@ -55,6 +57,8 @@
         self.links = links
         self.withdrawals = withdrawals
         self.counters = counters
+        # Jobs that this leader has ended although another one may have them.
+        self._doubtful = make_cancelled_jobs()
 
     async def cancel(self, job_id: str) -> CancelResult:
         """Cancels a job within `CANCEL_WAIT_S`.
@@ -86,8 +90,10 @@
         """Asks leaders about a job until one knows, or until a time."""
         unknown_until = clock.now() + UNKNOWN_SETTLES_S
         # A caller that may have sent the job to another entry does not count.
-        is_unanswered = self.coordinator.unanswered_jobs.added_at(job_id) > 0
-        waits_here = self.withdrawals.has_request(job_id) and not is_unanswered
+        waits_here = (
+            self.withdrawals.has_request(job_id)
+            and job_id not in self.coordinator.unanswered_jobs
+        )
         while True:
             result = await self._ask_leader(job_id)
             if result in (CancelResult.CANCELED, CancelResult.ENDED):
@@ -157,22 +163,26 @@
         """Cancels a job that this leader may have in progress.
 
         A leader that misses members cannot tell whether another one has a job
-        that it does not know, or whose caller is gone.
+        that it does not know, or whose caller is gone. Nor can a new one for
+        which all members count as heard at first.
         """
         coordinator = self.coordinator
         driver, leader = coordinator.driver, coordinator.leader
         if driver is None or leader is None:
             return CancelResult.UNDECIDED
-        has_no_caller = job_id in driver.placer.kept_jobs
+        if job_id in driver.placer.kept_jobs:
+            self._doubtful.add((job_id,))
         result = driver.cancel(job_id)
         if result is CancelResult.ENDED:
             return result
         coordinator.job_reports.learn_cancelled((job_id,))
         is_only_leader = (
-            coordinator.heartbeats.hears_site and not leader.is_partial
+            coordinator.heartbeats.hears_site
+            and clock.now() - driver.started_at > MEMBER_SILENT_AFTER_S
+            and not leader.is_partial
         )
         if is_only_leader or (
-            result is CancelResult.CANCELED and not has_no_caller
+            result is CancelResult.CANCELED and job_id not in self._doubtful
         ):
             return result
         return CancelResult.UNDECIDED
--- a/anvilford/node/_driver.py
+++ b/anvilford/node/_driver.py
@@ -55,6 +55,7 @@
 
     Attributes:
         placer: Decides on which targets tasks run.
+        started_at: Time at which this member began to lead, in seconds.
         target_client: Client that sends orders to targets.
         counters: Receives counts and latencies of orders.
         on_fence_lost: Called when a target obeys a higher fencing token, with
@@ -77,6 +78,7 @@
         self.counters = counters
         self.on_fence_lost = on_fence_lost
         self.on_suspended = on_suspended
+        self.started_at = clock.now()
         self.placer = Placer(
             fence, clock.now(), options, random.Random(), crashes
         )
--- a/anvilford/node/_job_reports.py
+++ b/anvilford/node/_job_reports.py
@@ -8,7 +8,6 @@
 
 import attrs
 
-from anvilford.node import _clock as clock
 from anvilford.node._driver import PlacerDriver
 from anvilford.node._unanswered import UnansweredJobs
 from anvilford.placement import CancelResult
@@ -49,9 +48,9 @@
 
     def __init__(self):
         self.unanswered = UnansweredJobs()
-        self.cancelled = _make_cancelled_jobs()
+        self.cancelled = make_cancelled_jobs()
         self._local_unanswered = UnansweredJobs()
-        self._local_cancelled = _make_cancelled_jobs()
+        self._local_cancelled = make_cancelled_jobs()
         # Jobs that this entry has given up. Each leader that it follows next
         # may still have them.
         self._withdrawn = UnansweredJobs()
@@ -120,10 +119,9 @@
 
     def is_cancelled(self, job_id: str) -> bool:
         """Returns whether a job is known to be cancelled."""
-        added_at = self.cancelled.added_at(job_id)
-        age = clock.now() - added_at
-        return added_at > 0 and age <= CANCELLED_RETENTION_S
+        return job_id in self.cancelled
 
 
-def _make_cancelled_jobs() -> UnansweredJobs:
+def make_cancelled_jobs() -> UnansweredJobs:
+    """Returns a memory of cancelled jobs that has no entries yet."""
     return UnansweredJobs(CANCELLED_RETENTION_S, MAX_CANCELLED_JOBS)
--- a/anvilford/node/_unanswered.py
+++ b/anvilford/node/_unanswered.py
@@ -48,9 +48,12 @@
         """Removes a job; does nothing if it is not listed."""
         self._added_at.pop(job_id, None)
 
-    def added_at(self, job_id: str) -> float:
-        """Returns the time of the last addition of a job; 0 if not listed."""
-        return self._added_at.get(job_id, 0.0)
+    def __contains__(self, job_id: str) -> bool:
+        """Returns whether a job was added within the retention time."""
+        added_at = self._added_at.get(job_id)
+        return (
+            added_at is not None and clock.now() - added_at <= self.retention_s
+        )
 
     def list_since(self, earliest: float = 0.0) -> tuple[str, ...]:
         """Returns the ids of the jobs added at a time or later.
--- a/anvilford/node/tests/test_cancellations.py
+++ b/anvilford/node/tests/test_cancellations.py
@@ -221,9 +221,11 @@
         case.assertLess(elapsed, 0.3)
 
 
-def lead(result, is_kept=False, hears_site=True, is_partial=False):
+def lead(
+    result, is_kept=False, hears_site=True, is_partial=False, leads_for_s=1.0
+):
     """Returns an entry that leads and whose placer gives a result."""
-    driver = mock.Mock()
+    driver = mock.Mock(started_at=clock.now() - leads_for_s)
     driver.cancel.return_value = result
     driver.placer.kept_jobs = [JOB_ID] if is_kept else []
     return Entry(
@@ -257,6 +259,34 @@
     case.assertIs(Entry().cancellations.receive(JOB_ID), undecided)
 
 
+def test_new_leader_answers_before_it_has_heard_the_others(case):
+    """Guards against 410 for a job whose entry has not found the leader yet.
+
+    All members count as heard when a leader starts.
+    """
+    unknown, undecided = CancelResult.UNKNOWN, CancelResult.UNDECIDED
+    entry = lead(unknown, leads_for_s=0.1)
+    case.assertIs(entry.cancellations.receive(JOB_ID), undecided)
+    result, elapsed = cancel(entry)
+    case.assertIs(result, unknown)
+    case.assertGreater(elapsed, UNKNOWN_SETTLES_S)
+
+
+def test_second_question_has_another_answer(case):
+    """Guards against an acknowledgement of a job that may be elsewhere.
+
+    The first question ends the job here, so that it is known as cancelled when
+    the entry asks again.
+    """
+    canceled, undecided = CancelResult.CANCELED, CancelResult.UNDECIDED
+    entry = lead(canceled, is_kept=True, hears_site=False)
+    for _ in range(2):
+        case.assertIs(entry.cancellations.receive(JOB_ID), undecided)
+        entry.coordinator.driver.placer.kept_jobs = []
+    entry.coordinator.heartbeats.hears_site = True
+    case.assertIs(entry.cancellations.receive(JOB_ID), canceled)
+
+
 def test_answers_to_callers(case):
     """Guards against answers that do not tell what became of the job."""
     for result, status in (
