A refused connection is read on until its end

Its reading was paused for the second in which it may read the answer, so that a client that was still sending could not get to it, and one that had left was not noticed while its earlier request was handled. What arrives is now dropped.

--- a/anvilford/http1/_connection.py
+++ b/anvilford/http1/_connection.py
@@ -352,7 +352,11 @@
         self.arrivals.clear()
         self.pending = b""
         self.parser.reset()
-        self.transport.pause_reading()
+        if self.reading_paused:
+            # What arrives is read and dropped. A client that still sends then
+            # gets to the answer, and one that is gone is noticed.
+            self.reading_paused = False
+            self.transport.resume_reading()
         if self.current is None:
             if is_silent:
                 self.close()
