Large messages of peers count in the budget of requests

A connection with a valid Hello that announced 8 MB and stopped short held them as long as it stayed open, and no budget counted them. Messages above 64 KB now count while they arrive, may take a quarter of the budget beyond it, since an entry without the messages of peers loses its leader, and have 10 s.

--- a/anvilford/http1/_budget.py
+++ b/anvilford/http1/_budget.py
@@ -13,6 +13,9 @@
 # Share of the budget that is left in use after connections were refused. Freeing
 # more than the excess saves examining all connections with each read.
 RELIEVED_SHARE = 0.875
+# Part of the budget that messages of peers may take beyond it. Without their
+# messages, an entry loses its leader.
+PEER_HEADROOM = 0.25
 # Processor time that requests may take at once, in seconds. Heartbeats must be
 # answered within 0.25 s, on VMs that have less than half a core.
 PROCESSOR_BURST_S = 0.02
@@ -51,14 +54,35 @@
             self.held_bytes += held_bytes - holding.held_bytes
         holding.held_bytes = held_bytes
 
+    def is_exceeded(self) -> bool:
+        """Returns whether more memory is held than the budget allows."""
+        return self.held_bytes > self.max_bytes
+
     def relieve(self, now: float) -> None:
         """Refuses connections if the memory exceeds the budget."""
-        if self.held_bytes <= self.max_bytes:
+        if not self.is_exceeded():
             return
         excess = self.held_bytes - int(self.max_bytes * RELIEVED_SHARE)
         for holding in choose_victims(self.holdings, excess, now):
             holding.refuse("memory")
 
+    def reserve(self, size: int) -> bool:
+        """Counts memory for a message of a peer, and frees some if needed.
+
+        Returns:
+            False if there is none; nothing is counted then.
+        """
+        self.held_bytes += size
+        self.relieve(time.monotonic())
+        if self.held_bytes > self.max_bytes * (1 + PEER_HEADROOM):
+            self.held_bytes -= size
+            return False
+        return True
+
+    def release(self, size: int) -> None:
+        """Counts memory that was reserved no longer."""
+        self.held_bytes -= size
+
 
 class ProcessorShare:
     """Account of the processor time of incomplete requests.
--- a/anvilford/http1/_connection.py
+++ b/anvilford/http1/_connection.py
@@ -194,7 +194,6 @@
         if self.parser.error is not None:
             status, reason = self.parser.error
             self.refuse(reason, status)
-        self._update()
 
     def _receive_request(self) -> None:
         """Queues the request that the parser has completed."""
--- a/anvilford/http1/tests/test_budget.py
+++ b/anvilford/http1/tests/test_budget.py
@@ -188,3 +188,15 @@
     case.assertLessEqual(taken, 0.25 * now + 0.03)
     case.assertGreater(taken, 0.22 * now)
     case.assertEqual(account.wait_s(now + 1.0), 0.0)
+
+
+def test_messages_of_peers_have_headroom(case):
+    """Guards against an entry that loses its leader as callers fill all."""
+    budget = RequestBudget(1000)
+    served = holding(Phase.SERVED, 950, served_bytes=950)
+    budget.add(served)
+    case.assertTrue(budget.reserve(200))
+    case.assertFalse(budget.reserve(200))
+    case.assertEqual(budget.held_bytes, 1150)
+    budget.release(200)
+    case.assertEqual(budget.held_bytes, 950)
--- a/anvilford/node/_main.py
+++ b/anvilford/node/_main.py
@@ -186,6 +186,8 @@
         self, stack: contextlib.AsyncExitStack, incarnation: Incarnation
     ) -> None:
         settings = self.settings
+        shared = create_shared_budget(settings, self.counters)
+        stack.callback(shared.turns.close)
         await stack.enter_async_context(
             PeerServer(
                 incarnation,
@@ -193,10 +195,9 @@
                 self._handle_peer_message,
                 self.counters,
                 peer_limits(settings, PEER_LIMITS),
+                shared.memory,
             )
         )
-        shared = create_shared_budget(settings, self.counters)
-        stack.callback(shared.turns.close)
         progress = stack.enter_context(LoopProgress())
         self.caller_listener = await stack.enter_async_context(
             HttpListener(
--- a/anvilford/node/tests/test_hard_clients.py
+++ b/anvilford/node/tests/test_hard_clients.py
@@ -302,6 +302,27 @@
     run_crowd(case, 400, b"")
 
 
+def test_operators_are_answered_while_callers_connections_are_used_up(case):
+    """Guards against a load balancer that takes a full entry for a dead one."""
+
+    async def scenario():
+        async with (
+            entry_under_test(case) as tested,
+            Crowd(tested.entry.caller_address) as crowd,
+        ):
+            for _ in range(300):
+                await crowd.add(post(1))
+            case.assertTrue(await tested.site.is_ready(ENTRY))
+            answer = await tested.site.http.call(
+                tested.entry.metrics_address, "GET /metrics", b"", 5.0
+            )
+            case.assertEqual(answer.status, 200)
+            case.assertIn(b"anvilford_connections_refused_total", answer.body)
+            await tested.check()
+
+    run(scenario())
+
+
 def test_connections_that_send_a_part_of_a_request(case):
     """Guards against incomplete requests that use up all descriptors."""
     run_crowd(case, 400, post(1) + b"Content-Length: 1000\r\n\r\n{")
--- a/anvilford/peers/_server.py
+++ b/anvilford/peers/_server.py
@@ -15,6 +15,7 @@
 from anvilford.peers._stream import StreamClosed
 from anvilford.peers._tasks import TaskScope
 from anvilford.peers._types import CounterSink
+from anvilford.peers._types import FrameMemory
 from anvilford.peers._types import MessageHandler
 from anvilford.peers._types import PeerLimits
 from anvilford.protocol import Envelope
@@ -40,6 +41,8 @@
             as the reply if the peer expects one.
         counters: Receives counts of connections, messages and failures.
         limits: Timeouts, sizes and concurrency.
+        memory: Counts large messages while they arrive, together with what
+            other listeners of the process hold; None counts none.
         address: "IP:port" that the server listens on. Differs from
             `local.address` if that has port 0, which lets the system choose.
     """
@@ -51,12 +54,14 @@
         handler: MessageHandler,
         counters: CounterSink,
         limits: PeerLimits,
+        memory: FrameMemory | None = None,
     ):
         self.local = local
         self.token = token
         self.handler = handler
         self.counters = counters
         self.limits = limits
+        self.memory = memory
         self.address = local.address
         self._streams: set[FrameStream] = set()
         self._connection_tasks = TaskScope()
@@ -98,7 +103,7 @@
     def _accept_connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        stream = FrameStream(reader, writer, self.limits)
+        stream = FrameStream(reader, writer, self.limits, self.memory)
         if self._is_closing:
             stream.abort()
             return
--- a/anvilford/peers/_stream.py
+++ b/anvilford/peers/_stream.py
@@ -11,6 +11,7 @@
 from expression import Ok
 from expression import Result
 
+from anvilford.peers._types import FrameMemory
 from anvilford.peers._types import PeerLimits
 from anvilford.protocol import decode
 from anvilford.protocol import encode
@@ -78,6 +79,7 @@
         limits: Frame size and socket timeouts.
         write_lock: Held by `send` while it waits for room in the write buffer,
             so that frames are written in the order of the calls.
+        memory: Counts large frames while they are received; None counts none.
     """
 
     def __init__(
@@ -85,11 +87,13 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         limits: PeerLimits,
+        memory: FrameMemory | None = None,
     ):
         self.reader = reader
         self.writer = writer
         self.limits = limits
         self.write_lock = asyncio.Lock()
+        self.memory = memory
 
     def set_socket_options(self) -> None:
         """Sets socket timeouts for a vanished peer and the buffer limit.
@@ -157,10 +161,32 @@
             length = int.from_bytes(prefix, "big")
             if length > (max_frame_bytes or self.limits.max_frame_bytes):
                 return Error(FrameTooLarge())
+            if (
+                self.memory is not None
+                and length > self.limits.large_frame_bytes
+            ):
+                return await self._receive_large(length)
             return decode(await self.reader.readexactly(length))
         except (asyncio.IncompleteReadError, OSError):
             return Error(StreamClosed())
 
+    async def _receive_large(
+        self, length: int
+    ) -> Result[Envelope, ReceiveFailure]:
+        """Reads and decodes an envelope that counts as memory meanwhile.
+
+        Raises:
+            OSError: The connection failed, or the envelope took too long.
+            asyncio.IncompleteReadError: The connection was closed.
+        """
+        if not self.memory.reserve(length):
+            return Error(FrameTooLarge())
+        try:
+            async with asyncio.timeout(self.limits.large_frame_timeout_s):
+                return decode(await self.reader.readexactly(length))
+        finally:
+            self.memory.release(length)
+
     def close(self) -> None:
         """Closes the connection once the buffered bytes are sent."""
         self.writer.close()
--- a/anvilford/peers/_types.py
+++ b/anvilford/peers/_types.py
@@ -25,6 +25,16 @@
         """Records a latency in seconds under this name and these labels."""
 
 
+class FrameMemory(typing.Protocol):
+    """The methods of `http1.RequestBudget` that this package calls."""
+
+    def reserve(self, size: int) -> bool:
+        """Counts memory for a message; returns False if there is none."""
+
+    def release(self, size: int) -> None:
+        """Counts memory that was reserved no longer."""
+
+
 @attrs.frozen
 class PeerLimits:
     """Bounds on the connections between entry daemons.
@@ -49,6 +59,10 @@
             drops a connection whose data is not acknowledged. Without it, a
             connection that outlives a network partition waits up to two
             minutes for a retransmission.
+        large_frame_bytes: Size from which an envelope must fit into the memory
+            that the process shares, and arrive in time.
+        large_frame_timeout_s: Longest time, in seconds, from the length of such
+            an envelope to its last byte.
         close_timeout_s: Longest time, in seconds, that a closing server waits
             for requests in progress.
     """
@@ -63,6 +77,8 @@
     min_backoff_s: float = 0.05
     max_backoff_s: float = 0.5
     unacknowledged_timeout_s: float = 5.0
+    large_frame_bytes: int = 64 * 1024
+    large_frame_timeout_s: float = 10.0
     close_timeout_s: float = 1.0
 
 
