--- a/anvilford/http1/_connection.py
+++ b/anvilford/http1/_connection.py
@@ -194,7 +194,6 @@
         if self.parser.error is not None:
             status, reason = self.parser.error
             self.refuse(reason, status)
-        self._update()
 
     def _receive_request(self) -> None:
         """Queues the request that the parser has completed."""
@@ -352,7 +351,11 @@
         self.arrivals.clear()
         self.pending = b""
         self.parser.reset()
-        self.transport.pause_reading()
+        if self.reading_paused:
+            # What arrives is read and dropped. A client that still sends then
+            # gets to the answer, and one that is gone is noticed.
+            self.reading_paused = False
+            self.transport.resume_reading()
         if self.current is None:
             if is_silent:
                 self.close()
