Name the fields about evacuations where heartbeats are built

Cause: they are passed by position, so that a further field before them would shift them without an error.

Result: node.tests.test_coordination and the tests of evacuations passed.

--- a/anvilford/node/_coordination.py
+++ b/anvilford/node/_coordination.py
@@ -369,8 +369,8 @@
             self.unanswered_jobs.list_since(message.answered_at)
             if self._is_leading
             else (),
-            evacuations.digest,
-            evacuations.report,
+            evacuations_digest=evacuations.digest,
+            evacuations=evacuations.report,
         )
 
     def _apply_heartbeat(self, message: Heartbeat, now: float) -> None:
@@ -708,8 +708,8 @@
             sent_at if token == leader.member.token else 0.0,
             self._local_unanswered_jobs.list_since(reported_at),
             self.heartbeat_number,
-            evacuations.digest,
-            evacuations.report,
+            evacuations_digest=evacuations.digest,
+            evacuations=evacuations.report,
         )
         answer = await self.links.call(
             leader.member.address, heartbeat, HEARTBEAT_TIMEOUT_S
