Cold targets cost little while there are none

Cause: under overload without cold targets, the choice among them was called for each task that found no target, and all usable targets were searched again after each start.

Change: the choice is called only if there are cold targets with room, and the targets that had room before are searched.

Tests: placement 127, order_model 6, all passed.

--- a/anvilford/placement/_cold.py
+++ b/anvilford/placement/_cold.py
@@ -115,10 +115,10 @@
             now: Current time in seconds.
         """
         if (
-            end not in (RunEnd.DONE, RunEnd.STOPPED)
+            not began_cold(target, run)
+            or end not in (RunEnd.DONE, RunEnd.STOPPED)
             or run.task is None
             or not run.confirmed_at
-            or not began_cold(target, run)
         ):
             return
         elapsed = max(now - run.confirmed_at, 0.002)
--- a/anvilford/placement/_placer.py
+++ b/anvilford/placement/_placer.py
@@ -796,7 +796,11 @@
             ):
                 continue
             if self._place_job(job, free, cold, warm_wait, view.capacity, now):
-                free, cold = view.with_room(smallest)
+                free = [t for t in free if t.available.cpu_millis >= smallest]
+                if cold:
+                    cold = [
+                        t for t in cold if t.available.cpu_millis >= smallest
+                    ]
                 if not free and not cold:
                     return
 
@@ -850,14 +854,11 @@
                     has_ample_capacity,
                     best_speed,
                     self.options,
-                ) or self.fleet.cold.choose(
-                    task,
-                    cold,
-                    warm_wait,
-                    best_speed,
-                    self.options,
-                    now,
                 )
+                if target is None and cold:
+                    target = self.fleet.cold.choose(
+                        task, cold, warm_wait, best_speed, self.options, now
+                    )
             # A task that may crash its target is started only on one that is
             # known to be alive, so that a crash after it tells its cause.
             if target is None or (
--- a/anvilford/placement/_view.py
+++ b/anvilford/placement/_view.py
@@ -34,11 +34,14 @@
         Args:
             cpu_millis: Least number of free cores, in thousandths.
         """
-        warm, cold = (
-            [t for t in targets if t.available.cpu_millis >= cpu_millis]
-            for targets in (self.targets, self.cold_targets)
+        return (
+            [t for t in self.targets if t.available.cpu_millis >= cpu_millis],
+            [
+                t
+                for t in self.cold_targets
+                if t.available.cpu_millis >= cpu_millis
+            ],
         )
-        return warm, cold
 
 
 def build_view(
