--- a/anvilford/node/_coordination.py
+++ b/anvilford/node/_coordination.py
@@ -692,8 +692,8 @@
             reports.unanswered,
             self.heartbeat_number,
             reports.cancelled,
-            evacuations.digest,
-            evacuations.report,
+            evacuations_digest=evacuations.digest,
+            evacuations=evacuations.report,
         )
         answer = await self.links.call(
             leader.member.address, heartbeat, HEARTBEAT_TIMEOUT_S
