--- a/anvilford/placement/_choice.py
+++ b/anvilford/placement/_choice.py
@@ -30,7 +30,7 @@
 
 
 def is_usable(target: Target, now: float) -> bool:
-    """Returns whether new tasks may start on a target, warm or cold."""
+    """Returns whether new tasks may start on a target."""
     if not target.listed and now - target.unlisted_at > UNLISTED_USABLE_S:
         return False
     return (
@@ -38,11 +38,11 @@
         and target.reachable
         and not target.has_old_record
         and not target.record.draining
-        and not target.is_evacuated
         and not target.is_full
         and target.clock_ms is not None
         and target.suspended_until <= now
         and target.retry_at <= now
+        and target.record.cold_ms == 0
         and (target.may_extend_lease or target.accepts_starts_within_lease(now))
     )
 
@@ -127,6 +127,37 @@
     return [t for t in targets if not t.runs] or targets
 
 
+def _slowest_in_time(
+    task: Task,
+    targets: list[Target],
+    budget: float,
+    now: float,
+    options: PlacementOptions,
+    interference: InterferenceMonitor | None,
+) -> Target | None:
+    """Returns the slowest target on which a task ends in time.
+
+    Args:
+        task: Task that can start.
+        targets: Targets, the least expected run time first.
+        budget: Longest expected run time, in seconds.
+        now: Current time in seconds.
+        options: Parameters of the placer.
+        interference: If given, targets where the task and the runs do not slow
+            each other down come first.
+    """
+    slowest = None
+    for target in reversed(targets):
+        if expected_run_seconds(task, target, options) > budget or not can_run(
+            task, target, now
+        ):
+            continue
+        if interference is None or interference.penalty(task, target) <= 1.0:
+            return target
+        slowest = slowest or target
+    return slowest
+
+
 def _separate(
     task: Task,
     targets: list[Target],
@@ -200,24 +231,20 @@
         )
     time_left = task.job.objective_deadline - now
     budget = time_left * MAX_BUDGET_SHARE
-    separates = interference is not None and interference.concerns(task)
+    if interference is not None and not interference.concerns(task):
+        interference = None
     if not has_ample_capacity:
-        first = None
-        for target in reversed(targets):
-            if expected_run_seconds(
-                task, target, options
-            ) <= budget and can_run(task, target, now):
-                if not separates or interference.penalty(task, target) <= 1.0:
-                    return target
-                first = first or target
-        if first is not None:
-            return first
+        slowest = _slowest_in_time(
+            task, targets, budget, now, options, interference
+        )
+        if slowest is not None:
+            return slowest
     fastest = next((t for t in targets if can_run(task, t, now)), None)
     if fastest is None:
         return None
     is_late = expected_run_seconds(task, fastest, options) > time_left
     if is_late and task.spec.estimate_ms / 1000 / best_speed <= budget:
         return None
-    if not separates or is_late:
+    if interference is None or is_late:
         return fastest
     return _separate(task, targets, fastest, now, options, interference)
--- a/anvilford/placement/_interference.py
+++ b/anvilford/placement/_interference.py
@@ -373,14 +373,17 @@
         return [_pair_decision(kind, other, change)]
 
     def _update_partners(self) -> None:
-        """Sets the partners from the known pairs."""
+        """Sets the partners from the known pairs.
+
+        Two runs of a kind that slows itself down are both slowed down.
+        """
         self.partners = {}
         for state in self.kinds.values():
             state.has_known_pair = any(
                 pair.log_ratio for pair in state.pairs.values()
             )
         for kind, other, pair in self.known_pairs():
-            for one, two in {(kind, other), (other, kind)}:
+            for one, two in ((kind, other), (other, kind)):
                 ratios = self.partners.setdefault(one, {})
                 ratio = math.exp(pair.log_ratio)
                 ratios[two] = ratios.get(two, 1.0) * ratio
--- a/anvilford/placement/tests/test_interference.py
+++ b/anvilford/placement/tests/test_interference.py
@@ -55,6 +55,23 @@
             assert_ratios(case, site, slowdowns)
 
 
+def test_kind_that_hurts_itself_is_found(case):
+    """Guards against runs of one kind that are left side by side.
+
+    Starting one more slows down both, so that it costs the square.
+    """
+    for seed in SEEDS:
+        with case.subTest(seed=seed):
+            site = SyntheticSite(KINDS, seed, slowdowns={("plan", "plan"): 1.8})
+            site.run(40)
+            assert_ratios(case, site, {("plan", "plan"): 1.8})
+            plan = ("plan", 0)
+            case.assertAlmostEqual(
+                site.monitor.partners[plan][plan],
+                site.known()["plan", "plan"] ** 2,
+            )
+
+
 def test_kinds_that_do_not_hurt_each_other_stay_unknown(case):
     """Guards against targets left empty for a slowdown that does not exist.
 
