--- a/anvilford/placement/_choice.py
+++ b/anvilford/placement/_choice.py
@@ -30,7 +30,7 @@
 
 
 def is_usable(target: Target, now: float) -> bool:
-    """Returns whether new tasks may start on a target."""
+    """Returns whether new tasks may start on a target, warm or cold."""
     if not target.listed and now - target.unlisted_at > UNLISTED_USABLE_S:
         return False
     return (
@@ -38,11 +38,11 @@
         and target.reachable
         and not target.has_old_record
         and not target.record.draining
+        and not target.is_evacuated
         and not target.is_full
         and target.clock_ms is not None
         and target.suspended_until <= now
         and target.retry_at <= now
-        and target.record.cold_ms == 0
         and (target.may_extend_lease or target.accepts_starts_within_lease(now))
     )
 
