Limit the runs on one target, so that tasks without cores do not hold the leader up

Cause: each start looks at all runs of its target (may_extend_lease, kept_until). A job of 10,000 tasks that ask for no cores fits on any target, and held a dispatch for 10.7 s (2,000 tasks: 0.44 s); any caller can send one. Change: at most 256 runs at a time on one target; the other tasks wait.

--- a/anvilford/placement/_choice.py
+++ b/anvilford/placement/_choice.py
@@ -23,6 +23,10 @@
 # users' workload descriptions are off by 40% either way.
 MAX_BUDGET_SHARE = 0.85
 
+# Most runs at a time on one target. Each start looks at all runs of its target: 2,000
+# tasks without cores held the leader up for 0.44 s, and 10,000 for 10.7 s.
+MAX_RUNS_ON_TARGET = 256
+
 # How long a target stays usable after the platform's list has dropped its row,
 # as long as it answers. After an outage of the store, a row may reappear up to
 # two seconds after the store has recovered.
@@ -66,7 +70,7 @@
     step = task.spec
     if not step.need.fits_in(target.available) or not is_usable(target, now):
         return False
-    if task.name in target.runs:
+    if task.name in target.runs or len(target.runs) >= MAX_RUNS_ON_TARGET:
         return False
     if target.isolated_job and not (
         task.has_lost_target and target.isolated_job == task.job.job_id
--- a/anvilford/placement/tests/test_placer.py
+++ b/anvilford/placement/tests/test_placer.py
@@ -4,8 +4,11 @@
 
 from anvilford.order_model import draw_arrivals
 from anvilford.order_model import PlacementSimulation
+from anvilford.placement import JobSpec
 from anvilford.placement import OutcomeKind
+from anvilford.placement import Resources
 from anvilford.placement import RunEnd
+from anvilford.placement._choice import MAX_RUNS_ON_TARGET
 from anvilford.placement.tests._shared import job
 from anvilford.placement.tests._shared import KINDS
 from anvilford.placement.tests._shared import make_target
@@ -444,3 +447,20 @@
     case.assertEqual(site.placers["p"].jobs, {})
     *_, outcome = site.outcomes[-1]
     case.assertIs(outcome.kind, OutcomeKind.COMPLETED)
+
+
+def test_tasks_without_cores_do_not_all_start_on_one_target(case, site):
+    """Guards against a leader that is held up by a job of thousands of tasks.
+
+    Each start looks at all runs of its target, and such tasks always fit.
+    """
+    wide = job(seconds=0.5, tasks=1500)
+    step = attrs.evolve(wide.spec.steps[0], need=Resources(0))
+    wide = attrs.evolve(wide, spec=JobSpec("payload", (step,)))
+    site.job_deadline_s = 20.0
+    site.offer("p", wide)
+    site.run(0.3)
+    running = [len(target.running) for target in site.targets.values()]
+    case.assertEqual(running, [MAX_RUNS_ON_TARGET] * len(running))
+    site.run(10.0)
+    case.assertEqual(outcome_kinds(site), {wide.job_id: OutcomeKind.COMPLETED})
