Admission: late jobs may use room that nobody else needs

Cause: after a cut or a loss of power, jobs that waited for a leader were refused beside idle targets (free share 0.96 to 1.0, expected wait 0 to 5 ms), as they could not meet their objectives any more. Change: such a job is admitted while it can be answered within its value and half of the cores stay free for jobs that can be in time.

--- a/anvilford/placement/_refusals.py
+++ b/anvilford/placement/_refusals.py
@@ -10,6 +10,7 @@
 import attrs
 
 from anvilford.placement import _admission as admission
+from anvilford.placement._choice import AMPLE_FREE_SHARE
 from anvilford.placement._fit import fits_now
 from anvilford.placement._model import PlacementOptions
 from anvilford.placement._shares import QueueShares
@@ -64,7 +65,8 @@
         """Decides whether a new job is admitted, and records the decision.
 
         It is if it would start in time behind the jobs with an earlier latest
-        start, or if its tasks fit on free cores now and would be in time there.
+        start, if its tasks fit on free cores now and would be in time there, or
+        if it will be late but most cores are free.
 
         Args:
             job: The new job.
@@ -95,6 +97,10 @@
                 self.options,
                 now,
             )
+        if not is_admitted:
+            is_admitted = has_room_for_late_job(
+                job, forecast.backlog, view, delay, now
+            )
         shares.record(
             policy.name, policy.priority, job.demand.work, is_admitted, now
         )
@@ -106,6 +112,35 @@
         shares.record_given_up(job.policy.name, job.demand.work, now)
 
 
+def has_room_for_late_job(
+    job: Job, backlog: Demand, view: ServiceView, delay: float, now: float
+) -> bool:
+    """Returns whether a job that will be late has room that nobody else needs.
+
+    Load: jobs that waited for a leader after a cut or a loss of power arrive
+    together, when the targets are idle. A late answer has a part of its value, and
+    a refusal has none. Jobs that can be in time keep `AMPLE_FREE_SHARE` of the
+    cores to themselves, and go first.
+
+    Args:
+        job: The new job.
+        backlog: Demand of the waiting jobs of its service.
+        view: Usable targets of the service. Their free cores are summed anew, as
+            hundreds of jobs may start while the view is kept.
+        delay: Time until its tasks start, in seconds.
+        now: Current time in seconds.
+    """
+    capacity = view.capacity
+    if capacity.free_share <= AMPLE_FREE_SHARE:
+        return False
+    run_time = job.demand.longest / (capacity.best_speed or 1.0)
+    if now + delay + run_time > job.value_deadline - ANSWER_MARGIN_S:
+        return False
+    free = sum(target.available.cpu_millis for target in view.targets)
+    left = free - backlog.cpu - job.demand.cpu
+    return left > AMPLE_FREE_SHARE * capacity.cores
+
+
 def is_too_late(
     job: Job, earliest_start: float, capacity: admission.Capacity, now: float
 ) -> bool:
--- a/anvilford/placement/tests/test_refusals.py
+++ b/anvilford/placement/tests/test_refusals.py
@@ -135,3 +135,25 @@
     site.run(18.0)
     case.assertGreater(site.results_by_kind(load)["all"].refused, 50)
     case.assertEqual(fitted, [])
+
+
+def test_jobs_that_waited_for_a_leader_use_idle_targets(case):
+    """Guards against refusals beside idle targets after a cut or loss of power.
+
+    The jobs arrived before there was a leader and can only be late. Those beyond
+    half of the cores are refused, and a job that can be in time is not held up.
+    """
+    site = make_site([make_target(f"t{n}", cpu=13600) for n in range(10)])
+    # The objective is 0.38 s, and an answer has value for 1.14 s.
+    late = [job(0.2, at=START_S - 0.4) for _ in range(30)]
+    too_late = job(0.2, at=START_S - 1.0)
+    fresh = job(0.2, tasks=4, at=START_S)
+    for arrival in (*late, too_late, fresh):
+        site.offer("p", arrival)
+    site.run(3.0)
+    kinds = outcome_kinds(site)
+    served = sum(kinds[j.job_id] is OutcomeKind.COMPLETED for j in late)
+    case.assertGreaterEqual(served, 9)
+    case.assertLessEqual(served, 10)
+    case.assertIs(kinds[too_late.job_id], OutcomeKind.REFUSED)
+    case.assertEqual(site.results_by_kind([fresh])["all"].in_time, 1)
