Placement keeps apart tasks that slow each other down

Cause: queues share the targets, and tasks of some kinds take longer beside each other (memory bandwidth, caches). Placement knows cores only, so that jobs whose tasks share a target with such a kind are late while other targets are free. The slowdown also counted as a slow target.

Change: the leader measures, for each pair of kinds (queue and step), the ratio of run times beside and apart, from the share of each run's time beside the other kind. A pair is known above 1.25 by two standard errors and without any one group of targets, and forgotten below 1.1 or without recent runs. With ample capacity a task goes to the target with the least expected run time times slowdowns, with scarce capacity to the slowest one that meets the objective and has no bad partner; it never waits, and no target is chosen that would use up the margin for the objective. Known slowdowns are left out of a target's speed. Decisions "interference known" and "interference forgotten", a line in `anvilctl status`, setting `separate_interfering_tasks` (default true). Log lines of `Fleet` move to _run_log.py. The targets of the placement model can slow kinds of jobs down, off by default.

--- a/anvilford/cli/_views.py
+++ b/anvilford/cli/_views.py
@@ -47,7 +47,10 @@
         ),
     ]
     if "placement" in value:
-        lines.insert(3, _format_placement(value["placement"]))
+        lines[3:3] = [
+            _format_placement(value["placement"]),
+            *_format_interference(value["placement"]),
+        ]
     return CommandResult(value, "\n".join(lines))
 
 
@@ -67,6 +70,20 @@
     )
 
 
+def _format_interference(placement: Mapping[str, Any]) -> list[str]:
+    """Returns one status line for each kind of task that others slow down.
+
+    Args:
+        placement: Field `placement` of the status. Only the leader knows such
+            tasks, and entries of earlier releases do not report them.
+    """
+    return [
+        f"Slowed down: {pair['kind']} by {pair['slowed_by']}, "
+        f"{pair['ratio']:.2f} times, known for {format_age(pair['known_ms'])}"
+        for pair in placement.get("interfering_tasks") or []
+    ]
+
+
 def targets(arguments: argparse.Namespace, session: Session) -> CommandResult:
     """Runs `anvilctl targets`."""
     value = connect(arguments, session).read("/v1/targets")
--- a/anvilford/cli/tests/test_anvilctl.py
+++ b/anvilford/cli/tests/test_anvilctl.py
@@ -310,6 +310,44 @@
     terminal.compare(case, "job")
 
 
+def test_status_names_tasks_that_are_slowed_down(case, terminal):
+    """`status` shows the pairs that the leader keeps apart.
+
+    Entries that do not lead report none, and earlier releases no such field.
+    """
+    entry = terminal.entry
+    status = entry.status
+    placement = {
+        "leader": "vm-1",
+        "term": 3,
+        "is_partial": False,
+        "targets_listed": 4,
+        "jobs_waiting": {},
+    }
+    pair = {
+        "kind": "check/0",
+        "slowed_by": "plan/0",
+        "ratio": 1.5,
+        "known_ms": 2300,
+    }
+    line = "Slowed down: check/0 by plan/0, 1.50 times, known for 2.3 s\n"
+    for extra, shown in (
+        ({"interfering_tasks": [pair]}, 1),
+        ({"interfering_tasks": []}, 0),
+        ({"interfering_tasks": None}, 0),
+        ({}, 0),
+    ):
+        with case.subTest(extra=extra):
+            entry.status = lambda e=extra: status() | {
+                "placement": placement | e
+            }
+            terminal.transcript = ""
+            case.assertEqual(terminal.run("status"), 0)
+            case.assertIn("Leader: vm-1, term 3", terminal.transcript)
+            case.assertEqual(terminal.transcript.count(line), shown)
+            case.assertEqual(terminal.transcript.count("Slowed"), shown)
+
+
 def test_progress_after_the_delay(case, terminal):
     """A progress line appears after the delay, and none in a fast command."""
     entry = terminal.entry
--- a/anvilford/node/_driver.py
+++ b/anvilford/node/_driver.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
+from typing import Any
 
 from anvilford.node import _clock as clock
 from anvilford.placement import Accepted
@@ -166,6 +167,10 @@
         accepted = self.placer.fleet.restore_speeds(speeds)
         _logger.info("speeds taken over", extra={"targets": accepted})
 
+    def describe_interference(self) -> list[dict[str, Any]]:
+        """Returns the kinds of tasks known to slow each other down."""
+        return self.placer.fleet.interference.describe(clock.now())
+
     async def place(self, offer: Offer) -> Outcome:
         """Places a job and waits until it has ended.
 
--- a/anvilford/node/_main.py
+++ b/anvilford/node/_main.py
@@ -229,6 +229,7 @@
             stop_time=settings.stop_time_ms / 1000,
             remote_penalty=float(settings.remote_penalty),
             resubmit_pause=settings.resubmit_pause_ms / 1000,
+            separate_interfering_tasks=settings.separate_interfering_tasks,
             list_complete_at=(
                 math.inf if is_partial else self.site.removals_known_at
             ),
--- a/anvilford/node/_settings.py
+++ b/anvilford/node/_settings.py
@@ -47,6 +47,8 @@
         resubmit_pause_ms: Time after which callers without an answer send a
             job to another entry, in milliseconds.
         cpu_share: Part of each core that the VM may use.
+        separate_interfering_tasks: Whether tasks of kinds that slow each other
+            down are kept on different targets where there is room.
         log_level: Lowest level that is logged: "debug", "info", "warning" or
             "error".
     """
@@ -73,6 +75,9 @@
             validators.gt(0),
         ],
     )
+    separate_interfering_tasks: bool = attrs.field(
+        default=True, validator=validators.instance_of(bool)
+    )
     log_level: str = attrs.field(
         default="info",
         validator=validators.in_(("debug", "info", "warning", "error")),
--- a/anvilford/node/_status.py
+++ b/anvilford/node/_status.py
@@ -25,13 +25,15 @@
 
     Returns:
         Values that can be encoded as JSON. Heartbeat ages are in
-        milliseconds. Heartbeat age and reachability are None unless this
-        entry leads, because only the leader receives heartbeats.
+        milliseconds. Heartbeat age, reachability and interfering tasks are
+        None unless this entry leads, because only the leader receives
+        heartbeats and measures run times.
     """
     now = clock.now() if now is None else now
     ages = (
         coordinator.heartbeats.heartbeat_ages(now) if coordinator.driver else {}
     )
+    driver = coordinator.driver
     table = coordinator.site.routing_table
     leader = coordinator.leader
     return {
@@ -59,6 +61,9 @@
             "is_partial": bool(leader and leader.is_partial),
             "targets_listed": len(coordinator.site.targets),
             "jobs_waiting": dict(coordinator.waiting_jobs),
+            "interfering_tasks": (
+                driver.describe_interference() if driver else None
+            ),
         },
     }
 
--- a/anvilford/node/tests/test_driver.py
+++ b/anvilford/node/tests/test_driver.py
@@ -19,6 +19,9 @@
 from anvilford.placement import Resources
 from anvilford.placement import StepSpec
 from anvilford.placement import TargetRecord
+from anvilford.placement._run_samples import KindSamples
+from anvilford.placement._run_samples import KindSums
+from anvilford.placement._run_samples import PairSamples
 from anvilford.placement._state import Ownership
 from anvilford.telemetry import Counters
 from testkit import function_tests
@@ -129,3 +132,44 @@
     idle, busy = asyncio.run(scenario())
     case.assertLess(idle, 0.01)
     case.assertGreater(busy, 0.04)
+
+
+def test_known_interference_is_logged_counted_and_shown(case):
+    """Guards against placement that changes without a trace for operators."""
+
+    async def scenario():
+        driver = make_driver()
+        monitor = driver.placer.fleet.interference
+        plan, check = ("plan", 0), ("check", 0)
+        pair = PairSamples(seen_at=clock.now())
+        groups = [KindSums(100.0, 0.0, 10.0) for _ in pair.groups]
+        monitor.kinds[check] = KindSamples(groups, {plan: pair})
+        for group in pair.groups:
+            group.x = group.xx = 20.0
+            group.xy = 20.0
+        with case.assertLogs("anvilford.node._driver", "WARNING") as logs:
+            driver.placer.tick(clock.now() + 1.0)
+            driver._apply_effects()
+        case.assertEqual(
+            [r.getMessage() for r in logs.records], ["interference known"]
+        )
+        case.assertEqual(logs.records[0].slowed_by, "plan/0")
+        shown = {"kind": "check/0", "slowed_by": "plan/0"}
+        (described,) = driver.describe_interference()
+        case.assertEqual(described, described | shown)
+        case.assertGreater(described["ratio"], 2.0)
+        counted = driver.counters.count("decisions", event="interference_known")
+        case.assertEqual(counted, 1)
+        for group in pair.groups:
+            group.xy = 0.0
+        with case.assertLogs("anvilford.node._driver", "WARNING") as logs:
+            driver.placer.tick(clock.now() + 2.0)
+            driver._apply_effects()
+        case.assertEqual(
+            [(r.getMessage(), r.reason) for r in logs.records],
+            [("interference forgotten", "not_confirmed")],
+        )
+        case.assertEqual(driver.describe_interference(), [])
+        case.assertEqual(monitor.partners, {})
+
+    asyncio.run(scenario())
--- a/anvilford/node/tests/test_settings.py
+++ b/anvilford/node/tests/test_settings.py
@@ -43,6 +43,20 @@
             case.assertTrue(load(cpu_share=share).is_error())
 
 
+def test_separation_of_tasks_is_a_choice(case):
+    """Guards against an entry that separates tasks where that is turned off.
+
+    A text such as "false" must not count as true.
+    """
+    case.assertIs(load().ok.separate_interfering_tasks, True)
+    off = load(separate_interfering_tasks=False).ok
+    case.assertIs(off.separate_interfering_tasks, False)
+    for value in ("false", 0, None):
+        with case.subTest(value=value):
+            loaded = load(separate_interfering_tasks=value)
+            case.assertTrue(loaded.is_error())
+
+
 def test_pause_of_callers_is_that_of_the_site(case):
     """Guards against runs that outlive a pause shorter than the usual one."""
     template = TEMPLATE.read_text(encoding="utf-8")
--- a/anvilford/order_model/_scenario.py
+++ b/anvilford/order_model/_scenario.py
@@ -74,6 +74,21 @@
     worth: float = attrs.field(validator=_POSITIVE)
 
 
+@attrs.frozen
+class KindSlowdown:
+    """Slowdown of a kind of job by another one on the same target.
+
+    Attributes:
+        kind: Name of the kind that is slowed down.
+        by: Name of the kind that slows it down.
+        factor: Factor on the run time while both run.
+    """
+
+    kind: str
+    by: str
+    factor: float = attrs.field(validator=_POSITIVE)
+
+
 @attrs.frozen
 class Wave:
     """Arrival rate over time: a sine wave around a mean, and one burst.
@@ -116,6 +131,8 @@
         seeds: Random seeds; each policy runs once for each.
         stretch: Factor on the longest task in the objective of a job.
         allowance_ms: Time added to the objective, in milliseconds.
+        slowdowns: Kinds that slow each other down on the same target. The
+            baselines and the reference run as if there were none.
     """
 
     name: str
@@ -126,10 +143,12 @@
     seeds: list[int]
     stretch: float = attrs.field(default=1.6, validator=_POSITIVE)
     allowance_ms: int = 60
+    slowdowns: list[KindSlowdown] = attrs.field(factory=list)
 
     def make_targets(self) -> list[FakeTarget]:
         """Creates the targets of all groups, without running tasks."""
         made = []
+        slowdowns = {(s.kind, s.by): s.factor for s in self.slowdowns}
         for group in self.targets:
             for _ in range(group.count):
                 number = len(made)
@@ -139,6 +158,7 @@
                     ("a",), 1,
                 )  # fmt: skip
                 made.append(FakeTarget(record, group.speed))
+                made[-1].slowdowns = slowdowns
         return made
 
     def make_jobs(self, seed: int, start: float) -> list[Arrival]:
--- a/anvilford/order_model/_site.py
+++ b/anvilford/order_model/_site.py
@@ -88,8 +88,8 @@
         decisions: Decisions that the placers reported for the log.
         fence_losses: Targets that refused a placer because of a higher fencing
             token, as (placer name, target id).
-        task_demands: Resources and true run time at speed 1, in seconds, by
-            task name.
+        task_demands: Resources, true run time at speed 1, in seconds, and name
+            of the kind of job, by task name.
     """
 
     def __init__(
@@ -176,7 +176,11 @@
         """
         for index, seconds in enumerate(arrival.run_times_s):
             task = f"{arrival.job_id}.0.0.{index}"
-            self.task_demands[task] = (arrival.spec.steps[0].need, seconds)
+            self.task_demands[task] = (
+                arrival.spec.steps[0].need,
+                seconds,
+                arrival.kind.policy.name,
+            )
         offer = Offer(
             arrival.job_id,
             entry,
@@ -308,10 +312,12 @@
             return
         match order:
             case StartRun(task=task):
-                need, seconds = self.task_demands[task]
+                need, seconds, kind = self.task_demands[task]
                 job_id = task.partition(".")[0]
                 fails = job_id in self.faults.hopeless_jobs
-                answer = target.start(order, need, seconds, self.now, fails)
+                answer = target.start(
+                    order, need, seconds, self.now, fails, kind
+                )
                 is_deadly = job_id in self.faults.deadly_jobs
                 if is_deadly and isinstance(answer, Accepted):
                     self._crash(target, [[name, order]])
--- a/anvilford/order_model/_target.py
+++ b/anvilford/order_model/_target.py
@@ -4,6 +4,7 @@
 import itertools
 import math
 from collections.abc import Iterable
+from collections.abc import Mapping
 
 import attrs
 
@@ -39,9 +40,12 @@
         run: Run number.
         need: Resources that the run uses.
         started_at: Time of the start, in seconds.
-        run_time_s: Time that the run takes at the target's speed, in seconds.
+        run_time_s: Time that the run takes at the target's speed beside the
+            runs that are there now, in seconds.
         fails: True if the run fails at its end.
         stopped_at: Time at which a requested stop takes effect.
+        kind: Name of the kind of its job.
+        slowdown: Factor on the run time by the runs that are there now.
     """
 
     run: int
@@ -50,6 +54,8 @@
     run_time_s: float
     fails: bool = False
     stopped_at: float = math.inf
+    kind: str = ""
+    slowdown: float = 1.0
 
 
 class FakeTarget:
@@ -66,6 +72,9 @@
         accepts_any_incarnation: If True, an order is accepted whatever process
             start time it names. The platform's protocol names only the id.
         is_down: If True, the process does not exist; set by `crash`.
+        slowdowns: Factor on the run time of a kind of job while another kind
+            runs beside it, by the names of both. Kinds without one do not slow
+            each other down.
         running: Runs in progress by task name.
         unacknowledged_ends: Ended runs that no poll has acknowledged yet.
         highest_runs: Highest run number that ended or was stopped, by task
@@ -85,6 +94,7 @@
         self.ignores_stops = False
         self.accepts_any_incarnation = False
         self.is_down = False
+        self.slowdowns: Mapping[tuple[str, str], float] = {}
         self.running: dict[str, _RunningWork] = {}
         self.unacknowledged_ends: list[EndedTask] = []
         self.highest_runs: dict[str, int] = {}
@@ -100,6 +110,30 @@
 
     def advance(self, now: float) -> None:
         """Ends the runs that are over by `now`, with the time of their end."""
+        while self.slowdowns:
+            end = self.next_completion()
+            if end is None or end >= now:
+                break
+            self._end_due_runs(end)
+            self._update_slowdowns(end)
+        self._end_due_runs(now)
+        self._update_slowdowns(now)
+
+    def _update_slowdowns(self, now: float) -> None:
+        """Adapts the end of each run to the runs that are beside it now."""
+        if not self.slowdowns:
+            return
+        for task, work in self.running.items():
+            others = {w.kind for t, w in self.running.items() if t != task}
+            slowdown = math.prod(
+                self.slowdowns.get((work.kind, other), 1.0) for other in others
+            )
+            elapsed = now - work.started_at
+            rest = (work.run_time_s - elapsed) / work.slowdown
+            work.run_time_s = elapsed + rest * slowdown
+            work.slowdown = slowdown
+
+    def _end_due_runs(self, now: float) -> None:
         lease_end = (self.lease_end_ms - self.clock_ms(0.0)) / 1000
         for task, work in list(self.running.items()):
             done = self._completion_time(work)
@@ -160,6 +194,7 @@
         seconds: float,
         now: float,
         fails: bool = False,
+        kind: str = "",
     ) -> OrderAnswer:
         """Handles a request to start a run.
 
@@ -169,6 +204,7 @@
             seconds: Run time of the task at speed 1.
             now: Time of the request.
             fails: True if the run fails at its end.
+            kind: Name of the kind of the task's job.
         """
         self.advance(now)
         refusal = self._check_order(order.fence, order.incarnation)
@@ -192,8 +228,9 @@
         if not need.fits_in(self.record.capacity.minus(used)):
             return Refused(Refusal.NO_ROOM, clock)
         self.running[order.task] = _RunningWork(
-            order.run, need, now, seconds / self.speed, fails
+            order.run, need, now, seconds / self.speed, fails, kind=kind
         )
+        self._update_slowdowns(now)
         self.starts.append((now, order.task, order.run))
         return Accepted(clock)
 
--- a/anvilford/placement/_choice.py
+++ b/anvilford/placement/_choice.py
@@ -7,6 +7,7 @@
 waits if a faster, busy target could still meet it.
 """
 
+from anvilford.placement._interference import InterferenceMonitor
 from anvilford.placement._model import PlacementOptions
 from anvilford.placement._state import Job
 from anvilford.placement._state import Ownership
@@ -126,6 +127,75 @@
     return [t for t in targets if not t.runs] or targets
 
 
+def _slowest_in_time(
+    task: Task,
+    targets: list[Target],
+    budget: float,
+    now: float,
+    options: PlacementOptions,
+    interference: InterferenceMonitor | None,
+) -> Target | None:
+    """Returns the slowest target on which a task ends in time.
+
+    Args:
+        task: Task that can start.
+        targets: Targets, the least expected run time first.
+        budget: Longest expected run time, in seconds.
+        now: Current time in seconds.
+        options: Parameters of the placer.
+        interference: If given, targets where the task and the runs do not slow
+            each other down come first.
+    """
+    slowest = None
+    for target in reversed(targets):
+        if expected_run_seconds(task, target, options) > budget or not _can_run(
+            task, target, now
+        ):
+            continue
+        if interference is None or interference.penalty(task, target) <= 1.0:
+            return target
+        slowest = slowest or target
+    return slowest
+
+
+def _separate(
+    task: Task,
+    targets: list[Target],
+    fastest: Target,
+    now: float,
+    options: PlacementOptions,
+    interference: InterferenceMonitor,
+) -> Target:
+    """Returns the target on which a task costs least, with what it slows down.
+
+    The cost is the expected run time, multiplied by the slowdowns of the task
+    and of the runs beside it. Slow targets that would use up the margin for the
+    objective are left out, so that the fastest target is the last choice.
+
+    Args:
+        task: Task that can start.
+        targets: Targets, the least expected run time first.
+        fastest: First of them that can run the task.
+        now: Current time in seconds.
+        options: Parameters of the placer.
+        interference: Provides the slowdowns.
+    """
+    best = fastest
+    best_cost = expected_run_seconds(task, fastest, options)
+    best_cost *= interference.penalty(task, fastest)
+    time_left = task.job.objective_deadline - now
+    for target in targets:
+        seconds = expected_run_seconds(task, target, options)
+        if seconds >= best_cost or seconds > time_left * MAX_BUDGET_SHARE:
+            break
+        if target is fastest or not _can_run(task, target, now):
+            continue
+        cost = seconds * interference.penalty(task, target)
+        if cost < best_cost:
+            best, best_cost = target, cost
+    return best
+
+
 def choose_target(
     task: Task,
     targets: list[Target],
@@ -133,6 +203,7 @@
     has_ample_capacity: bool,
     best_speed: float,
     options: PlacementOptions,
+    interference: InterferenceMonitor | None = None,
 ) -> Target | None:
     """Chooses the target on which a task starts.
 
@@ -144,6 +215,9 @@
             exceeds `AMPLE_FREE_SHARE`.
         best_speed: Speed of the fastest usable target, free or busy.
         options: Parameters of the placer.
+        interference: Kinds of tasks that slow each other down; they are kept
+            apart on targets that would be chosen without it too, or that meet
+            the objective as well.
 
     Returns:
         None if no target can run the task, or if the task would be late on
@@ -157,16 +231,20 @@
         )
     time_left = task.job.objective_deadline - now
     budget = time_left * MAX_BUDGET_SHARE
+    if interference is not None and not interference.concerns(task):
+        interference = None
     if not has_ample_capacity:
-        for target in reversed(targets):
-            if expected_run_seconds(
-                task, target, options
-            ) <= budget and _can_run(task, target, now):
-                return target
+        slowest = _slowest_in_time(
+            task, targets, budget, now, options, interference
+        )
+        if slowest is not None:
+            return slowest
     fastest = next((t for t in targets if _can_run(task, t, now)), None)
     if fastest is None:
         return None
     is_late = expected_run_seconds(task, fastest, options) > time_left
     if is_late and task.spec.estimate_ms / 1000 / best_speed <= budget:
         return None
-    return fastest
+    if interference is None or is_late:
+        return fastest
+    return _separate(task, targets, fastest, now, options, interference)
--- a/anvilford/placement/_fleet.py
+++ b/anvilford/placement/_fleet.py
@@ -15,11 +15,11 @@
 from anvilford.placement import _health as health
 from anvilford.placement._crashes import CrashHistory
 from anvilford.placement._crashes import LossState
+from anvilford.placement._interference import InterferenceMonitor
 from anvilford.placement._model import PlacementOptions
 from anvilford.placement._model import Resources
 from anvilford.placement._model import TargetRecord
 from anvilford.placement._orders import Accepted
-from anvilford.placement._orders import Decision
 from anvilford.placement._orders import Effect
 from anvilford.placement._orders import EndedTask
 from anvilford.placement._orders import FenceLost
@@ -37,6 +37,8 @@
 from anvilford.placement._orders import RunningTask
 from anvilford.placement._orders import StartRun
 from anvilford.placement._orders import StopRun
+from anvilford.placement._run_log import describe_runs
+from anvilford.placement._run_log import describe_suspension
 from anvilford.placement._state import Job
 from anvilford.placement._state import Ownership
 from anvilford.placement._state import Run
@@ -100,6 +102,7 @@
             another placer; the owner of the fleet resets it.
         leases_end_by: Latest time at which leases may end; set by
             `Placer.limit_leases`.
+        interference: Kinds of tasks that slow each other down.
     """
 
     def __init__(
@@ -117,6 +120,7 @@
         self.tasks_found_done: set[str] = set()
         self.found_foreign_runs = False
         self.leases_end_by = math.inf
+        self.interference = InterferenceMonitor(options, now)
         # Ids of targets beside `target_by_task` that may run a task, by name.
         self._other_targets: dict[str, list[str]] = {}
 
@@ -648,7 +652,8 @@
             self.found_foreign_runs = True
         stopping = run.phase in (RunPhase.STOPPING, RunPhase.STOPPED)
         if ended_run.end is RunEnd.DONE:
-            health.record_success(target, run, now)
+            slowdown = self.interference.record_success(target, run, now)
+            health.record_success(target, run, now, slowdown)
         elif (
             ended_run.end is RunEnd.FAILED
             and not stopping
@@ -682,27 +687,13 @@
         now: float,
         **inputs: object,
     ) -> None:
-        """Appends a decision about runs on one target to the effects.
+        """Appends a decision about runs on one target, if any, to the effects.
 
-        Args:
-            event: Text of the log line.
-            target: Target of the runs.
-            runs: Runs of which at least one is needed for a log line.
-            now: Current time in seconds.
-            **inputs: Further fields of the log line.
+        The arguments are those of `describe_runs`.
         """
-        names = [f"{run.task_name}/{run.number}" for run in runs]
-        if not names:
-            return
-        fields = {
-            "target": target.record.target_id,
-            "runs": names,
-            "fence": self.fence,
-            "lease_left_ms": int((target.lease_end - now) * 1000),
-            "contact_age_ms": int((now - target.last_contact_at) * 1000),
-            **inputs,
-        }
-        self.effects.append(Decision(event, "", fields))
+        self.effects += describe_runs(
+            event, target, runs, self.fence, now, **inputs
+        )
 
     # Handlers of the loss of targets and runs.
 
@@ -777,19 +768,14 @@
         """
         peers = self.targets_of_service(target.record.service)
         if health.record_failure(target, failed, peers, now):
-            fields = {
-                "target": target.record.target_id,
-                "cause": cause,
-                "strikes": len(target.recent_failures),
-                "for_ms": int((target.suspended_until - now) * 1000),
-            }
-            self.effects.append(Decision("target suspended", "", fields))
+            self.effects.append(describe_suspension(target, cause, now))
 
     def _finish_run(
         self, target: Target, run: Run, cause: str, now: float
     ) -> None:
         """Removes a run and reports its end if it is the task's latest run."""
         target.release(run)
+        self.interference.record_end(target, run, now)
         if self.target_by_task.get(run.task_name) is target:
             del self.target_by_task[run.task_name]
             self._index_other_run(run.task_name)
@@ -833,6 +819,7 @@
 
     def tick(self, now: float) -> None:
         """Expires leases, repeats stops and sends the polls that are due."""
+        self.effects += self.interference.evaluate(now)
         for target in list(self.targets.values()):
             if target.runs:
                 self._check_runs(target, now)
--- a/anvilford/placement/_health.py
+++ b/anvilford/placement/_health.py
@@ -40,11 +40,20 @@
 STALL_RUN_TIME_SHARE = 0.15
 
 
-def record_success(target: Target, run: Run, now: float) -> None:
+def record_success(
+    target: Target, run: Run, now: float, slowdown: float = 1.0
+) -> None:
     """Updates a target's failure count and speed after a completed run.
 
     The speed is a geometric moving average of the ratio of estimated to
-    measured run time.
+    measured run time. It leaves out the effect of what ran beside the run.
+
+    Args:
+        target: Target of the run.
+        run: The completed run.
+        now: Current time in seconds.
+        slowdown: Factor by which other runs on the target are known to have
+            slowed down the run.
     """
     target.recent_failures.clear()
     if run.task is None or not run.confirmed_at:
@@ -53,7 +62,7 @@
     estimate = run.task.spec.estimate_ms / 1000
     if estimate <= 0:
         return
-    sample = estimate / seconds
+    sample = estimate * slowdown / seconds
     bounded = min(
         max(sample, target.speed / MAX_SAMPLE_FACTOR),
         target.speed * MAX_SAMPLE_FACTOR,
--- a/anvilford/placement/_model.py
+++ b/anvilford/placement/_model.py
@@ -235,6 +235,8 @@
             Infinite if this placer serves only a part of the site.
         resubmit_pause: Time after which a caller whose connection broke or who
             got no answer sends its job to another entry.
+        separate_interfering_tasks: Whether tasks avoid targets that run tasks
+            of a kind that slows them down.
     """
 
     max_lease: float = 1.0
@@ -243,6 +245,7 @@
     remote_penalty: float = 2.0
     list_complete_at: float = 0.0
     resubmit_pause: float = RESUBMIT_PAUSE_S
+    separate_interfering_tasks: bool = True
 
     @property
     def permission_lifetime(self) -> float:
--- a/anvilford/placement/_placer.py
+++ b/anvilford/placement/_placer.py
@@ -797,7 +797,6 @@
     ) -> bool:
         """Starts the tasks of a job that fit; returns whether one started."""
         has_ample_capacity = capacity.free_share > AMPLE_FREE_SHARE
-        best_speed = capacity.best_speed
         waiting = job.waiting
         unplaced = []
         # The tasks of a step are identical: once no target can take one of
@@ -814,8 +813,9 @@
                     free,
                     now,
                     has_ample_capacity,
-                    best_speed,
+                    capacity.best_speed,
                     self.options,
+                    self.fleet.interference,
                 )
             # A task that may crash its target is started only on one that is
             # known to be alive, so that a crash after it tells its cause.
--- a/anvilford/placement/_state.py
+++ b/anvilford/placement/_state.py
@@ -154,6 +154,8 @@
         demand: Demand of the tasks in `waiting`.
         smallest_cpu: Fewest cores that a task in `waiting` requires, in
             thousandths; 0 without waiting tasks.
+        deviations: Number of ended runs and sum of the deviations of their run
+            times from those expected for the estimates, as logarithms, by step.
     """
 
     job_id: str
@@ -179,6 +181,7 @@
     objective: float = 0.0
     demand: Demand = Demand()
     smallest_cpu: int = 0
+    deviations: dict[int, tuple[int, float]] = attrs.field(factory=dict)
 
     def set_waiting(self, tasks: list[Task]) -> None:
         """Sets the waiting tasks and updates their demand."""
@@ -280,6 +283,7 @@
         is_carried_over: Whether the run is known from an earlier incarnation of
             the target only. Apart from `confirmed_at`, which also tells which
             polls can show that the run is absent.
+        beside: Time that ended runs of each kind have run beside it, in seconds.
     """
 
     task: Task | None
@@ -296,6 +300,7 @@
     was_sent_to_live: bool = False
     start_was_lost: bool = False
     is_carried_over: bool = False
+    beside: dict[tuple[str, int], float] = attrs.field(factory=dict)
 
     @property
     def job_id(self) -> str:
@@ -358,6 +363,10 @@
         has_old_record: True if the target has restarted and the list does not
             show its new row yet: capacity and labels in `record` are those of
             the previous incarnation.
+        run_time_offset: Mean difference of the logarithm of run times from that
+            of other targets, without the effect of what ran beside; None before
+            the first sample.
+        run_time_samples: Number of completed runs in `run_time_offset`.
     """
 
     record: TargetRecord
@@ -387,6 +396,8 @@
     missed_polls: int = 0
     isolated_job: str = ""
     has_old_record: bool = False
+    run_time_offset: float | None = None
+    run_time_samples: int = 0
 
     @property
     def has_claimed_runs(self) -> bool:
