--- a/anvilford/leadership/_election.py
+++ b/anvilford/leadership/_election.py
@@ -32,6 +32,9 @@
 # concludes that the whole site has restarted. A machine that is cut off by itself
 # reaches fewer.
 RESTARTED_SHARE = 0.25
+# Least number of them. One that has restarted alone on a small site, and reaches
+# nobody while the store is slow, must not conclude that.
+MIN_RESTARTED = 3
 # A leader leaves its place to a member with this many times its cores. Members
 # that differ less are worth no change of the leader.
 BETTER_CORES_RATIO = 1.25
@@ -226,7 +229,7 @@
     return (
         state.store_reachable
         and state.other_zones_reachable
-        and len(reached) >= RESTARTED_SHARE * len(tokens)
+        and len(reached) >= max(RESTARTED_SHARE * len(tokens), MIN_RESTARTED)
         and all(
             tokens.get(member.name, member.token) != member.token
             for member in reached
--- a/anvilford/node/_main.py
+++ b/anvilford/node/_main.py
@@ -207,8 +207,8 @@
                 self.caller_handler.handle,
                 caller_limits(settings),
                 progress.earliest_arrival,
-                shared,
-                self._request_sizes,
+                shared=shared,
+                sizes=self._request_sizes,
             )
         )
         for address, handler in (
--- a/anvilford/placement/_placer.py
+++ b/anvilford/placement/_placer.py
@@ -50,7 +50,7 @@
 from anvilford.placement._orders import Settle
 from anvilford.placement._orders import StartRun
 from anvilford.placement._orders import StopRun
-from anvilford.placement._refusals import AdmissionControl
+from anvilford.placement._refusals import check_admission
 from anvilford.placement._refusals import is_too_late
 from anvilford.placement._run_numbers import started_under_earlier_fence
 from anvilford.placement._start_log import describe_job_start
@@ -126,7 +126,6 @@
         self._earlier_jobs = EarlierJobs()
         # Latest time at which each entry is known to have followed this placer.
         self._entry_contacts: dict[str, float] = {}
-        self._admission = AdmissionControl(options)
         self._views: dict[str, ServiceView] = {}
         self._remaining_targets: dict[str, RemainingTargets] = {}
         # Time by which runs that other placers started before the token was
@@ -584,7 +583,9 @@
             for other in self._waiting.values()
             if other.policy.service == service and not other.is_held
         ]
-        check = self._admission.check(job, waiting, view, self.event_delay, now)
+        check = check_admission(
+            job, waiting, view, self.event_delay, self.options, now
+        )
         if not needs_evacuated and (
             check.is_admitted
             or self.fleet.cold.admits(
@@ -608,7 +609,6 @@
                 "objective_ms": int(job.objective * 1000),
                 "usable_targets": len(view.targets),
                 "free_share": round(capacity.free_share, 2),
-                "rate_factor": round(check.rate_factor, 2),
                 "jobs_waiting": len(self._waiting),
                 "list_version": self.fleet.list_version,
                 "retry_after_ms": retry,
@@ -639,7 +639,6 @@
         ) or self._may_find_runs(job, now):
             return
         reason = "evacuated" if needs_evacuated else "too_late"
-        self._admission.record_given_up(job, now)
         if job.unseen_runs_until or job.has_run_before:
             outcome = Outcome(OutcomeKind.LOST, reason)
         else:
--- a/anvilford/placement/_refusals.py
+++ b/anvilford/placement/_refusals.py
@@ -4,7 +4,6 @@
 is refused at once, while its caller can still use another service.
 """
 
-import collections
 from collections.abc import Sequence
 
 import attrs
@@ -13,7 +12,6 @@
 from anvilford.placement._choice import AMPLE_FREE_SHARE
 from anvilford.placement._fit import fits_now
 from anvilford.placement._model import PlacementOptions
-from anvilford.placement._shares import QueueShares
 from anvilford.placement._state import Demand
 from anvilford.placement._state import Job
 from anvilford.placement._view import ServiceView
@@ -30,86 +28,59 @@
         is_admitted: Whether the job is admitted.
         wait: Expected seconds until its last task starts, with the delays of
             the leader.
-        rate_factor: Factor on the rate that serves jobs of its queue.
         backlog: Demand of the waiting jobs of its service.
     """
 
     is_admitted: bool
     wait: float
-    rate_factor: float
     backlog: Demand
 
 
-class AdmissionControl:
-    """Admission of new jobs to the services of a site.
+def check_admission(
+    job: Job,
+    waiting: Sequence[Job],
+    view: ServiceView,
+    event_delay: float,
+    options: PlacementOptions,
+    now: float,
+) -> AdmissionCheck:
+    """Decides whether a new job is admitted.
 
-    Attributes:
+    It is if it would start in time behind the jobs with an earlier latest start,
+    if its tasks fit on free cores now and would be in time there, or if it will
+    be late but most cores are free.
+
+    Args:
+        job: The new job.
+        waiting: Other waiting jobs of its service.
+        view: Usable targets of the service.
+        event_delay: Time by which the leader handles events late, in seconds.
         options: Parameters of the placer.
-        shares: Shares of the queues, by service.
+        now: Current time in seconds.
     """
-
-    def __init__(self, options: PlacementOptions):
-        self.options = options
-        self.shares: dict[str, QueueShares] = collections.defaultdict(
-            QueueShares
+    capacity = view.capacity
+    forecast = admission.forecast_start(job, waiting, capacity, now)
+    # One delay before the start, and one before the end is known.
+    delay = 2 * event_delay
+    wait = forecast.wait + delay
+    latest = forecast.start_by - ANSWER_MARGIN_S
+    is_admitted = now + wait <= latest
+    # Without free cores, the targets need not be gone through.
+    if not is_admitted and capacity.free > 0 and now + delay <= latest:
+        is_admitted = fits_now(
+            job,
+            admission.jobs_ahead(forecast.start_by, waiting, capacity, now),
+            view.targets,
+            capacity.best_speed,
+            delay + ANSWER_MARGIN_S,
+            options,
+            now,
         )
-
-    def check(
-        self,
-        job: Job,
-        waiting: Sequence[Job],
-        view: ServiceView,
-        event_delay: float,
-        now: float,
-    ) -> AdmissionCheck:
-        """Decides whether a new job is admitted, and records the decision.
-
-        It is if it would start in time behind the jobs with an earlier latest
-        start, if its tasks fit on free cores now and would be in time there, or
-        if it will be late but most cores are free.
-
-        Args:
-            job: The new job.
-            waiting: Other waiting jobs of its service.
-            view: Usable targets of the service.
-            event_delay: Time by which the leader handles events late, in
-                seconds.
-            now: Current time in seconds.
-        """
-        policy = job.policy
-        shares = self.shares[policy.service]
-        rate_factor = shares.factor(policy.name, now)
-        capacity = view.capacity
-        forecast = admission.forecast_start(job, waiting, capacity, now)
-        # One delay before the start, and one before the end is known.
-        delay = 2 * event_delay
-        wait = forecast.wait / rate_factor + delay
-        latest = forecast.start_by - ANSWER_MARGIN_S
-        is_admitted = now + wait <= latest
-        # Without free cores, the targets need not be gone through.
-        if not is_admitted and capacity.free > 0 and now + delay <= latest:
-            is_admitted = fits_now(
-                job,
-                admission.jobs_ahead(forecast.start_by, waiting, capacity, now),
-                view.targets,
-                capacity.best_speed,
-                delay + ANSWER_MARGIN_S,
-                self.options,
-                now,
-            )
-        if not is_admitted:
-            is_admitted = has_room_for_late_job(
-                job, forecast.backlog, view, delay, now
-            )
-        shares.record(
-            policy.name, policy.priority, job.demand.work, is_admitted, now
+    if not is_admitted:
+        is_admitted = has_room_for_late_job(
+            job, forecast.backlog, view, delay, now
         )
-        return AdmissionCheck(is_admitted, wait, rate_factor, forecast.backlog)
-
-    def record_given_up(self, job: Job, now: float) -> None:
-        """Records that an admitted job was given up before it started."""
-        shares = self.shares[job.policy.service]
-        shares.record_given_up(job.policy.name, job.demand.work, now)
+    return AdmissionCheck(is_admitted, wait, forecast.backlog)
 
 
 def has_room_for_late_job(
