Site simulation: two more seeds for the check of runs without leases

Cause: seeds 1, 2 and 8 showed overlapping runs without leases before the product changed; its random draws differ now, and they show none. Of seeds 1 to 23, 3, 9, 11, 16 and 17 do. Change: 3 and 11 are added, the others stay.

--- a/testkit/site_simulation/tests/test_site_simulation.py
+++ b/testkit/site_simulation/tests/test_site_simulation.py
@@ -82,7 +82,8 @@
 def test_check_sees_runs_without_leases(case):
     """Guards against a check that passes whatever the targets do.
 
-    Runs that no lease ends go on after their leader is lost.
+    Runs that no lease ends go on after their leader is lost. Which seeds show it
+    depends on the draws of the product: 1, 2 and 8 did before it changed.
     """
 
     def extend_lease(target: FakeTarget, deadline_ms: int, now: float) -> None:
@@ -91,7 +92,7 @@
         target.lease_end_ms = max(target.lease_end_ms, longer)
 
     with mock.patch.object(FakeTarget, "_extend_lease", extend_lease):
-        reports = [simulate(Options(seed, 30.0)) for seed in (1, 2, 8)]
+        reports = [simulate(Options(seed, 30.0)) for seed in (1, 2, 8, 3, 11)]
     traces = [trace for report in reports for trace in report.traces]
     case.assertTrue(traces)
     case.assertEqual(sum(len(r.overlaps) for r in reports), len(traces))
